--- /dev/null
+++ b/src/connection/peer/frame.rs
@@ -0,0 +1,108 @@
+//! Frames: one version byte, four bytes of length in little endian, then a postcard message.
+
+use {
+    compio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    derive_more::{Display, Error, From},
+    serde::{Serialize, de::DeserializeOwned},
+    std::io,
+};
+
+/// The version of the protocol.
+const PROTOCOL_VERSION: u8 = 1;
+
+/// The largest frame content, in bytes.
+const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// The length of a frame's header, in bytes.
+const HEADER_BYTES: usize = 5;
+
+/// Why a frame was not read or written.
+#[derive(Debug, Display, Error, From)]
+pub enum FrameError {
+    /// The connection failed or was closed.
+    #[display("the connection failed: {_0}")]
+    Io(io::Error),
+    /// The message is not well formed.
+    #[display("malformed message: {_0}")]
+    Malformed(postcard::Error),
+    /// The peer speaks another version of the protocol.
+    #[display("protocol version {_0} is not supported")]
+    #[from(skip)]
+    Version(#[error(not(source))] u8),
+    /// The frame is larger than the limit.
+    #[display("a frame of {_0} bytes is above the limit of {MAX_FRAME_BYTES}")]
+    #[from(skip)]
+    TooLarge(#[error(not(source))] usize),
+}
+
+impl FrameError {
+    /// Tells whether the peer simply closed the connection between frames.
+    pub fn is_closed(&self) -> bool {
+        matches!(self, Self::Io(e) if e.kind() == io::ErrorKind::UnexpectedEof)
+    }
+
+    /// Tells whether the peer broke the protocol.
+    pub fn is_violation(&self) -> bool {
+        !matches!(self, Self::Io(_))
+    }
+}
+
+/// Reads one frame and decodes its message.
+///
+/// # Errors
+/// [`FrameError`] when the connection fails or the frame breaks the protocol.
+pub async fn read_frame<R, T>(stream: &mut R) -> Result<T, FrameError>
+where
+    R: AsyncRead,
+    T: DeserializeOwned,
+{
+    let header = read_exact(stream, HEADER_BYTES).await?;
+    if header[0] != PROTOCOL_VERSION {
+        return Err(FrameError::Version(header[0]));
+    }
+    let len = u32::from_le_bytes([header[1], header[2], header[3], header[4]]) as usize;
+    if len > MAX_FRAME_BYTES {
+        return Err(FrameError::TooLarge(len));
+    }
+    let content = read_exact(stream, len).await?;
+    Ok(postcard::from_bytes(&content)?)
+}
+
+/// Encodes a message and writes it as one frame; returns the frame's length in bytes.
+///
+/// # Errors
+/// [`FrameError`] when the connection fails or the message is larger than the limit.
+pub async fn write_frame<T, W>(
+    stream: &mut W,
+    message: &T,
+) -> Result<usize, FrameError>
+where
+    T: Serialize,
+    W: AsyncWrite,
+{
+    let mut frame = vec![0; HEADER_BYTES];
+    frame[0] = PROTOCOL_VERSION;
+    let mut frame = postcard::to_extend(message, frame)?;
+    let len = frame.len() - HEADER_BYTES;
+    if len > MAX_FRAME_BYTES {
+        return Err(FrameError::TooLarge(len));
+    }
+    let length_bytes = u32::try_from(len).unwrap_or(u32::MAX).to_le_bytes();
+    frame[1..HEADER_BYTES].copy_from_slice(&length_bytes);
+    let frame_len = frame.len();
+    stream.write_all(frame).await.0?;
+    Ok(frame_len)
+}
+
+/// Reads exactly `len` bytes.
+async fn read_exact<R>(
+    stream: &mut R,
+    len: usize,
+) -> Result<Vec<u8>, FrameError>
+where
+    R: AsyncRead,
+{
+    let result = stream.read_exact(vec![0; len]).await;
+    result.0?;
+    Ok(result.1)
+}
--- /dev/null
+++ b/src/process/cli/check_command.rs
@@ -0,0 +1,65 @@
+//! `limpetquay check`.
+
+use {
+    super::{
+        CliError, Command,
+        command::{only_argument, read_file},
+    },
+    crate::{
+        process::settings::{
+            EntrySettings, GuardSettings, LocalSettings, StandInLogSettings,
+            StandInUpstreamSettings,
+        },
+        version::{Document, Faults},
+    },
+    getopts::Matches,
+};
+
+/// Checks a settings file or a service document.
+pub(super) struct CheckCommand;
+
+impl Command for CheckCommand {
+    fn name(&self) -> &'static str {
+        "check"
+    }
+
+    fn arguments(&self) -> &'static str {
+        "FILE"
+    }
+
+    fn summary(&self) -> &'static str {
+        "check a settings file or a service document"
+    }
+
+    fn run(
+        &self,
+        matches: &Matches,
+    ) -> Result<(), CliError> {
+        let path = only_argument(matches, "the file to check")?;
+        let text = read_file(&path)?;
+        let what = check_text(&path, &text)?;
+        println!("{path}: a valid {what}");
+        Ok(())
+    }
+}
+
+/// Checks a text as what its sections say it is, and returns that.
+pub(super) fn check_text(
+    path: &str,
+    text: &str,
+) -> Result<&'static str, Faults> {
+    let has = |header: &str| text.lines().any(|l| l.trim_start().starts_with(header));
+    if has("[entry") {
+        EntrySettings::parse(path, text).map(|_| "entry settings file")
+    } else if has("[guard") {
+        GuardSettings::parse(path, text).map(|_| "guard settings file")
+    } else if has("[stand-in-log") {
+        StandInLogSettings::parse(path, text).map(|_| "stand-in log settings file")
+    } else if has("[stand-in-upstream") {
+        StandInUpstreamSettings::parse(path, text).map(|_| "stand-in upstream settings file")
+    } else if has("[workers") {
+        LocalSettings::parse(path, text).map(|_| "local settings file")
+    } else {
+        Document::parse(path, text).map(|_| "service document")
+    }
+}
--- /dev/null
+++ b/src/process/cli/key_hash_command.rs
@@ -0,0 +1,31 @@
+//! `limpetquay key-hash`.
+
+use {
+    super::{CliError, Command},
+    crate::version::KeyHash,
+    getopts::Matches,
+    std::io,
+};
+
+/// Prints the hash of a bearer key, which documents hold.
+pub(super) struct KeyHashCommand;
+
+impl Command for KeyHashCommand {
+    fn name(&self) -> &'static str {
+        "key-hash"
+    }
+
+    fn summary(&self) -> &'static str {
+        "read a key from standard input and print its hash"
+    }
+
+    fn run(
+        &self,
+        _matches: &Matches,
+    ) -> Result<(), CliError> {
+        let mut line = String::new();
+        io::stdin().read_line(&mut line)?;
+        println!("{}", KeyHash::of(line.trim_end_matches(['\r', '\n'])));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/process/cli/local_command.rs
@@ -0,0 +1,71 @@
+//! `limpetquay local`.
+
+use {
+    super::{
+        CliError, Command, command::read_file, role_commands::run_role, signals::wait_for_stop,
+    },
+    crate::{
+        prelude::*,
+        process::{
+            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, demonstrate},
+            settings::LocalSettings,
+        },
+    },
+    getopts::{Matches, Options},
+};
+
+/// Runs a whole system in one process.
+pub(super) struct LocalCommand;
+
+impl Command for LocalCommand {
+    fn name(&self) -> &'static str {
+        "local"
+    }
+
+    fn summary(&self) -> &'static str {
+        "run a whole system in one process, with a short demonstration"
+    }
+
+    fn add_options(
+        &self,
+        opts: &mut Options,
+    ) {
+        opts.optflag(
+            "s",
+            "serve",
+            "stay up until a signal instead of the demonstration",
+        );
+        opts.optopt("c", "settings", "the data centres and workers", "FILE");
+        opts.optopt("d", "document", "the service document", "FILE");
+    }
+
+    fn run(
+        &self,
+        matches: &Matches,
+    ) -> Result<(), CliError> {
+        let settings = match matches.opt_str("settings") {
+            Some(path) => LocalSettings::parse(&path, &read_file(&path)?)?,
+            None => LocalSettings::parse("examples/triagehub/local.ini", EXAMPLE_SETTINGS)?,
+        };
+        let (path, text) = match matches.opt_str("document") {
+            Some(path) => (path.clone(), read_file(&path)?),
+            None => (
+                "examples/triagehub/service.ini".to_owned(),
+                EXAMPLE_DOCUMENT.to_owned(),
+            ),
+        };
+        Document::parse(&path, &text)?;
+        let serve = matches.opt_present("serve");
+        run_role(async move |clock| {
+            let system = LocalSystem::start(&settings, &text, clock).await?;
+            system.print_addresses();
+            if serve {
+                wait_for_stop().await;
+            } else {
+                demonstrate(&system).await?;
+            }
+            system.stop().await;
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/src/process/cli/mod.rs
@@ -0,0 +1,12 @@
+//! The command line.
+
+mod check_command;
+mod cli_error;
+mod command;
+mod key_hash_command;
+mod local_command;
+mod role_commands;
+mod run;
+mod signals;
+
+pub use {cli_error::CliError, command::Command, run::run};
--- /dev/null
+++ b/src/process/clock/mod.rs
@@ -0,0 +1,15 @@
+//! Time, as a trait object so that tests can hold it.
+
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod clock;
+mod system_clock;
+mod virtual_clock;
+
+pub use {
+    clock::{Clock, Millis, with_timeout},
+    system_clock::SystemClock,
+    virtual_clock::VirtualClock,
+};
--- /dev/null
+++ b/src/process/entry/dialer.rs
@@ -0,0 +1,53 @@
+//! Links to guards.
+
+use {
+    crate::{
+        connection::{GuardPeer, PeerLink},
+        prelude::*,
+        process::metrics::Metrics,
+    },
+    std::collections::HashMap,
+};
+
+/// Gives the way to a guard.
+pub trait Dialer {
+    /// Returns the link to the guard at an address.
+    fn peer(
+        &self,
+        address: SocketAddr,
+    ) -> Rc<dyn GuardPeer>;
+}
+
+/// Keeps one link for each guard.
+pub struct LinkDialer {
+    clock: Rc<dyn Clock>,
+    metrics: Rc<Metrics>,
+    links: RefCell<HashMap<SocketAddr, Rc<PeerLink>>>,
+}
+
+impl LinkDialer {
+    /// Creates a dialer without links.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        Self {
+            clock,
+            metrics,
+            links: RefCell::default(),
+        }
+    }
+}
+
+impl Dialer for LinkDialer {
+    fn peer(
+        &self,
+        address: SocketAddr,
+    ) -> Rc<dyn GuardPeer> {
+        let mut links = self.links.borrow_mut();
+        let link = links
+            .entry(address)
+            .or_insert_with(|| PeerLink::open(address, self.clock.clone(), self.metrics.clone()));
+        link.clone()
+    }
+}
--- /dev/null
+++ b/src/process/entry/mod.rs
@@ -0,0 +1,19 @@
+//! The entry: takes callers' requests and jobs.
+
+mod dialer;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod entry;
+mod in_flight;
+mod running_entry;
+mod tasks;
+
+pub use {
+    dialer::{Dialer, LinkDialer},
+    entry::Entry,
+    in_flight::{InFlight, InFlightLimits},
+    running_entry::RunningEntry,
+    tasks::{push_documents, run_jobs},
+};
--- /dev/null
+++ b/src/process/guard/mod.rs
@@ -0,0 +1,17 @@
+//! The guard beside an upstream: the one authority on its slots and accelerators.
+
+mod accelerator_book;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod guard;
+mod running_guard;
+mod slot_book;
+
+pub use {
+    accelerator_book::{AcceleratorBook, Holding},
+    guard::Guard,
+    running_guard::RunningGuard,
+    slot_book::{Slot, SlotBook},
+};
--- /dev/null
+++ b/src/process/guard/slot_book.rs
@@ -0,0 +1,84 @@
+//! The slots of an upstream.
+
+use {
+    crate::connection::Refusal,
+    event_listener::Event,
+    std::{cell::Cell, rc::Rc},
+};
+
+/// Counts the slots in use and refuses what is above the limit.
+#[derive(Debug)]
+pub struct SlotBook {
+    limit: u32,
+    in_use: Cell<u32>,
+    draining: Cell<bool>,
+    changed: Rc<Event>,
+}
+
+/// One slot, given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    book: Rc<SlotBook>,
+}
+
+impl SlotBook {
+    /// Creates a book of `limit` slots; `changed` is notified at each change.
+    pub fn new(
+        limit: u32,
+        changed: Rc<Event>,
+    ) -> Self {
+        Self {
+            limit,
+            in_use: Cell::new(0),
+            draining: Cell::new(false),
+            changed,
+        }
+    }
+
+    /// Takes a slot.
+    ///
+    /// # Errors
+    /// [`Refusal::NoSlot`] when all are in use, [`Refusal::Draining`] when none is given out.
+    pub fn take(self: &Rc<Self>) -> Result<Slot, Refusal> {
+        if self.draining.get() {
+            return Err(Refusal::Draining);
+        }
+        if self.in_use.get() >= self.limit {
+            return Err(Refusal::NoSlot);
+        }
+        self.in_use.set(self.in_use.get() + 1);
+        self.changed.notify(usize::MAX);
+        Ok(Slot { book: self.clone() })
+    }
+
+    /// Stops giving out slots, or starts again.
+    pub fn set_draining(
+        &self,
+        draining: bool,
+    ) {
+        self.draining.set(draining);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Tells whether no slots are given out.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Returns the number of slots.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Returns the number of slots in use.
+    pub fn in_use(&self) -> u32 {
+        self.in_use.get()
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.book.in_use.set(self.book.in_use.get() - 1);
+        self.book.changed.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/src/process/local/local_system.rs
@@ -0,0 +1,223 @@
+//! Starts and stops a whole system.
+
+use {
+    super::LocalError,
+    crate::{
+        connection::{HttpHandler, HttpServer},
+        prelude::*,
+        process::{
+            entry::{Entry, RunningEntry},
+            guard::RunningGuard,
+            settings::{EntrySettings, GuardSettings, LocalDataCentre, LocalSettings},
+            shutdown::Shutdown,
+            stand_in::{StandInLog, StandInUpstream},
+            state::{DocumentRecord, RecordBody},
+        },
+    },
+    compio::runtime::spawn,
+};
+
+/// Where every socket is bound: a free port of the loopback interface.
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// How long the system may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How often readiness is looked at.
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// How long a graceful shutdown of a local process may take.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A whole system: a stand-in log, stand-in upstreams, guards and entries.
+pub struct LocalSystem {
+    clock: Rc<dyn Clock>,
+    entries: Vec<RunningEntry>,
+    guards: Vec<RunningGuard>,
+    upstreams: Vec<Rc<StandInUpstream>>,
+    platform: Rc<Shutdown>,
+}
+
+impl LocalSystem {
+    /// Starts everything and waits until the document is in force and every upstream is known.
+    ///
+    /// # Errors
+    /// [`LocalError`] when a socket cannot be bound or the system does not become ready.
+    pub async fn start(
+        settings: &LocalSettings,
+        document: &str,
+        clock: Rc<dyn Clock>,
+    ) -> Result<Self, LocalError> {
+        let mut system = Self {
+            entries: Vec::new(),
+            guards: Vec::new(),
+            upstreams: Vec::new(),
+            platform: Rc::default(),
+            clock: clock.clone(),
+        };
+        let log = system.serve(Rc::new(StandInLog::new(clock))).await?;
+        for data_centre in &settings.data_centres {
+            system.start_entries(data_centre, log).await?;
+        }
+        for data_centre in &settings.data_centres {
+            system.start_workers(data_centre, settings).await?;
+        }
+        system.submit_document(document).await?;
+        system.wait_until_ready().await?;
+        Ok(system)
+    }
+
+    /// Returns the time.
+    pub fn clock(&self) -> &Rc<dyn Clock> {
+        &self.clock
+    }
+
+    /// Returns the entries.
+    pub fn entries(&self) -> &[RunningEntry] {
+        &self.entries
+    }
+
+    /// Returns the guards.
+    pub fn guards(&self) -> &[RunningGuard] {
+        &self.guards
+    }
+
+    /// Returns the stand-in upstreams, in the order of the guards.
+    pub fn upstreams(&self) -> &[Rc<StandInUpstream>] {
+        &self.upstreams
+    }
+
+    /// Prints where callers send requests.
+    pub fn print_addresses(&self) {
+        for running in &self.entries {
+            let settings = &running.entry().settings;
+            println!(
+                "{} ({}, {}) takes requests at http://{}",
+                settings.name,
+                settings.data_centre,
+                settings.region,
+                running.http_address(),
+            );
+        }
+    }
+
+    /// Stops entries, guards and stand-ins, in this order, and lets requests finish.
+    pub async fn stop(self) {
+        let entries = self.entries.into_iter().map(RunningEntry::stop);
+        futures_util::future::join_all(entries).await;
+        let guards = self.guards.into_iter().map(RunningGuard::stop);
+        futures_util::future::join_all(guards).await;
+        self.platform.start();
+    }
+
+    /// Serves a stand-in and returns its address.
+    async fn serve(
+        &self,
+        handler: Rc<dyn HttpHandler>,
+    ) -> Result<SocketAddr, LocalError> {
+        let server = HttpServer::bind(ANY_PORT, handler).await?;
+        let address = server.local_addr()?;
+        let stop = self.platform.clone();
+        spawn(server.run(async move { stop.wait().await })).detach();
+        Ok(address)
+    }
+
+    async fn start_entries(
+        &mut self,
+        data_centre: &LocalDataCentre,
+        log: SocketAddr,
+    ) -> Result<(), LocalError> {
+        for i in 1..=data_centre.entries {
+            let settings = EntrySettings {
+                name: format!("entry-{}-{i}", data_centre.name).as_str().into(),
+                region: data_centre.region.clone(),
+                data_centre: data_centre.name.clone(),
+                http: ANY_PORT,
+                announcements: ANY_PORT,
+                log,
+                drain_timeout: DRAIN_TIMEOUT,
+                bootstrap: None,
+            };
+            self.entries
+                .push(RunningEntry::start(settings, self.clock.clone()).await?);
+        }
+        Ok(())
+    }
+
+    async fn start_workers(
+        &mut self,
+        data_centre: &LocalDataCentre,
+        settings: &LocalSettings,
+    ) -> Result<(), LocalError> {
+        let workers = &settings.workers;
+        for i in 0..data_centre.workers {
+            let upstream = StandInUpstream::new(self.clock.clone(), workers.accelerators);
+            let upstream = Rc::new(upstream);
+            let worker = self.serve(upstream.clone()).await?;
+            self.upstreams.push(upstream);
+            let rack = i / workers.per_rack + 1;
+            let settings = GuardSettings {
+                name: format!("{}-w{}", data_centre.name, i + 1).as_str().into(),
+                region: data_centre.region.clone(),
+                data_centre: data_centre.name.clone(),
+                rack: format!("rack-{rack}").as_str().into(),
+                listen: ANY_PORT,
+                worker,
+                entries: self
+                    .entries
+                    .iter()
+                    .map(RunningEntry::announcement_address)
+                    .collect(),
+                slots: workers.slots,
+                connections: workers.connections,
+                accelerators: workers.accelerators,
+                drain_timeout: DRAIN_TIMEOUT,
+            };
+            self.guards
+                .push(RunningGuard::start(settings, self.clock.clone()).await?);
+        }
+        Ok(())
+    }
+
+    async fn submit_document(
+        &self,
+        text: &str,
+    ) -> Result<(), LocalError> {
+        let Some(first) = self.entries.first() else {
+            return Err(LocalError::NotReached("the settings name no entry"));
+        };
+        let record = RecordBody::Document(DocumentRecord {
+            follows: VersionNumber::default(),
+            text: Arc::from(text),
+            operator: "local".into(),
+            submitted_ms: self.clock.wall().0,
+        });
+        let appended = first.entry().state.append(record).await;
+        appended.map_err(|_| LocalError::NotReached("the document was not recorded"))
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), LocalError> {
+        let deadline = self.clock.now() + Millis::from(READY_TIMEOUT);
+        while !self.entries.iter().all(|e| self.is_ready(e.entry())) {
+            if self.clock.now() > deadline {
+                return Err(LocalError::NotReached(
+                    "the system did not become ready in time",
+                ));
+            }
+            self.clock.sleep(READY_POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Tells whether an entry serves, knows every upstream and sees the document in force on all.
+    fn is_ready(
+        &self,
+        entry: &Entry,
+    ) -> bool {
+        let version = entry.state.fold().version();
+        let live = entry.members.borrow().live(self.clock.now());
+        let current = live.iter().filter(|u| u.version == version).count();
+        entry.is_ready() && current == self.guards.len()
+    }
+}
--- /dev/null
+++ b/src/process/metrics/metrics.rs
@@ -0,0 +1,127 @@
+//! The metrics of one process.
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// All metrics with their registry.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub requests: IntCounterVec,
+    /// Bytes that were sent to guards.
+    pub peer_bytes_sent: IntCounter,
+    /// Failed tries to connect to a guard.
+    pub peer_connect_failures: IntCounter,
+    /// Frames that broke the protocol.
+    pub malformed_frames: IntCounter,
+    /// Datagrams that broke the protocol.
+    pub malformed_datagrams: IntCounter,
+    /// Announcements heard.
+    pub announcements: IntCounter,
+    /// The document version in force.
+    pub document_version: IntGauge,
+    /// Slots in use.
+    pub slots_in_use: IntGauge,
+    /// Accelerators in use.
+    pub accelerators_in_use: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: counter_vec(
+                &registry,
+                "limpetquay_requests_total",
+                "Requests by outcome.",
+                &["outcome"],
+            ),
+            peer_bytes_sent: counter(
+                &registry,
+                "limpetquay_peer_sent_bytes_total",
+                "Bytes sent to guards.",
+            ),
+            peer_connect_failures: counter(
+                &registry,
+                "limpetquay_peer_connect_failures_total",
+                "Failed tries to connect to a guard.",
+            ),
+            malformed_frames: counter(
+                &registry,
+                "limpetquay_malformed_frames_total",
+                "Frames that broke the protocol.",
+            ),
+            malformed_datagrams: counter(
+                &registry,
+                "limpetquay_malformed_datagrams_total",
+                "Datagrams that broke the protocol.",
+            ),
+            announcements: counter(
+                &registry,
+                "limpetquay_announcements_total",
+                "Announcements heard.",
+            ),
+            document_version: gauge(
+                &registry,
+                "limpetquay_document_version",
+                "The document version in force.",
+            ),
+            slots_in_use: gauge(&registry, "limpetquay_slots_in_use", "Slots in use."),
+            accelerators_in_use: gauge(
+                &registry,
+                "limpetquay_accelerators_in_use",
+                "Accelerators in use.",
+            ),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+fn counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> IntCounter {
+    let metric = IntCounter::new(name, help).expect("the name is valid");
+    register(registry, metric)
+}
+
+fn counter_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid");
+    register(registry, metric)
+}
+
+fn gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> IntGauge {
+    let metric = IntGauge::new(name, help).expect("the name is valid");
+    register(registry, metric)
+}
+
+fn register<M>(
+    registry: &Registry,
+    metric: M,
+) -> M
+where
+    M: Clone + prometheus::core::Collector + 'static,
+{
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("every name is registered once");
+    metric
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What lives as long as one process.
+
+pub mod cli;
+pub mod clock;
+pub mod entry;
+pub mod guard;
+pub mod local;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod platform;
+pub mod settings;
+pub mod shutdown;
+pub mod stand_in;
+pub mod state;
--- /dev/null
+++ b/src/process/settings/entry_settings.rs
@@ -0,0 +1,96 @@
+//! Settings of an entry.
+
+use {
+    super::place::{read_address, read_drain_timeout, read_name},
+    crate::{
+        prelude::*,
+        version::{Faults, IniFile, KeyHash},
+    },
+};
+
+/// The operator who may submit the first document, before any document names operators.
+#[derive(Clone, Debug)]
+pub struct Bootstrap {
+    /// The operator's name.
+    pub operator: OperatorName,
+    /// The hash of the operator's key.
+    pub key: KeyHash,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The entry's name, unique among entries.
+    pub name: EntryName,
+    /// Its region.
+    pub region: Region,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it takes HTTP connections.
+    pub http: SocketAddr,
+    /// Where it hears announcements.
+    pub announcements: SocketAddr,
+    /// Where the platform's log is.
+    pub log: SocketAddr,
+    /// How long a graceful shutdown waits for work in progress.
+    pub drain_timeout: Duration,
+    /// Who may submit the first document.
+    pub bootstrap: Option<Bootstrap>,
+}
+
+impl EntrySettings {
+    /// Parses and checks a settings file; `name` is the file's name in fault messages.
+    ///
+    /// # Errors
+    /// Every fault of the text.
+    pub fn parse(
+        name: &str,
+        text: &str,
+    ) -> Result<Self, Faults> {
+        let file = IniFile::parse(name, text);
+        let settings = Self::read(&file);
+        file.finish(&["entry", "bootstrap"])?;
+        settings.ok_or_else(Faults::default)
+    }
+
+    fn read(file: &IniFile) -> Option<Self> {
+        let section = file.section("entry")?;
+        let name = read_name(file, section, "name");
+        let region = read_name(file, section, "region");
+        let data_centre = read_name(file, section, "data_centre");
+        let http = read_address(file, section, "http");
+        let announcements = read_address(file, section, "announcements");
+        let log = read_address(file, section, "log");
+        let drain_timeout = read_drain_timeout(file, section);
+        let bootstrap = Bootstrap::read(file);
+        if http.is_some() && http == announcements {
+            file.fault(
+                section,
+                "announcements",
+                "the same address as http; expected another one",
+            );
+        }
+        Some(Self {
+            name: name?,
+            region: region?,
+            data_centre: data_centre?,
+            http: http?,
+            announcements: announcements?,
+            log: log?,
+            drain_timeout,
+            bootstrap,
+        })
+    }
+}
+
+impl Bootstrap {
+    fn read(file: &IniFile) -> Option<Self> {
+        let section = file.sections("bootstrap").next()?;
+        let operator = read_name(file, section, "operator");
+        let key = file.parsed(section, "key", "the BLAKE3 hash of the key in hexadecimal");
+        Some(Self {
+            operator: operator?,
+            key: key?,
+        })
+    }
+}
--- /dev/null
+++ b/src/process/settings/guard_settings.rs
@@ -0,0 +1,95 @@
+//! Settings of a guard.
+
+use {
+    super::place::{read_address, read_count, read_drain_timeout, read_list, read_name},
+    crate::{
+        prelude::*,
+        version::{Faults, IniFile},
+    },
+};
+
+/// Settings of a guard.
+#[derive(Clone, Debug)]
+pub struct GuardSettings {
+    /// The name of the upstream that it stands beside.
+    pub name: UpstreamName,
+    /// Its region.
+    pub region: Region,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its rack.
+    pub rack: RackName,
+    /// Where it takes calls from entries.
+    pub listen: SocketAddr,
+    /// Where its upstream takes requests and tasks.
+    pub worker: SocketAddr,
+    /// Where entries hear announcements.
+    pub entries: Vec<SocketAddr>,
+    /// The most requests that the upstream runs at once.
+    pub slots: u32,
+    /// The most connections to the upstream.
+    pub connections: u32,
+    /// The number of the worker's accelerators.
+    pub accelerators: u32,
+    /// How long a graceful shutdown waits for work in progress.
+    pub drain_timeout: Duration,
+}
+
+impl GuardSettings {
+    /// Parses and checks a settings file; `name` is the file's name in fault messages.
+    ///
+    /// # Errors
+    /// Every fault of the text.
+    pub fn parse(
+        name: &str,
+        text: &str,
+    ) -> Result<Self, Faults> {
+        let file = IniFile::parse(name, text);
+        let settings = Self::read(&file);
+        file.finish(&["guard"])?;
+        settings.ok_or_else(Faults::default)
+    }
+
+    fn read(file: &IniFile) -> Option<Self> {
+        let section = file.section("guard")?;
+        let name = read_name(file, section, "name");
+        let region = read_name(file, section, "region");
+        let data_centre = read_name(file, section, "data_centre");
+        let rack = read_name(file, section, "rack");
+        let listen = read_address(file, section, "listen");
+        let worker = read_address(file, section, "worker");
+        let expected = "addresses such as 10.0.0.5:7001, 10.0.0.6:7001";
+        let entries = read_list(file, section, "entries", expected);
+        let slots = read_count(file, section, "slots", 1..=1024);
+        let connections = read_count(file, section, "connections", 1..=4096);
+        let accelerators = read_count(file, section, "accelerators", 0..=64);
+        let drain_timeout = read_drain_timeout(file, section);
+        if listen.is_some() && listen == worker {
+            file.fault(
+                section,
+                "worker",
+                "the same address as listen; expected another one",
+            );
+        }
+        if slots > connections && connections.is_some() {
+            file.fault(
+                section,
+                "connections",
+                "below the number of slots; expected at least as many",
+            );
+        }
+        Some(Self {
+            name: name?,
+            region: region?,
+            data_centre: data_centre?,
+            rack: rack?,
+            listen: listen?,
+            worker: worker?,
+            entries: entries?,
+            slots: slots?,
+            connections: connections?,
+            accelerators: accelerators?,
+            drain_timeout,
+        })
+    }
+}
--- /dev/null
+++ b/src/process/settings/mod.rs
@@ -0,0 +1,14 @@
+//! Settings of processes, read from INI files and checked before anything starts.
+
+mod entry_settings;
+mod guard_settings;
+mod local_settings;
+mod place;
+mod stand_in_settings;
+
+pub use {
+    entry_settings::{Bootstrap, EntrySettings},
+    guard_settings::GuardSettings,
+    local_settings::{LocalDataCentre, LocalSettings, LocalWorkers},
+    stand_in_settings::{StandInLogSettings, StandInUpstreamSettings},
+};
--- /dev/null
+++ b/src/process/stand_in/upstream.rs
@@ -0,0 +1,188 @@
+//! A stand-in for an upstream: runs requests and tasks.
+
+use {
+    super::{log::encode, tasks::Tasks},
+    crate::{
+        connection::{HttpHandler, HttpReply, HttpRequest, Problem, query_value},
+        prelude::*,
+        process::{
+            clock::with_timeout,
+            platform::{TaskId, TaskStart, TaskState},
+        },
+    },
+    event_listener::Event,
+    std::{cell::Cell, collections::BTreeMap},
+};
+
+/// The largest body, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// How long a request runs when its body does not say, in milliseconds.
+const DEFAULT_RUN_MS: u64 = 5;
+
+/// An upstream that sleeps in place of working. A request body such as `run_ms=20` says for how
+/// long, a task payload such as `run_ms=2000` does the same.
+pub struct StandInUpstream {
+    clock: Rc<dyn Clock>,
+    accelerators: AcceleratorSet,
+    tasks: RefCell<Tasks>,
+    changed: Event,
+    running: Cell<u32>,
+    most_running: Cell<u32>,
+    runs: RefCell<BTreeMap<String, u32>>,
+}
+
+impl StandInUpstream {
+    /// Creates an idle upstream.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        accelerators: u32,
+    ) -> Self {
+        Self {
+            clock,
+            accelerators: AcceleratorSet::first(accelerators),
+            tasks: RefCell::default(),
+            changed: Event::new(),
+            running: Cell::new(0),
+            most_running: Cell::new(0),
+            runs: RefCell::default(),
+        }
+    }
+
+    /// Returns the largest number of requests that ran at once.
+    pub fn most_running(&self) -> u32 {
+        self.most_running.get()
+    }
+
+    /// Returns how often each request was run, by its identity.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.runs.borrow().clone()
+    }
+
+    async fn run(
+        &self,
+        req: &HttpRequest,
+        kind: &str,
+    ) -> HttpReply {
+        let id = req.header("x-request-id").unwrap_or_default().to_owned();
+        *self.runs.borrow_mut().entry(id.clone()).or_default() += 1;
+        self.running.set(self.running.get() + 1);
+        self.most_running
+            .set(self.most_running.get().max(self.running.get()));
+        let text = String::from_utf8_lossy(&req.body).into_owned();
+        let run_ms = query_value(&text, "run_ms").and_then(|v| v.parse().ok());
+        let run_time = Duration::from_millis(run_ms.unwrap_or(DEFAULT_RUN_MS));
+        self.clock.sleep(run_time).await;
+        self.running.set(self.running.get() - 1);
+        HttpReply::text(200, &format!("{kind} done: {text}\n")).with_header("x-request-id", id)
+    }
+
+    async fn call_task(
+        &self,
+        req: &HttpRequest,
+        path: &[&str],
+    ) -> HttpReply {
+        let now = self.clock.now();
+        if path == ["start"] {
+            return self.start(&req.body);
+        }
+        let [id, call] = path else {
+            return Problem::not_found().into();
+        };
+        let Some(id) = parse_task_id(id) else {
+            return Problem::not_found().into();
+        };
+        match *call {
+            "renew" => self.renew(req, id).await,
+            "checkpoint" => match self.tasks.borrow_mut().checkpoint(now, id) {
+                Some(progress_ms) => encode(&progress_ms),
+                None => Problem::not_found().into(),
+            },
+            "throttle" => encode(&()),
+            "stop" => {
+                self.tasks.borrow_mut().stop(now, id);
+                self.changed.notify(usize::MAX);
+                encode(&())
+            }
+            _ => Problem::not_found().into(),
+        }
+    }
+
+    fn start(
+        &self,
+        body: &[u8],
+    ) -> HttpReply {
+        let Ok(start) = postcard::from_bytes::<TaskStart>(body) else {
+            return Problem::new(400, "bad-task", "expected a task").into();
+        };
+        let now = self.clock.now();
+        let mut tasks = self.tasks.borrow_mut();
+        let known = tasks.renew(now, start.id) != TaskState::Unknown;
+        let in_use = tasks.in_use(now);
+        let fits = self.accelerators.contains(start.accelerators)
+            && !in_use.intersects(start.accelerators);
+        if !known && !fits {
+            return Problem::new(409, "in-use", "the accelerators are in use").into();
+        }
+        tasks.start(now, start);
+        encode(&())
+    }
+
+    /// Renews a lease, waiting for the task's end up to the asked time.
+    async fn renew(
+        &self,
+        req: &HttpRequest,
+        id: TaskId,
+    ) -> HttpReply {
+        let wait = req
+            .query("wait_ms")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0);
+        let until = self.clock.now() + Millis(wait);
+        loop {
+            let now = self.clock.now();
+            let changed = self.changed.listen();
+            let state = self.tasks.borrow_mut().renew(now, id);
+            let left = until.since(now);
+            let running = matches!(state, TaskState::Running { .. });
+            if !running || left.is_zero() {
+                return encode(&state);
+            }
+            let remaining = self.tasks.borrow().remaining(now, id).unwrap_or(left);
+            with_timeout(&*self.clock, remaining.min(left), changed).await;
+        }
+    }
+}
+
+/// Parses a task's identity as [`TaskId`] displays it.
+fn parse_task_id(text: &str) -> Option<TaskId> {
+    let mut parts = text.split('-');
+    let id = TaskId {
+        job: parts.next()?.parse().ok()?,
+        term: parts.next()?.parse().ok()?,
+        member: parts.next()?.parse().ok()?,
+    };
+    parts.next().is_none().then_some(id)
+}
+
+impl HttpHandler for StandInUpstream {
+    fn handle(
+        self: Rc<Self>,
+        req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move {
+            match req.segments().as_slice() {
+                ["run", kind] => self.run(&req, kind).await,
+                ["tasks", path @ ..] => self.call_task(&req, path).await,
+                _ => Problem::not_found().into(),
+            }
+        })
+    }
+
+    fn max_body(
+        &self,
+        _path: &str,
+    ) -> usize {
+        MAX_BODY_BYTES
+    }
+}
--- /dev/null
+++ b/src/process/state/job_state.rs
@@ -0,0 +1,55 @@
+//! A job as the log tells of it.
+
+use {
+    super::JobEnd,
+    crate::{prelude::*, request::JobSpec},
+    derive_more::Display,
+    serde::Serialize,
+};
+
+/// Where a job is in its life.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobStatus {
+    /// Accepted and not yet ended.
+    #[display("open")]
+    Open,
+    /// Cancelled, with its tasks perhaps still stopping.
+    #[display("cancelling")]
+    Cancelling,
+    /// Ended with a result.
+    #[display("finished")]
+    Finished,
+    /// Ended without a result.
+    #[display("failed")]
+    Failed,
+    /// Ended because it was cancelled.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+/// A job with its owner and, once it has ended, its end.
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// The job.
+    pub spec: Rc<JobSpec>,
+    /// The entry that runs it.
+    pub owner: EntryName,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+    /// How it ended.
+    pub end: Option<JobEnd>,
+}
+
+impl JobEntry {
+    /// Returns where the job is in its life.
+    pub fn status(&self) -> JobStatus {
+        match &self.end {
+            None if self.cancelled => JobStatus::Cancelling,
+            None => JobStatus::Open,
+            Some(JobEnd::Finished(_)) => JobStatus::Finished,
+            Some(JobEnd::Failed(_)) => JobStatus::Failed,
+            Some(JobEnd::Cancelled) => JobStatus::Cancelled,
+        }
+    }
+}
--- /dev/null
+++ b/src/process/state/mod.rs
@@ -0,0 +1,17 @@
+//! The state that all processes agree on, folded from the platform's log.
+
+mod fold;
+mod job_state;
+mod record;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod state;
+
+pub use {
+    fold::Fold,
+    job_state::{JobEntry, JobStatus},
+    record::{DocumentRecord, JobEnd, JobRecord, Record, RecordBody, RecordKey},
+    state::{State, StateError},
+};
--- /dev/null
+++ b/src/process/state/record.rs
@@ -0,0 +1,84 @@
+//! What the system writes to the platform's log.
+
+use {
+    crate::{prelude::*, request::JobSpec},
+    derive_more::From,
+    serde::{Deserialize, Serialize},
+};
+
+/// The identity of a record; a record that stands on the log twice is folded once.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RecordKey {
+    /// The random epoch of the writer's start.
+    pub epoch: u64,
+    /// The record's number within that start.
+    pub sequence: u64,
+}
+
+/// One record.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Record {
+    /// The record's identity.
+    pub key: RecordKey,
+    /// The entry that wrote it.
+    pub writer: EntryName,
+    /// What it says.
+    pub body: RecordBody,
+}
+
+/// What a record says.
+#[derive(Clone, Debug, Deserialize, From, Serialize)]
+pub enum RecordBody {
+    /// A team submitted a document.
+    Document(DocumentRecord),
+    /// Something happened to a job.
+    Job(JobRecord),
+}
+
+/// A submitted document. It is accepted when it follows the version in force where it stands.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DocumentRecord {
+    /// The version that it follows.
+    pub follows: VersionNumber,
+    /// The document's text, which was checked before it was written.
+    pub text: Arc<str>,
+    /// Who submitted it.
+    pub operator: OperatorName,
+    /// When it was submitted, in milliseconds since the Unix epoch.
+    pub submitted_ms: u64,
+}
+
+/// Something that happened to a job.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum JobRecord {
+    /// The job was accepted.
+    Accepted {
+        /// The job.
+        spec: JobSpec,
+        /// The entry that runs it.
+        owner: EntryName,
+    },
+    /// The account or an operator cancelled the job.
+    Cancelled {
+        /// The job.
+        job: JobId,
+    },
+    /// The job ended.
+    Ended {
+        /// The job.
+        job: JobId,
+        /// How it ended.
+        end: JobEnd,
+    },
+}
+
+/// How a job ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobEnd {
+    /// It finished with a result.
+    Finished(Bytes),
+    /// It failed with a reason.
+    Failed(String),
+    /// It was cancelled.
+    Cancelled,
+}
--- /dev/null
+++ b/src/request/api/entry_api.rs
@@ -0,0 +1,80 @@
+//! The paths of an entry.
+
+use {
+    super::{admin_api::answer_admin, job_api::answer_jobs, request_api::answer_request},
+    crate::{
+        connection::{HttpHandler, HttpReply, HttpRequest, Problem},
+        prelude::*,
+        process::entry::Entry,
+        version::Account,
+    },
+};
+
+/// The largest body of a request outside the request kinds, in bytes.
+const MAX_API_BODY_BYTES: usize = 256 << 10;
+
+/// Answers callers and operators.
+pub struct EntryApi {
+    entry: Rc<Entry>,
+}
+
+impl EntryApi {
+    /// Creates the interface of an entry.
+    pub fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    async fn answer(
+        &self,
+        req: HttpRequest,
+    ) -> HttpReply {
+        let entry = &self.entry;
+        let segments = req.segments();
+        match segments.as_slice() {
+            ["healthz"] => HttpReply::text(200, "ok\n"),
+            ["readyz"] if entry.is_ready() => HttpReply::text(200, "ready\n"),
+            ["readyz"] => HttpReply::text(503, "not ready\n"),
+            ["metrics"] => HttpReply::text(200, &entry.metrics.render()),
+            ["v1", "admin", rest @ ..] => answer_admin(entry, &req, rest).await,
+            ["v1", "requests", kind] => match authorise(entry, &req) {
+                Ok(account) => answer_request(entry, &req, &account, kind).await,
+                Err(problem) => problem.into(),
+            },
+            ["v1", "jobs", rest @ ..] => match authorise(entry, &req) {
+                Ok(account) => answer_jobs(entry, &req, &account, rest).await,
+                Err(problem) => problem.into(),
+            },
+            _ => Problem::not_found().into(),
+        }
+    }
+}
+
+/// Returns the account whose key the request shows.
+fn authorise(
+    entry: &Entry,
+    req: &HttpRequest,
+) -> Result<Account, Problem> {
+    let key = req.bearer_key().ok_or_else(Problem::unauthorized)?;
+    let document = entry.document();
+    let account = document.account_of_key(key).cloned();
+    account.ok_or_else(Problem::unauthorized)
+}
+
+impl HttpHandler for EntryApi {
+    fn handle(
+        self: Rc<Self>,
+        req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move { self.answer(req).await })
+    }
+
+    fn max_body(
+        &self,
+        path: &str,
+    ) -> usize {
+        let kind = path.strip_prefix("/v1/requests/");
+        let document = self.entry.document();
+        let kind = kind.and_then(|k| document.request_kinds.get(&k.into()));
+        kind.map_or(MAX_API_BODY_BYTES, |k| k.max_body as usize)
+    }
+}
--- /dev/null
+++ b/src/request/api/mod.rs
@@ -0,0 +1,8 @@
+//! The HTTP interface of an entry: turns requests into calls of the decisions, and back.
+
+mod admin_api;
+mod entry_api;
+mod job_api;
+mod request_api;
+
+pub use entry_api::EntryApi;
--- /dev/null
+++ b/src/request/api/request_api.rs
@@ -0,0 +1,100 @@
+//! Requests of callers.
+
+use {
+    crate::{
+        connection::{HttpReply, HttpRequest, Problem},
+        prelude::*,
+        process::entry::Entry,
+        request::{CallerRequest, NotRun, Outcome, run_request},
+        version::{Account, RequestKind},
+    },
+    hyper::Method,
+};
+
+/// The header in which a caller states how long it waits, in milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// The pause that a caller is told to make after a refusal.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs one request and answers with its outcome.
+pub(super) async fn answer_request(
+    entry: &Entry,
+    req: &HttpRequest,
+    account: &Account,
+    kind: &str,
+) -> HttpReply {
+    if req.method != Method::POST {
+        return Problem::new(405, "method", "requests are sent by POST").into();
+    }
+    let document = entry.document();
+    let Some(kind) = document.request_kinds.get(&kind.into()) else {
+        return Problem::not_found().into();
+    };
+    let deadline = match read_deadline(req, account, kind) {
+        Ok(deadline) => deadline,
+        Err(problem) => return problem.into(),
+    };
+    let id = entry.ids.request_id();
+    let call = CallerRequest {
+        id,
+        account: account.name.clone(),
+        kind: kind.clone(),
+        body: req.body.clone(),
+        deadline,
+    };
+    let outcome = run_request(entry, &call).await;
+    count_outcome(entry, &outcome);
+    encode_outcome(outcome).with_header("x-request-id", id)
+}
+
+/// Returns how long the caller waits: what it states, up to what its account and kind allow.
+fn read_deadline(
+    req: &HttpRequest,
+    account: &Account,
+    kind: &RequestKind,
+) -> Result<Duration, Problem> {
+    let longest = account.max_wait + kind.timeout;
+    let Some(text) = req.header(DEADLINE_HEADER) else {
+        return Ok(longest);
+    };
+    let millis = text.parse().ok().filter(|ms| *ms > 0);
+    let millis = millis.ok_or_else(|| {
+        Problem::new(
+            400,
+            "deadline",
+            "x-deadline-ms takes a whole number of milliseconds",
+        )
+    })?;
+    Ok(Duration::from_millis(millis).min(longest))
+}
+
+fn encode_outcome(outcome: Outcome) -> HttpReply {
+    match outcome {
+        Outcome::Answered { status, body } => {
+            HttpReply::new(status, "application/octet-stream", body)
+        }
+        Outcome::NotRun(reason @ NotRun::AccountLimit) => Problem::new(429, "not-run", reason)
+            .retry_after(RETRY_AFTER)
+            .into(),
+        Outcome::NotRun(reason) => Problem::new(503, "not-run", reason)
+            .retry_after(RETRY_AFTER)
+            .into(),
+        Outcome::Unknown => {
+            let detail = "the request may have run, but its answer was lost";
+            Problem::new(504, "unknown", detail).into()
+        }
+    }
+}
+
+fn count_outcome(
+    entry: &Entry,
+    outcome: &Outcome,
+) {
+    let label = match outcome {
+        Outcome::Answered { .. } => "answered",
+        Outcome::NotRun(_) => "not_run",
+        Outcome::Unknown => "unknown",
+    };
+    entry.metrics.requests.with_label_values(&[label]).inc();
+}
--- /dev/null
+++ b/src/request/id.rs
@@ -0,0 +1,96 @@
+//! Identities of requests and jobs.
+
+use {
+    derive_more::{Display, Error},
+    serde::{Deserialize, Serialize},
+    std::{cell::Cell, str::FromStr},
+};
+
+/// The identity of one request, unique over all entries and their restarts.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("r{epoch:016x}-{sequence}")]
+pub struct RequestId {
+    /// A random number that the entry drew when it started.
+    pub epoch: u64,
+    /// The request's number within that start of the entry.
+    pub sequence: u64,
+}
+
+/// The identity of one job.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("j{_0:016x}")]
+pub struct JobId(pub u64);
+
+/// Tells that a text is not a job's identity.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display("expected j and 16 hexadecimal digits")]
+pub struct JobIdError;
+
+impl FromStr for JobId {
+    type Err = JobIdError;
+
+    fn from_str(text: &str) -> Result<Self, JobIdError> {
+        let digits = text.strip_prefix('j').ok_or(JobIdError)?;
+        if digits.len() != 16 {
+            return Err(JobIdError);
+        }
+        let number = u64::from_str_radix(digits, 16).map_err(|_| JobIdError)?;
+        Ok(Self(number))
+    }
+}
+
+/// Draws the identities that one start of an entry gives out.
+#[derive(Debug)]
+pub struct IdSource {
+    epoch: u64,
+    next: Cell<u64>,
+}
+
+impl IdSource {
+    /// Creates a source with a random epoch.
+    pub fn random() -> Self {
+        Self::with_epoch(rand::random())
+    }
+
+    /// Creates a source with a given epoch.
+    pub fn with_epoch(epoch: u64) -> Self {
+        Self {
+            epoch,
+            next: Cell::new(1),
+        }
+    }
+
+    /// Returns the epoch.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns a new request identity.
+    pub fn request_id(&self) -> RequestId {
+        RequestId {
+            epoch: self.epoch,
+            sequence: self.next_number(),
+        }
+    }
+
+    /// Returns a new job identity.
+    pub fn job_id(&self) -> JobId {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.epoch.to_le_bytes());
+        hasher.update(&self.next_number().to_le_bytes());
+        let hash = hasher.finalize();
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hash.as_bytes()[..8]);
+        JobId(u64::from_le_bytes(bytes))
+    }
+
+    fn next_number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        number
+    }
+}
--- /dev/null
+++ b/src/request/job/submission.rs
@@ -0,0 +1,115 @@
+//! The submission of a job.
+
+use {
+    crate::{
+        prelude::*,
+        process::{
+            entry::Entry,
+            state::{JobRecord, RecordBody, StateError},
+        },
+        version::JobKind,
+    },
+    derive_more::{Display, Error, From},
+    serde::{Deserialize, Serialize},
+};
+
+/// A job as its account asks for it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSubmission {
+    /// The job's kind.
+    pub kind: KindName,
+    /// What the tasks get to work on.
+    #[serde(default)]
+    pub payload: String,
+}
+
+/// An accepted job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobSpec {
+    /// The job's identity.
+    pub id: JobId,
+    /// The account that owns it.
+    pub account: AccountName,
+    /// Its kind.
+    pub kind: KindName,
+    /// What the tasks get to work on.
+    pub payload: Bytes,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_ms: u64,
+}
+
+/// Why a job was not accepted.
+#[derive(Debug, Display, Error, From)]
+pub enum JobError {
+    /// The document declares no such kind.
+    #[display("the document declares no job kind {_0:?}")]
+    #[from(skip)]
+    UnknownKind(#[error(not(source))] KindName),
+    /// The account has as many unfinished jobs as it may.
+    #[display("the account has {_0} unfinished jobs, its limit")]
+    #[from(skip)]
+    TooManyJobs(#[error(not(source))] u32),
+    /// The gang is larger than the account's quota.
+    #[display("the gang needs {needed} accelerators, the account's quota is {quota}")]
+    OverQuota {
+        /// The accelerators of the whole gang.
+        needed: u32,
+        /// The account's quota.
+        quota: u32,
+    },
+    /// The job could not be recorded.
+    #[display("{_0}")]
+    State(StateError),
+}
+
+/// Accepts a job: checks it, records it on the log and starts the task that owns it.
+///
+/// # Errors
+/// [`JobError`] when the job was not accepted; it will then not run.
+pub async fn submit_job(
+    entry: &Rc<Entry>,
+    account: &AccountName,
+    submission: JobSubmission,
+) -> Result<JobId, JobError> {
+    let kind = check_submission(entry, account, &submission)?;
+    let spec = JobSpec {
+        id: entry.ids.job_id(),
+        account: account.clone(),
+        kind: kind.name.clone(),
+        payload: submission.payload.into_bytes().into(),
+        accepted_ms: entry.clock.wall().0,
+    };
+    let id = spec.id;
+    let record = RecordBody::Job(JobRecord::Accepted {
+        spec,
+        owner: entry.settings.name.clone(),
+    });
+    entry.state.append(record).await?;
+    Ok(id)
+}
+
+/// Checks that the job can run at all under the document.
+fn check_submission(
+    entry: &Entry,
+    account: &AccountName,
+    submission: &JobSubmission,
+) -> Result<JobKind, JobError> {
+    let document = entry.document();
+    let kind = document.job_kinds.get(&submission.kind);
+    let kind = kind.ok_or_else(|| JobError::UnknownKind(submission.kind.clone()))?;
+    let Some(limits) = document.accounts.get(account) else {
+        return Err(JobError::TooManyJobs(0));
+    };
+    if kind.gang.total() > limits.quota_accelerators {
+        return Err(JobError::OverQuota {
+            needed: kind.gang.total(),
+            quota: limits.quota_accelerators,
+        });
+    }
+    let open = entry.state.fold().unfinished_jobs(account);
+    if open >= limits.max_jobs {
+        return Err(JobError::TooManyJobs(open));
+    }
+    Ok(kind.clone())
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,18 @@
+//! What lives as long as one request or one job.
+
+mod api;
+mod call;
+mod id;
+mod job;
+mod routing;
+
+pub use {
+    api::EntryApi,
+    call::{CallerRequest, NotRun, Outcome, run_request},
+    id::{IdSource, JobId, RequestId},
+    job::{
+        JobError, JobSpec, JobSubmission, PackPlacement, PassedOver, PlacementAsk,
+        PlacementDecision, PlacementPolicy, WorkerView, run_job, submit_job,
+    },
+    routing::{LeastWaitRouting, RoutingAsk, RoutingDecision, RoutingPolicy},
+};
--- /dev/null
+++ b/src/version/account.rs
@@ -0,0 +1,106 @@
+//! Client accounts.
+
+use {
+    super::{AccountName, IniFile, IniSection, KeyHash, Shape, parse_duration},
+    serde::Serialize,
+    std::time::Duration,
+};
+
+/// A client account: its key, what it is guaranteed and how far it may go beyond that.
+#[derive(Clone, Debug, Serialize)]
+pub struct Account {
+    /// The account's name.
+    pub name: AccountName,
+    /// The hash of the account's bearer key.
+    #[serde(skip)]
+    pub key: KeyHash,
+    /// The accelerator shapes that the account can always have.
+    pub guarantees: Vec<Shape>,
+    /// The most accelerators the account may use at once, guaranteed and borrowed.
+    pub quota_accelerators: u32,
+    /// The account's share of what nobody is guaranteed, relative to the other accounts' shares.
+    pub share: u32,
+    /// The most requests the account may have at upstreams at once.
+    pub max_in_flight: u32,
+    /// The most requests of the account that may wait in one entry.
+    pub max_queued: u32,
+    /// The most unfinished jobs the account may have.
+    pub max_jobs: u32,
+    /// The most requests a second that one entry accepts from the account.
+    pub max_rate_per_s: u32,
+    /// The longest time that a request of the account waits for an upstream.
+    pub max_wait: Duration,
+}
+
+impl Account {
+    /// Reads an `[account NAME]` section; faults go to `file`.
+    pub fn read(
+        file: &IniFile,
+        section: &IniSection,
+    ) -> Option<Self> {
+        let key = file.parsed(section, "key", "the BLAKE3 hash of the key in hexadecimal");
+        let guarantees = file.optional(
+            section,
+            "guarantee",
+            "shapes such as 2x8 rack, 4x1 any",
+            parse_shapes,
+        );
+        let quota = file.parsed(section, "quota_accelerators", "a whole number");
+        let share = file.optional(section, "share", "a whole number from 1 to 1000", |v| {
+            v.parse().ok().filter(|s| (1..=1000).contains(s))
+        });
+        let in_flight = file.parsed(section, "max_in_flight", "a whole number");
+        let queued = file.parsed(section, "max_queued", "a whole number");
+        let jobs = file.parsed(section, "max_jobs", "a whole number");
+        let rate = file.parsed(section, "max_rate_per_s", "a whole number");
+        let wait = file.required(
+            section,
+            "max_wait",
+            "a duration such as 10s",
+            parse_duration,
+        );
+        let account = Self {
+            name: section.name.as_str().into(),
+            key: key?,
+            guarantees: guarantees.unwrap_or_default(),
+            quota_accelerators: quota?,
+            share: share.unwrap_or(1),
+            max_in_flight: in_flight?,
+            max_queued: queued?,
+            max_jobs: jobs?,
+            max_rate_per_s: rate?,
+            max_wait: wait?,
+        };
+        account.check_limits(file, section);
+        Some(account)
+    }
+
+    /// Returns the number of accelerators that all guaranteed shapes hold together.
+    pub fn guaranteed_accelerators(&self) -> u32 {
+        self.guarantees.iter().map(Shape::total).sum()
+    }
+
+    fn check_limits(
+        &self,
+        file: &IniFile,
+        section: &IniSection,
+    ) {
+        let guaranteed = self.guaranteed_accelerators();
+        if guaranteed > self.quota_accelerators {
+            let message = format!("the quota is below the {guaranteed} guaranteed accelerators");
+            file.fault(section, "quota_accelerators", message);
+        }
+        if self.max_in_flight == 0 {
+            file.fault(
+                section,
+                "max_in_flight",
+                "0 would refuse every request; expected 1 or more",
+            );
+        }
+    }
+}
+
+/// Parses a comma-separated list of shapes.
+fn parse_shapes(text: &str) -> Option<Vec<Shape>> {
+    text.split(',').map(|s| s.parse().ok()).collect()
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,31 @@
+//! What lives as long as one accepted version of the service document.
+
+mod accelerator_set;
+mod account;
+mod document;
+mod fault;
+mod ini_file;
+mod job_kind;
+mod key_hash;
+mod names;
+mod operator;
+mod quantity;
+mod request_kind;
+mod shape;
+
+pub use {
+    accelerator_set::AcceleratorSet,
+    account::Account,
+    document::{Document, VersionNumber},
+    fault::{Fault, Faults},
+    ini_file::{IniFile, IniSection},
+    job_kind::JobKind,
+    key_hash::KeyHash,
+    names::{
+        AccountName, DataCentre, EntryName, KindName, OperatorName, RackName, Region, UpstreamName,
+    },
+    operator::{Operator, Role},
+    quantity::{parse_bool, parse_bytes, parse_duration},
+    request_kind::{Class, RequestKind},
+    shape::{Adjacency, Shape},
+};
--- /dev/null
+++ b/src/version/shape.rs
@@ -0,0 +1,89 @@
+//! Guaranteed accelerator shapes.
+
+use {
+    derive_more::{Display, Error},
+    serde::{Deserialize, Serialize},
+    std::str::FromStr,
+};
+
+/// How near to each other the members of a gang or shape have to be.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub enum Adjacency {
+    /// All members share one worker.
+    #[display("worker")]
+    Worker,
+    /// All members share one rack.
+    #[display("rack")]
+    Rack,
+    /// All members share one data centre.
+    #[display("data-centre")]
+    DataCentre,
+    /// All members share one region.
+    #[display("region")]
+    Region,
+    /// Members may stand in several regions.
+    #[display("any")]
+    Any,
+}
+
+/// A guaranteed shape: `members` groups of `accelerators` each, every group on one worker.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{members}x{accelerators} {adjacency}")]
+pub struct Shape {
+    /// The number of groups.
+    pub members: u32,
+    /// The number of accelerators of each group, all on one worker.
+    pub accelerators: u32,
+    /// How near the groups have to be.
+    pub adjacency: Adjacency,
+}
+
+/// Tells that a text is not a shape.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display(
+    "a shape reads MEMBERSxACCELERATORS ADJACENCY, \
+     with ADJACENCY one of worker, rack, data-centre, region, any"
+)]
+pub struct ShapeError;
+
+impl Shape {
+    /// Returns the number of accelerators of the whole shape.
+    pub fn total(&self) -> u32 {
+        self.members * self.accelerators
+    }
+}
+
+impl FromStr for Adjacency {
+    type Err = ShapeError;
+
+    fn from_str(text: &str) -> Result<Self, ShapeError> {
+        match text {
+            "worker" => Ok(Self::Worker),
+            "rack" => Ok(Self::Rack),
+            "data-centre" => Ok(Self::DataCentre),
+            "region" => Ok(Self::Region),
+            "any" => Ok(Self::Any),
+            _ => Err(ShapeError),
+        }
+    }
+}
+
+impl FromStr for Shape {
+    type Err = ShapeError;
+
+    fn from_str(text: &str) -> Result<Self, ShapeError> {
+        let (size, adjacency) = text.trim().split_once(' ').unwrap_or((text.trim(), "any"));
+        let (members, accelerators) = size.split_once('x').ok_or(ShapeError)?;
+        let shape = Self {
+            members: members.parse().map_err(|_| ShapeError)?,
+            accelerators: accelerators.parse().map_err(|_| ShapeError)?,
+            adjacency: adjacency.trim().parse()?,
+        };
+        let sane = (1..=1024).contains(&shape.members) && (1..=64).contains(&shape.accelerators);
+        if sane { Ok(shape) } else { Err(ShapeError) }
+    }
+}
--- /dev/null
+++ b/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! The whole path, from a caller to an upstream and back, in one process over real sockets.
+
+mod clock;
+mod whole_path;
--- /dev/null
+++ b/tests/path/whole_path.rs
@@ -0,0 +1,105 @@
+//! A request and a gang job, from HTTP to the stand-in workers and back.
+
+use {
+    compio::runtime::Runtime,
+    hyper::Method,
+    limpetquay::{
+        connection::{HttpAnswer, HttpClient},
+        prelude::*,
+        process::{
+            clock::SystemClock,
+            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, example_key},
+            settings::LocalSettings,
+        },
+    },
+};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A local system with a client.
+struct Fixture {
+    system: LocalSystem,
+    client: HttpClient,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let settings = LocalSettings::parse("local.ini", EXAMPLE_SETTINGS).expect("valid settings");
+        let system = LocalSystem::start(&settings, EXAMPLE_DOCUMENT, clock.clone()).await;
+        Self {
+            system: system.expect("the system starts"),
+            client: HttpClient::new(clock),
+        }
+    }
+
+    async fn call(
+        &self,
+        account: &str,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> HttpAnswer {
+        let entry = self.system.entries()[0].http_address();
+        let bearer = format!("Bearer {}", example_key(account));
+        let headers = [("authorization", bearer.as_str())];
+        let url = format!("http://{entry}{path}");
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        let answer = self
+            .client
+            .call(method, &url, &headers, body, TIMEOUT)
+            .await;
+        answer.expect("the entry answers")
+    }
+}
+
+fn text(answer: &HttpAnswer) -> String {
+    format!(
+        "{} {}",
+        answer.status,
+        String::from_utf8_lossy(&answer.body).trim()
+    )
+}
+
+/// Each caller gets the answer to its own request; a wrong key or kind gets none.
+#[test]
+fn a_request_is_answered() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        let kind = "/v1/requests/crash-analysis";
+        let own = fixture
+            .call("jozi-studios", Method::POST, kind, "dump=17")
+            .await;
+        let stranger = fixture.call("nobody", Method::POST, kind, "dump=17").await;
+        let kind = "/v1/requests/no-such-kind";
+        let unknown = fixture.call("jozi-studios", Method::POST, kind, "x").await;
+        insta::assert_debug_snapshot!([text(&own), text(&stranger), text(&unknown)]);
+        fixture.system.stop().await;
+    });
+}
+
+/// A gang job runs whole, and only its own account finds it.
+#[test]
+fn a_gang_job_finishes() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        let body = r#"{"kind":"crash-cluster","payload":"run_ms=100"}"#;
+        let submitted = fixture
+            .call("jozi-studios", Method::POST, "/v1/jobs", body)
+            .await;
+        let id: serde_json::Value = serde_json::from_slice(&submitted.body).expect("JSON");
+        let path = format!("/v1/jobs/{}/result", id["id"].as_str().expect("an id"));
+        let mut result = fixture.call("jozi-studios", Method::GET, &path, "").await;
+        while result.status == 409 {
+            compio::time::sleep(Duration::from_millis(20)).await;
+            result = fixture.call("jozi-studios", Method::GET, &path, "").await;
+        }
+        let stranger = fixture.call("kaap-studios", Method::GET, &path, "").await;
+        insta::assert_debug_snapshot!([
+            submitted.status.to_string(),
+            text(&result),
+            text(&stranger)
+        ]);
+        fixture.system.stop().await;
+    });
+}
--- /dev/null
+++ b/tests/settings/examples.rs
@@ -0,0 +1,33 @@
+//! The shipped examples are valid.
+
+use limpetquay::{process::settings::LocalSettings, version::Document};
+
+/// Both services' documents and settings pass the checks.
+#[test]
+fn shipped_examples_are_valid() {
+    let documents = [
+        include_str!("../../examples/triagehub/service.ini"),
+        include_str!("../../examples/judging-service/service.ini"),
+    ];
+    let settings = [
+        include_str!("../../examples/triagehub/local.ini"),
+        include_str!("../../examples/judging-service/local.ini"),
+    ];
+    let mut sizes = Vec::new();
+    for (document, settings) in documents.iter().zip(settings) {
+        let document = Document::parse("service.ini", document).expect("a valid document");
+        let settings = LocalSettings::parse("local.ini", settings).expect("valid settings");
+        let workers: u32 = settings.data_centres.iter().map(|d| d.workers).sum();
+        sizes.push(format!(
+            "{}: {} accounts, {workers} workers",
+            document.service,
+            document.accounts.len(),
+        ));
+    }
+    insta::assert_debug_snapshot!(sizes, @r#"
+    [
+        "triagehub: 4 accounts, 11 workers",
+        "judging-service: 4 accounts, 11 workers",
+    ]
+    "#);
+}
--- /dev/null
+++ b/tests/settings/main.rs
@@ -0,0 +1,3 @@
+//! Settings files and service documents, good and bad.
+
+mod examples;
