Add fencing terms, guaranteed shares and the frame of measurements

Cause: gangs, placement, requests and state are built side by side and need common types before they part. Change: Term (ownership, start) orders the starts of a job over owners; guards take guaranteed shares by layout number; bench prints tables and CSV, fits lines and reads its process's real CPU and memory. Before: terms were bare numbers and there was no bench command. Conclusion: no behaviour changes yet; the parts can be built in parallel.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,7 +9,7 @@
         Problem, query_value,
     },
     peer::{
-        FrameError, GuardPeer, GuardReply, GuardRequest, LinkError, PeerHandler, PeerLink,
-        PeerServer, Refusal, ReserveCall, RunGrant, read_frame, write_frame,
+        FrameError, GuaranteedShare, GuardPeer, GuardReply, GuardRequest, LinkError, PeerHandler,
+        PeerLink, PeerServer, Refusal, ReserveCall, RunGrant, read_frame, write_frame,
     },
 };
--- a/src/connection/peer/message.rs
+++ b/src/connection/peer/message.rs
@@ -37,6 +37,13 @@
         /// The document's text.
         text: Arc<str>,
     },
+    /// Take over which accelerators are guaranteed to whom.
+    Layout {
+        /// The layout's number on the log; an older one changes nothing.
+        number: u64,
+        /// The guaranteed accelerators of this upstream.
+        guaranteed: Vec<GuaranteedShare>,
+    },
     /// Stop taking new work and finish what runs, or take new work again.
     Drain {
         /// Whether to drain.
@@ -44,6 +51,15 @@
     },
 }
 
+/// The accelerators of one upstream that one account is guaranteed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GuaranteedShare {
+    /// The account.
+    pub account: AccountName,
+    /// The accelerators.
+    pub accelerators: AcceleratorSet,
+}
+
 /// A request to run, with who is asking.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RunGrant {
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -9,7 +9,7 @@
 pub use {
     frame::{FrameError, read_frame, write_frame},
     guard_peer::{GuardPeer, LinkError},
-    message::{GuardReply, GuardRequest, Refusal, ReserveCall, RunGrant},
+    message::{GuaranteedShare, GuardReply, GuardRequest, Refusal, ReserveCall, RunGrant},
     peer_link::PeerLink,
     peer_server::{PeerHandler, PeerServer},
 };
--- /dev/null
+++ b/src/process/bench/mod.rs
@@ -0,0 +1,19 @@
+//! Measurements with bounded load, printed as tables and CSV.
+
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod bench;
+mod fit;
+mod plot;
+mod process_usage;
+mod table;
+
+pub use {
+    bench::{Bench, BenchCx, BenchError, benches},
+    fit::{LineFit, fit_line},
+    plot::{Series, write_plot},
+    process_usage::ProcessUsage,
+    table::Table,
+};
--- /dev/null
+++ b/src/process/bench/process_usage.rs
@@ -0,0 +1,52 @@
+//! What this process has used, as the system counts it.
+
+use std::{fs, time::Duration};
+
+/// The unit of processor time in `/proc`, in milliseconds.
+const TICK_MS: u64 = 10;
+
+/// The processor time and memory of a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProcessUsage {
+    /// The processor time since the process's start.
+    pub cpu: Duration,
+    /// The resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
+impl ProcessUsage {
+    /// Reads the usage of this process; zero where the system does not tell.
+    pub fn of_self() -> Self {
+        Self::of("self")
+    }
+
+    /// Reads the usage of a process by its number.
+    pub fn of_process(pid: u32) -> Self {
+        Self::of(&pid.to_string())
+    }
+
+    fn of(process: &str) -> Self {
+        Self {
+            cpu: read_cpu(process).unwrap_or_default(),
+            resident_bytes: read_resident(process).unwrap_or_default(),
+        }
+    }
+}
+
+/// Reads the user and system time from `/proc/PROCESS/stat`.
+fn read_cpu(process: &str) -> Option<Duration> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let fields = stat.rsplit(") ").next()?;
+    let mut fields = fields.split(' ').skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(Duration::from_millis((user + system) * TICK_MS))
+}
+
+/// Reads the resident memory from `/proc/PROCESS/status`.
+fn read_resident(process: &str) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1024)
+}
--- /dev/null
+++ b/src/process/cli/bench_command.rs
@@ -0,0 +1,92 @@
+//! `limpetquay bench`.
+
+use {
+    super::{CliError, Command, command::only_argument},
+    crate::process::{
+        bench::{Bench, BenchCx, BenchError, benches},
+        logging,
+    },
+    getopts::{Matches, Options},
+    std::path::PathBuf,
+};
+
+/// The seed when none is given.
+const DEFAULT_SEED: u64 = 1;
+
+/// Runs a measurement.
+pub(super) struct BenchCommand;
+
+impl Command for BenchCommand {
+    fn name(&self) -> &'static str {
+        "bench"
+    }
+
+    fn arguments(&self) -> &'static str {
+        "NAME"
+    }
+
+    fn summary(&self) -> &'static str {
+        "measure under bounded load and print tables"
+    }
+
+    fn add_options(
+        &self,
+        opts: &mut Options,
+    ) {
+        opts.optopt("s", "seed", "the seed of every random choice", "NUMBER");
+        opts.optopt(
+            "o",
+            "out",
+            "write CSV files and plots to a folder",
+            "FOLDER",
+        );
+        opts.optflag("q", "quick", "measure briefly, to see that it works");
+    }
+
+    fn run(
+        &self,
+        matches: &Matches,
+    ) -> Result<(), CliError> {
+        let benches = benches();
+        let names: Vec<String> = benches
+            .iter()
+            .map(|b| format!("  {:<12} {}", b.name(), b.summary()))
+            .collect();
+        let wanted = only_argument(matches, &format!("the measurement\n{}", names.join("\n")))?;
+        let bench = benches.iter().find(|b| b.name() == wanted);
+        let bench = bench.ok_or_else(|| {
+            CliError::Usage(format!(
+                "unknown measurement {wanted:?}\n{}",
+                names.join("\n")
+            ))
+        })?;
+        let seed = matches.opt_get_default("seed", DEFAULT_SEED);
+        let cx = BenchCx {
+            seed: seed.map_err(|e| CliError::Usage(format!("--seed: {e}")))?,
+            quick: matches.opt_present("quick"),
+            out: matches.opt_str("out").map(PathBuf::from),
+        };
+        logging::start("error");
+        Ok(measure(&**bench, &cx)?)
+    }
+}
+
+/// Runs a measurement, prints its tables and writes them when a folder is named.
+fn measure(
+    bench: &dyn Bench,
+    cx: &BenchCx,
+) -> Result<(), BenchError> {
+    for table in bench.run(cx)? {
+        println!("{}", table.render());
+        if let Some(out) = &cx.out {
+            table.write_csv(out)?;
+        }
+    }
+    Ok(())
+}
+
+impl From<BenchError> for CliError {
+    fn from(e: BenchError) -> Self {
+        Self::Failed(e.to_string())
+    }
+}
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod bench_command;
 mod check_command;
 mod cli_error;
 mod command;
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         CliError, Command,
+        bench_command::BenchCommand,
         check_command::CheckCommand,
         key_hash_command::KeyHashCommand,
         local_command::LocalCommand,
@@ -30,6 +31,7 @@
         Box::new(LocalCommand),
         Box::new(CheckCommand),
         Box::new(KeyHashCommand),
+        Box::new(BenchCommand),
         Box::new(StandInLogCommand),
         Box::new(StandInUpstreamCommand),
     ]
--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -54,6 +54,11 @@
         Some(self.dialer.peer(announcement.guard_address))
     }
 
+    /// Returns the names of the entries that are known to live, this one among them.
+    pub fn live_entries(&self) -> Vec<EntryName> {
+        vec![self.settings.name.clone()]
+    }
+
     /// Tells whether the entry can serve: it has a document, knows an upstream and is not
     /// draining.
     pub fn is_ready(&self) -> bool {
--- a/src/process/entry/tasks.rs
+++ b/src/process/entry/tasks.rs
@@ -5,7 +5,8 @@
     crate::{
         connection::{GuardReply, GuardRequest},
         prelude::*,
-        request::{JobSpec, run_job},
+        process::state::JobEntry,
+        request::run_job,
     },
     std::collections::BTreeSet,
 };
@@ -17,9 +18,10 @@
 pub async fn run_jobs(entry: Rc<Entry>) {
     let mut started = BTreeSet::new();
     loop {
-        for spec in owned_jobs(&entry) {
-            if started.insert(spec.id) {
-                compio::runtime::spawn(run_job(entry.clone(), spec)).detach();
+        for job in owned_jobs(&entry) {
+            if started.insert((job.spec.id, job.ownership)) {
+                let spec = (*job.spec).clone();
+                compio::runtime::spawn(run_job(entry.clone(), spec, job.ownership)).detach();
             }
         }
         entry.state.wait_for_change().await;
@@ -27,12 +29,12 @@
 }
 
 /// Returns the open jobs that this entry owns.
-fn owned_jobs(entry: &Entry) -> Vec<JobSpec> {
+fn owned_jobs(entry: &Entry) -> Vec<JobEntry> {
     let fold = entry.state.fold();
     let owned = fold
         .jobs()
         .filter(|j| j.end.is_none() && j.owner == entry.settings.name);
-    owned.map(|j| (*j.spec).clone()).collect()
+    owned.cloned().collect()
 }
 
 /// Sends the document in force to each guard that announces an older version, for ever.
--- a/src/process/guard/accelerator_book.rs
+++ b/src/process/guard/accelerator_book.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        connection::{Refusal, ReserveCall},
+        connection::{GuaranteedShare, Refusal, ReserveCall},
         prelude::*,
-        process::platform::TaskId,
+        process::platform::{TaskId, Term},
     },
     std::collections::BTreeMap,
 };
@@ -39,7 +39,9 @@
 pub struct AcceleratorBook {
     all: AcceleratorSet,
     holdings: BTreeMap<TaskId, Holding>,
-    terms: BTreeMap<JobId, u64>,
+    terms: BTreeMap<JobId, Term>,
+    layout: u64,
+    guaranteed: Vec<GuaranteedShare>,
 }
 
 impl AcceleratorBook {
@@ -49,6 +51,8 @@
             all,
             holdings: BTreeMap::new(),
             terms: BTreeMap::new(),
+            layout: 0,
+            guaranteed: Vec::new(),
         }
     }
 
@@ -64,6 +68,28 @@
             .without(held.fold(AcceleratorSet::empty(), AcceleratorSet::union))
     }
 
+    /// Takes over which accelerators are guaranteed to whom, unless a newer layout is known.
+    pub fn set_guaranteed(
+        &mut self,
+        layout: u64,
+        guaranteed: Vec<GuaranteedShare>,
+    ) {
+        if layout > self.layout {
+            self.layout = layout;
+            self.guaranteed = guaranteed;
+        }
+    }
+
+    /// Returns the accelerators that an account is guaranteed.
+    pub fn guaranteed_to(
+        &self,
+        account: &AccountName,
+    ) -> AcceleratorSet {
+        let own = self.guaranteed.iter().filter(|g| g.account == *account);
+        let own = own.map(|g| g.accelerators);
+        own.fold(AcceleratorSet::empty(), AcceleratorSet::union)
+    }
+
     /// Returns what a member holds.
     pub fn holding(
         &self,
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -280,6 +280,12 @@
                 self.renew(id, Duration::from_millis(wait_ms)).await
             }
             GuardRequest::Document { version, text } => self.take_document(version, &text),
+            GuardRequest::Layout { number, guaranteed } => {
+                self.accelerators
+                    .borrow_mut()
+                    .set_guaranteed(number, guaranteed);
+                GuardReply::Done
+            }
             GuardRequest::Drain { on } => {
                 self.set_draining(on);
                 GuardReply::Done
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -9,5 +9,7 @@
     http_log::HttpLog,
     http_worker::HttpWorker,
     log::{Batch, LogError, LogRecord, Offset, PlatformLog},
-    worker::{RunAnswer, RunCall, TaskEnd, TaskId, TaskStart, TaskState, Worker, WorkerError},
+    worker::{
+        RunAnswer, RunCall, TaskEnd, TaskId, TaskStart, TaskState, Term, Worker, WorkerError,
+    },
 };
--- a/src/process/platform/worker.rs
+++ b/src/process/platform/worker.rs
@@ -6,6 +6,19 @@
     serde::{Deserialize, Serialize},
 };
 
+/// The fencing term of one start of a job. A later owner's term is higher than any of an earlier
+/// owner.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{ownership}.{start}")]
+pub struct Term {
+    /// The number of the ownership on the log, counted from 1.
+    pub ownership: u32,
+    /// The number of the start under that ownership, counted from 1.
+    pub start: u32,
+}
+
 /// The identity of one task: one member of one start of a job.
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -15,7 +28,7 @@
     /// The job.
     pub job: JobId,
     /// The fencing term of this start of the job.
-    pub term: u64,
+    pub term: Term,
     /// The member's index in the gang, counted from 0.
     pub member: u32,
 }
--- a/src/process/stand_in/upstream.rs
+++ b/src/process/stand_in/upstream.rs
@@ -7,7 +7,7 @@
         prelude::*,
         process::{
             clock::with_timeout,
-            platform::{TaskId, TaskStart, TaskState},
+            platform::{TaskId, TaskStart, TaskState, Term},
         },
     },
     event_listener::Event,
@@ -157,11 +157,14 @@
 /// Parses a task's identity as [`TaskId`] displays it.
 fn parse_task_id(text: &str) -> Option<TaskId> {
     let mut parts = text.split('-');
-    let id = TaskId {
-        job: parts.next()?.parse().ok()?,
-        term: parts.next()?.parse().ok()?,
-        member: parts.next()?.parse().ok()?,
+    let job = parts.next()?.parse().ok()?;
+    let (ownership, start) = parts.next()?.split_once('.')?;
+    let term = Term {
+        ownership: ownership.parse().ok()?,
+        start: start.parse().ok()?,
     };
+    let member = parts.next()?.parse().ok()?;
+    let id = TaskId { job, term, member };
     parts.next().is_none().then_some(id)
 }
 
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -129,6 +129,7 @@
                 let job = JobEntry {
                     spec: Rc::new(spec),
                     owner,
+                    ownership: 1,
                     cancelled: false,
                     end: None,
                 };
--- a/src/process/state/job_state.rs
+++ b/src/process/state/job_state.rs
@@ -35,6 +35,8 @@
     pub spec: Rc<JobSpec>,
     /// The entry that runs it.
     pub owner: EntryName,
+    /// The number of the ownership, counted from 1.
+    pub ownership: u32,
     /// Whether it was cancelled.
     pub cancelled: bool,
     /// How it ended.
--- a/src/request/job/gang.rs
+++ b/src/request/job/gang.rs
@@ -8,7 +8,7 @@
         prelude::*,
         process::{
             entry::Entry,
-            platform::{TaskEnd, TaskId, TaskStart, TaskState},
+            platform::{TaskEnd, TaskId, TaskStart, TaskState, Term},
             state::{JobEnd, JobRecord, RecordBody},
         },
         version::JobKind,
@@ -44,7 +44,7 @@
     entry: &'a Entry,
     spec: &'a JobSpec,
     kind: &'a JobKind,
-    term: u64,
+    term: Term,
 }
 
 /// How one start ended.
@@ -55,12 +55,13 @@
     NotPlaced,
 }
 
-/// Runs a job to its end and records how it ended.
+/// Runs a job to its end under one ownership and records how it ended.
 pub async fn run_job(
     entry: Rc<Entry>,
     spec: JobSpec,
+    ownership: u32,
 ) {
-    let end = drive_job(&entry, &spec).await;
+    let end = drive_job(&entry, &spec, ownership).await;
     loop {
         let record = RecordBody::Job(JobRecord::Ended {
             job: spec.id,
@@ -78,8 +79,9 @@
 async fn drive_job(
     entry: &Entry,
     spec: &JobSpec,
+    ownership: u32,
 ) -> JobEnd {
-    let mut term = 1;
+    let mut start = 1;
     let mut failures = 0;
     loop {
         if entry.state.fold().is_cancelled(spec.id) {
@@ -88,13 +90,14 @@
         let Some(kind) = entry.document().job_kinds.get(&spec.kind).cloned() else {
             return JobEnd::Failed(format!("the job kind {} was removed", spec.kind));
         };
-        let start = Start {
+        let term = Term { ownership, start };
+        let this_start = Start {
             entry,
             spec,
             kind: &kind,
             term,
         };
-        match start.run().await {
+        match this_start.run().await {
             StartEnd::Finished(result) => return JobEnd::Finished(result),
             StartEnd::Failed(reason) => {
                 failures += 1;
@@ -105,7 +108,7 @@
             StartEnd::MemberLost => failures += 1,
             StartEnd::NotPlaced => {}
         }
-        term += 1;
+        start += 1;
         entry.clock.sleep(PLACEMENT_RETRY).await;
     }
 }
@@ -146,7 +149,7 @@
             target: "decision",
             decision = "placement",
             job = %self.spec.id,
-            term = self.term,
+            term = %self.term,
             account = %self.spec.account,
             kind = %self.kind.name,
             gang = %self.kind.gang,
