Open the fold: one sub-fold for each matter, ownership of jobs by records

Cause: every new kind of record had to be folded in one file, ends of jobs were taken from any owner, and ended jobs and versions were kept without bound. Conclusion: other matters add a fold in a file of their own and one line in Fold.

--- /dev/null
+++ b/src/process/entry/owned_jobs.rs
@@ -0,0 +1,35 @@
+//! Runs the jobs that this start of the entry owns.
+
+use {
+    super::Entry,
+    crate::{prelude::*, process::state::JobEntry, request::run_job},
+    std::collections::BTreeSet,
+};
+
+/// Starts a task for each open job that this start of the entry owns, for ever.
+pub async fn run_jobs(entry: Rc<Entry>) {
+    let mut running = BTreeSet::new();
+    loop {
+        let changed = entry.state.change();
+        let owned = owned_jobs(&entry);
+        let now_owned: BTreeSet<(JobId, u32)> =
+            owned.iter().map(|j| (j.spec.id, j.ownership)).collect();
+        for job in owned {
+            if !running.contains(&(job.spec.id, job.ownership)) {
+                let spec = (*job.spec).clone();
+                compio::runtime::spawn(run_job(entry.clone(), spec, job.ownership)).detach();
+            }
+        }
+        running = now_owned;
+        changed.await;
+    }
+}
+
+/// Returns the open jobs that this start of the entry owns.
+fn owned_jobs(entry: &Entry) -> Vec<JobEntry> {
+    let fold = entry.state.fold();
+    let owned = fold.jobs().filter(|j| {
+        j.is_open() && j.owner == entry.settings.name && j.owner_epoch == entry.state.epoch()
+    });
+    owned.cloned().collect()
+}
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -1,23 +1,28 @@
 //! The fold of the log: the same records in the same order give every reader the same state.
+//!
+//! Each matter has a fold of its own in a file of its own, which serialises, looks at no time but
+//! that of the record, and keeps a bounded amount. [`Fold`] finds the matter of a record and holds
+//! the matters together.
 
 use {
-    super::{DocumentRecord, JobEntry, JobRecord, Record, RecordBody, RecordKey},
+    super::{
+        DocumentFold, JobEntry, JobFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome,
+    },
     crate::{
         prelude::*,
         process::platform::{LogRecord, Offset},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeSet,
 };
 
 /// The state that the log tells up to an offset.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Fold {
     next: Offset,
-    version: VersionNumber,
-    document: Rc<Document>,
-    accepted_keys: BTreeMap<RecordKey, VersionNumber>,
     seen: BTreeSet<RecordKey>,
-    jobs: BTreeMap<JobId, JobEntry>,
+    documents: DocumentFold,
+    jobs: JobFold,
 }
 
 impl Fold {
@@ -28,20 +33,17 @@
 
     /// Returns the version in force.
     pub fn version(&self) -> VersionNumber {
-        self.version
+        self.documents.version()
     }
 
     /// Returns the document in force.
     pub fn document(&self) -> &Rc<Document> {
-        &self.document
+        self.documents.document()
     }
 
-    /// Returns the version that a document record was accepted as.
-    pub fn accepted_as(
-        &self,
-        key: RecordKey,
-    ) -> Option<VersionNumber> {
-        self.accepted_keys.get(&key).copied()
+    /// Returns the documents.
+    pub fn documents(&self) -> &DocumentFold {
+        &self.documents
     }
 
     /// Tells whether a record has been folded.
@@ -57,12 +59,12 @@
         &self,
         id: JobId,
     ) -> Option<&JobEntry> {
-        self.jobs.get(&id)
+        self.jobs.get(id)
     }
 
     /// Returns all jobs, by identity.
     pub fn jobs(&self) -> impl Iterator<Item = &JobEntry> {
-        self.jobs.values()
+        self.jobs.iter()
     }
 
     /// Tells whether a job was cancelled.
@@ -70,7 +72,7 @@
         &self,
         id: JobId,
     ) -> bool {
-        self.jobs.get(&id).is_some_and(|j| j.cancelled)
+        self.job(id).is_some_and(|j| j.cancelled)
     }
 
     /// Returns the number of an account's jobs that have not ended.
@@ -79,7 +81,16 @@
         account: &AccountName,
     ) -> u32 {
         let open = |j: &&JobEntry| j.end.is_none() && j.spec.account == *account;
-        self.jobs.values().filter(open).count() as u32
+        self.jobs().filter(open).count() as u32
+    }
+
+    /// Returns the version that a document record was accepted as.
+    pub fn accepted_as(
+        &self,
+        key: RecordKey,
+    ) -> Option<VersionNumber> {
+        let mut history = self.documents.history();
+        history.find(|v| v.key == key).map(|v| v.version)
     }
 
     /// Folds one record. A record that is not well formed, or was folded before, changes nothing.
@@ -98,53 +109,24 @@
         if !self.seen.insert(record.key) {
             return;
         }
-        match record.body {
-            RecordBody::Document(document) => self.apply_document(record.key, document),
-            RecordBody::Job(job) => self.apply_job(job),
-        }
-    }
-
-    fn apply_document(
-        &mut self,
-        key: RecordKey,
-        record: DocumentRecord,
-    ) {
-        if record.follows != self.version {
-            return;
-        }
-        let Ok(document) = Document::parse("document", &record.text) else {
-            return;
+        let cx = RecordCx {
+            key: record.key,
+            writer: record.writer,
+            offset: log_record.offset,
+            appended_ms: log_record.appended_ms,
         };
-        self.version = self.version.next();
-        self.document = Rc::new(document);
-        self.accepted_keys.insert(key, self.version);
+        self.apply_body(&cx, record.body);
     }
 
-    fn apply_job(
+    /// Passes a record on to the fold of its matter.
+    fn apply_body(
         &mut self,
-        record: JobRecord,
-    ) {
-        match record {
-            JobRecord::Accepted { spec, owner } => {
-                let job = JobEntry {
-                    spec: Rc::new(spec),
-                    owner,
-                    ownership: 1,
-                    cancelled: false,
-                    end: None,
-                };
-                self.jobs.entry(job.spec.id).or_insert(job);
-            }
-            JobRecord::Cancelled { job } => {
-                if let Some(job) = self.jobs.get_mut(&job) {
-                    job.cancelled |= job.end.is_none();
-                }
-            }
-            JobRecord::Ended { job, end } => {
-                if let Some(job) = self.jobs.get_mut(&job) {
-                    job.end.get_or_insert(end);
-                }
-            }
+        cx: &RecordCx,
+        body: RecordBody,
+    ) -> RecordOutcome {
+        match body {
+            RecordBody::Document(document) => self.documents.apply(cx, document),
+            RecordBody::Job(job) => self.jobs.apply(cx, job),
         }
     }
 }
--- /dev/null
+++ b/src/process/state/job_fold.rs
@@ -0,0 +1,146 @@
+//! The jobs that the log tells of.
+
+use {
+    super::{JobEnd, JobEntry, JobRecord, RecordCx, RecordOutcome},
+    crate::{prelude::*, request::JobSpec},
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, VecDeque},
+};
+
+/// The most ended jobs that are kept.
+const MAX_ENDED: usize = 2000;
+
+/// The most bytes of payloads and results of ended jobs that are kept.
+const MAX_ENDED_BYTES: usize = 16 << 20;
+
+/// All open jobs and those that ended last.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct JobFold {
+    jobs: BTreeMap<JobId, JobEntry>,
+    ended: VecDeque<JobId>,
+    ended_bytes: usize,
+}
+
+impl JobFold {
+    /// Returns a job.
+    pub fn get(
+        &self,
+        id: JobId,
+    ) -> Option<&JobEntry> {
+        self.jobs.get(&id)
+    }
+
+    /// Returns all kept jobs, by identity.
+    pub fn iter(&self) -> impl Iterator<Item = &JobEntry> {
+        self.jobs.values()
+    }
+
+    /// Folds what happened to a job.
+    pub fn apply(
+        &mut self,
+        cx: &RecordCx,
+        record: JobRecord,
+    ) -> RecordOutcome {
+        match record {
+            JobRecord::Accepted { spec, owner } => self.accept(cx, spec, owner),
+            JobRecord::Cancelled { job } => self.cancel(job),
+            JobRecord::Ended {
+                job,
+                ownership,
+                end,
+            } => self.end(job, ownership, end),
+            JobRecord::Owner {
+                job,
+                owner,
+                follows,
+            } => self.change_owner(cx, job, owner, follows),
+        }
+    }
+
+    fn accept(
+        &mut self,
+        cx: &RecordCx,
+        spec: JobSpec,
+        owner: EntryName,
+    ) -> RecordOutcome {
+        let id = spec.id;
+        if self.jobs.contains_key(&id) {
+            return RecordOutcome::Stale;
+        }
+        let job = JobEntry {
+            spec: Rc::new(spec),
+            owner,
+            owner_epoch: cx.key.epoch,
+            ownership: 1,
+            cancelled: false,
+            end: None,
+        };
+        self.jobs.insert(id, job);
+        RecordOutcome::Applied
+    }
+
+    fn cancel(
+        &mut self,
+        job: JobId,
+    ) -> RecordOutcome {
+        match self.open_job(job) {
+            Some(job) => {
+                job.cancelled = true;
+                RecordOutcome::Applied
+            }
+            None => RecordOutcome::Stale,
+        }
+    }
+
+    /// Ends a job once, and only by its present owner.
+    fn end(
+        &mut self,
+        id: JobId,
+        ownership: u32,
+        end: JobEnd,
+    ) -> RecordOutcome {
+        let Some(job) = self.open_job(id).filter(|j| j.ownership == ownership) else {
+            return RecordOutcome::Stale;
+        };
+        job.end = Some(end);
+        self.ended_bytes += job.kept_bytes();
+        self.ended.push_back(id);
+        self.trim_ended();
+        RecordOutcome::Applied
+    }
+
+    /// Passes a job on when the record follows the present ownership.
+    fn change_owner(
+        &mut self,
+        cx: &RecordCx,
+        id: JobId,
+        owner: EntryName,
+        follows: u32,
+    ) -> RecordOutcome {
+        let Some(job) = self.open_job(id).filter(|j| j.ownership == follows) else {
+            return RecordOutcome::Stale;
+        };
+        job.owner = owner;
+        job.owner_epoch = cx.key.epoch;
+        job.ownership += 1;
+        RecordOutcome::Applied
+    }
+
+    fn open_job(
+        &mut self,
+        id: JobId,
+    ) -> Option<&mut JobEntry> {
+        self.jobs.get_mut(&id).filter(|j| j.end.is_none())
+    }
+
+    /// Forgets the jobs that ended first; the last one is always kept.
+    fn trim_ended(&mut self) {
+        while self.ended.len() > 1
+            && (self.ended.len() > MAX_ENDED || self.ended_bytes > MAX_ENDED_BYTES)
+        {
+            let oldest = self.ended.pop_front();
+            let forgotten = oldest.and_then(|id| self.jobs.remove(&id));
+            self.ended_bytes -= forgotten.map_or(0, |j| j.kept_bytes());
+        }
+    }
+}
--- a/src/process/state/job_state.rs
+++ b/src/process/state/job_state.rs
@@ -4,7 +4,7 @@
     super::JobEnd,
     crate::{prelude::*, request::JobSpec},
     derive_more::Display,
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
 };
 
 /// Where a job is in its life.
@@ -29,12 +29,14 @@
 }
 
 /// A job with its owner and, once it has ended, its end.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct JobEntry {
     /// The job.
     pub spec: Rc<JobSpec>,
     /// The entry that runs it.
     pub owner: EntryName,
+    /// The start of that entry which took the job; a later start of it takes the job over anew.
+    pub owner_epoch: u64,
     /// The number of the ownership, counted from 1.
     pub ownership: u32,
     /// Whether it was cancelled.
@@ -44,6 +46,21 @@
 }
 
 impl JobEntry {
+    /// Tells whether the job has not ended.
+    pub fn is_open(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Returns the bytes of its payload and result.
+    pub(super) fn kept_bytes(&self) -> usize {
+        let result = match &self.end {
+            Some(JobEnd::Finished(result)) => result.len(),
+            Some(JobEnd::Failed(reason)) => reason.len(),
+            Some(JobEnd::Cancelled) | None => 0,
+        };
+        self.spec.payload.len() + result
+    }
+
     /// Returns where the job is in its life.
     pub fn status(&self) -> JobStatus {
         match &self.end {
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -63,13 +63,24 @@
         /// The job.
         job: JobId,
     },
-    /// The job ended.
+    /// The job ended; only its present owner can record that.
     Ended {
         /// The job.
         job: JobId,
+        /// The ownership under which it ended.
+        ownership: u32,
         /// How it ended.
         end: JobEnd,
     },
+    /// An entry takes the job over from an owner that is gone.
+    Owner {
+        /// The job.
+        job: JobId,
+        /// The entry that runs it from here on.
+        owner: EntryName,
+        /// The ownership that this one follows; a record that follows another is passed over.
+        follows: u32,
+    },
 }
 
 /// How a job ended.
--- a/src/process/state/state.rs
+++ b/src/process/state/state.rs
@@ -10,7 +10,7 @@
         },
     },
     derive_more::{Display, Error},
-    event_listener::Event,
+    event_listener::{Event, EventListener},
     std::cell::{Cell, Ref},
 };
 
@@ -69,6 +69,17 @@
         self.fold.borrow()
     }
 
+    /// Returns the random number of this start of the process.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns what is done at the next change of the fold. Taken before the fold is looked at, it
+    /// misses no change.
+    pub fn change(&self) -> EventListener {
+        self.changed.listen()
+    }
+
     /// Waits until the fold changes.
     pub async fn wait_for_change(&self) {
         self.changed.listen().await;
--- a/src/request/job/gang.rs
+++ b/src/request/job/gang.rs
@@ -65,6 +65,7 @@
     loop {
         let record = RecordBody::Job(JobRecord::Ended {
             job: spec.id,
+            ownership,
             end: end.clone(),
         });
         match entry.state.append(record).await {
