Keep state beyond the log's retention, append in groups, and give the stand-in log faults

Cause: the log drops records, loses answers and has outages; the fold kept every key, each record was an append of its own, and a reader that fell behind the oldest record would have folded on over the gap. The stand-in log has a rate limit, retention, bounded memory and switches for faults.

--- a/src/process/cli/role_commands.rs
+++ b/src/process/cli/role_commands.rs
@@ -119,7 +119,8 @@
     ) -> Result<(), CliError> {
         let settings = read_settings(matches, StandInLogSettings::parse)?;
         run_role(async move |clock: Rc<dyn Clock>| {
-            serve_stand_in(settings.listen, Rc::new(StandInLog::new(clock))).await
+            let log = StandInLog::with_limits(clock, settings.limits);
+            serve_stand_in(settings.listen, Rc::new(log)).await
         })
     }
 }
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -6,8 +6,13 @@
         connection::{HttpClient, HttpServer},
         prelude::*,
         process::{
-            clock::with_timeout, membership::MemberListener, metrics::Metrics, platform::HttpLog,
-            settings::EntrySettings, shutdown::Shutdown, state::State,
+            clock::with_timeout,
+            membership::MemberListener,
+            metrics::Metrics,
+            platform::HttpLog,
+            settings::EntrySettings,
+            shutdown::Shutdown,
+            state::{HttpPeers, SnapshotPolicy, State},
         },
         request::{EntryApi, IdSource, LeastWaitRouting, PackPlacement},
     },
@@ -40,8 +45,11 @@
         let metrics = Rc::new(Metrics::default());
         let ids = IdSource::random();
         let client = HttpClient::new(clock.clone());
-        let log = Rc::new(HttpLog::new(client, settings.log));
-        let state = State::new(log, clock.clone(), settings.name.clone(), ids.epoch());
+        let log = Rc::new(HttpLog::new(client.clone(), settings.log));
+        let mut state = State::new(log, clock.clone(), settings.name.clone(), ids.epoch());
+        if let Some(peers) = &settings.peers {
+            state = state.with_peers(Rc::new(HttpPeers::new(client, peers.clone())));
+        }
         let listener =
             MemberListener::bind(settings.announcements, clock.clone(), metrics.clone()).await?;
         let announcement_address = listener.local_addr()?;
@@ -108,8 +116,17 @@
 ) {
     let state = entry.state.clone();
     spawn(async move { state.follow_log().await }).detach();
+    spawn(keep_snapshots(entry.clone())).detach();
     let hearing = entry.clone();
     spawn(async move { listener.run(&hearing.members).await }).detach();
     spawn(run_jobs(entry.clone())).detach();
     spawn(push_documents(entry.clone())).detach();
 }
+
+async fn keep_snapshots(entry: Rc<Entry>) {
+    let policy = SnapshotPolicy {
+        retention: entry.settings.log_retention,
+    };
+    let live_entries = || entry.live_entries();
+    entry.state.keep_snapshots(policy, live_entries).await;
+}
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -8,7 +8,9 @@
         process::{
             entry::{Entry, RunningEntry},
             guard::RunningGuard,
-            settings::{EntrySettings, GuardSettings, LocalDataCentre, LocalSettings},
+            settings::{
+                EntrySettings, GuardSettings, LocalDataCentre, LocalSettings, PeerSettings,
+            },
             shutdown::Shutdown,
             stand_in::{StandInLog, StandInUpstream},
             state::{DocumentRecord, RecordBody},
@@ -30,6 +32,9 @@
 /// How long a graceful shutdown of a local process may take.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long the stand-in log of a local system keeps a record.
+const LOG_RETENTION: Duration = Duration::from_secs(24 * 3600);
+
 /// A whole system: a stand-in log, stand-in upstreams, guards and entries.
 pub struct LocalSystem {
     clock: Rc<dyn Clock>,
@@ -37,6 +42,8 @@
     guards: Vec<RunningGuard>,
     upstreams: Vec<Rc<StandInUpstream>>,
     platform: Rc<Shutdown>,
+    peers: PeerSettings,
+    log: Rc<StandInLog>,
 }
 
 impl LocalSystem {
@@ -54,9 +61,14 @@
             guards: Vec::new(),
             upstreams: Vec::new(),
             platform: Rc::default(),
-            clock: clock.clone(),
+            peers: PeerSettings {
+                addresses: Rc::default(),
+                key: format!("{:032x}", rand::random::<u128>()).into(),
+            },
+            log: Rc::new(StandInLog::new(clock.clone())),
+            clock,
         };
-        let log = system.serve(Rc::new(StandInLog::new(clock))).await?;
+        let log = system.serve(system.log.clone()).await?;
         for data_centre in &settings.data_centres {
             system.start_entries(data_centre, log).await?;
         }
@@ -73,6 +85,11 @@
         &self.clock
     }
 
+    /// Returns the stand-in log.
+    pub fn log(&self) -> &Rc<StandInLog> {
+        &self.log
+    }
+
     /// Returns the entries.
     pub fn entries(&self) -> &[RunningEntry] {
         &self.entries
@@ -138,9 +155,13 @@
                 log,
                 drain_timeout: DRAIN_TIMEOUT,
                 bootstrap: None,
+                peers: Some(self.peers.clone()),
+                log_retention: LOG_RETENTION,
             };
-            self.entries
-                .push(RunningEntry::start(settings, self.clock.clone()).await?);
+            let entry = RunningEntry::start(settings, self.clock.clone()).await?;
+            let address = entry.http_address();
+            self.peers.addresses.borrow_mut().push(address);
+            self.entries.push(entry);
         }
         Ok(())
     }
--- a/src/process/settings/entry_settings.rs
+++ b/src/process/settings/entry_settings.rs
@@ -1,13 +1,19 @@
 //! Settings of an entry.
 
 use {
-    super::place::{read_address, read_drain_timeout, read_name},
+    super::{
+        PeerSettings,
+        place::{read_address, read_drain_timeout, read_name},
+    },
     crate::{
         prelude::*,
-        version::{Faults, IniFile, KeyHash},
+        version::{Faults, IniFile, IniSection, KeyHash, parse_duration},
     },
 };
 
+/// How long the platform's log keeps a record when the settings do not say.
+const DEFAULT_LOG_RETENTION: Duration = Duration::from_secs(24 * 3600);
+
 /// The operator who may submit the first document, before any document names operators.
 #[derive(Clone, Debug)]
 pub struct Bootstrap {
@@ -36,6 +42,10 @@
     pub drain_timeout: Duration,
     /// Who may submit the first document.
     pub bootstrap: Option<Bootstrap>,
+    /// The other entries.
+    pub peers: Option<PeerSettings>,
+    /// How long the platform's log keeps a record.
+    pub log_retention: Duration,
 }
 
 impl EntrySettings {
@@ -49,7 +59,7 @@
     ) -> Result<Self, Faults> {
         let file = IniFile::parse(name, text);
         let settings = Self::read(&file);
-        file.finish(&["entry", "bootstrap"])?;
+        file.finish(&["entry", "bootstrap", "peers"])?;
         settings.ok_or_else(Faults::default)
     }
 
@@ -63,6 +73,8 @@
         let log = read_address(file, section, "log");
         let drain_timeout = read_drain_timeout(file, section);
         let bootstrap = Bootstrap::read(file);
+        let peers = PeerSettings::read(file);
+        let log_retention = read_log_retention(file, section);
         if http.is_some() && http == announcements {
             file.fault(
                 section,
@@ -79,10 +91,21 @@
             log: log?,
             drain_timeout,
             bootstrap,
+            peers,
+            log_retention,
         })
     }
 }
 
+fn read_log_retention(
+    file: &IniFile,
+    section: &IniSection,
+) -> Duration {
+    let expected = "a duration such as 24h";
+    let retention = file.optional(section, "log_retention", expected, parse_duration);
+    retention.unwrap_or(DEFAULT_LOG_RETENTION)
+}
+
 impl Bootstrap {
     fn read(file: &IniFile) -> Option<Self> {
         let section = file.sections("bootstrap").next()?;
--- a/src/process/settings/mod.rs
+++ b/src/process/settings/mod.rs
@@ -3,6 +3,7 @@
 mod entry_settings;
 mod guard_settings;
 mod local_settings;
+mod peer_settings;
 mod place;
 mod stand_in_settings;
 
@@ -10,5 +11,6 @@
     entry_settings::{Bootstrap, EntrySettings},
     guard_settings::GuardSettings,
     local_settings::{LocalDataCentre, LocalSettings, LocalWorkers},
+    peer_settings::PeerSettings,
     stand_in_settings::{StandInLogSettings, StandInUpstreamSettings},
 };
--- a/src/process/settings/stand_in_settings.rs
+++ b/src/process/settings/stand_in_settings.rs
@@ -4,7 +4,8 @@
     super::place::{read_address, read_count},
     crate::{
         prelude::*,
-        version::{Faults, IniFile},
+        process::stand_in::LogLimits,
+        version::{Faults, IniFile, IniSection, parse_duration},
     },
 };
 
@@ -13,6 +14,8 @@
 pub struct StandInLogSettings {
     /// Where it takes calls.
     pub listen: SocketAddr,
+    /// Its limits.
+    pub limits: LogLimits,
 }
 
 /// Settings of the stand-in upstream.
@@ -36,9 +39,39 @@
         let file = IniFile::parse(name, text);
         let section = file.section("stand-in-log");
         let listen = section.and_then(|s| read_address(&file, s, "listen"));
+        let limits = section.map(|s| read_limits(&file, s));
         file.finish(&["stand-in-log"])?;
-        let listen = listen.ok_or_else(Faults::default)?;
-        Ok(Self { listen })
+        Ok(Self {
+            listen: listen.ok_or_else(Faults::default)?,
+            limits: limits.unwrap_or_default(),
+        })
+    }
+}
+
+/// Reads the limits that the section states; the others are as usual.
+fn read_limits(
+    file: &IniFile,
+    section: &IniSection,
+) -> LogLimits {
+    let usual = LogLimits::default();
+    let positive = "a whole number above 0";
+    let rate = file.optional(section, "max_appends_per_s", positive, |v| {
+        v.parse().ok().filter(|n| *n > 0)
+    });
+    let records = file.optional(section, "max_records", positive, |v| {
+        v.parse().ok().filter(|n| *n > 0)
+    });
+    let retention = file.optional(
+        section,
+        "retention",
+        "a duration such as 24h",
+        parse_duration,
+    );
+    LogLimits {
+        max_appends_per_s: rate.unwrap_or(usual.max_appends_per_s),
+        retention: retention.unwrap_or(usual.retention),
+        max_records: records.unwrap_or(usual.max_records),
+        max_bytes: usual.max_bytes,
     }
 }
 
--- a/src/process/stand_in/mod.rs
+++ b/src/process/stand_in/mod.rs
@@ -1,7 +1,14 @@
 //! Stand-ins for the platform: a log and an upstream, over real sockets.
 
 mod log;
+mod log_faults;
+mod log_records;
 mod tasks;
 mod upstream;
 
-pub use {log::StandInLog, upstream::StandInUpstream};
+pub use {
+    log::StandInLog,
+    log_faults::{LogFaults, LogLimits},
+    log_records::LogRecords,
+    upstream::StandInUpstream,
+};
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,23 +6,26 @@
 
 use {
     super::{
-        DocumentFold, JobEntry, JobFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome,
+        AuditFold, DocumentFold, DrainFold, JobEntry, JobFold, Record, RecordBody, RecordCx,
+        RecordKey, RecordOutcome, SnapshotFold, WriterFold,
     },
     crate::{
         prelude::*,
         process::platform::{LogRecord, Offset},
     },
     serde::{Deserialize, Serialize},
-    std::collections::BTreeSet,
 };
 
 /// The state that the log tells up to an offset.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Fold {
     next: Offset,
-    seen: BTreeSet<RecordKey>,
+    writers: WriterFold,
+    snapshots: SnapshotFold,
     documents: DocumentFold,
     jobs: JobFold,
+    drains: DrainFold,
+    audit: AuditFold,
 }
 
 impl Fold {
@@ -46,12 +49,32 @@
         &self.documents
     }
 
-    /// Tells whether a record has been folded.
+    /// Returns the drained upstreams.
+    pub fn drains(&self) -> &DrainFold {
+        &self.drains
+    }
+
+    /// Returns the changes that operators made.
+    pub fn audit(&self) -> &AuditFold {
+        &self.audit
+    }
+
+    /// Returns the writers.
+    pub fn writers(&self) -> &WriterFold {
+        &self.writers
+    }
+
+    /// Returns which snapshots stand on the log.
+    pub fn snapshots(&self) -> &SnapshotFold {
+        &self.snapshots
+    }
+
+    /// Tells whether this or a later record of the same writer has been folded.
     pub fn has_seen(
         &self,
         key: RecordKey,
     ) -> bool {
-        self.seen.contains(&key)
+        self.writers.has_passed(key)
     }
 
     /// Returns a job.
@@ -93,29 +116,49 @@
         history.find(|v| v.key == key).map(|v| v.version)
     }
 
-    /// Folds one record. A record that is not well formed, or was folded before, changes nothing.
+    /// Encodes the whole state.
+    ///
+    /// # Errors
+    /// The error of encoding.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a state.
+    ///
+    /// # Errors
+    /// The error of decoding.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let mut fold: Self = postcard::from_bytes(bytes)?;
+        fold.documents.read_document();
+        Ok(fold)
+    }
+
+    /// Folds one record and returns what became of it. A record that is not well formed, was
+    /// folded before or comes too late changes nothing.
     pub fn apply(
         &mut self,
         log_record: &LogRecord,
-    ) {
+    ) -> Option<(RecordKey, RecordOutcome)> {
         if log_record.offset < self.next {
-            return;
+            return None;
         }
         self.next = Offset(log_record.offset.0 + 1);
         let Ok(record) = postcard::from_bytes::<Record>(&log_record.data) else {
             tracing::warn!(offset = %log_record.offset, "a malformed record was passed over");
-            return;
+            return None;
         };
-        if !self.seen.insert(record.key) {
-            return;
-        }
         let cx = RecordCx {
             key: record.key,
             writer: record.writer,
             offset: log_record.offset,
             appended_ms: log_record.appended_ms,
         };
-        self.apply_body(&cx, record.body);
+        self.snapshots.note_start(&cx);
+        if !self.writers.apply(&cx) {
+            return None;
+        }
+        Some((cx.key, self.apply_body(&cx, record.body)))
     }
 
     /// Passes a record on to the fold of its matter.
@@ -127,6 +170,9 @@
         match body {
             RecordBody::Document(document) => self.documents.apply(cx, document),
             RecordBody::Job(job) => self.jobs.apply(cx, job),
+            RecordBody::Drain(drain) => self.drains.apply(cx, drain),
+            RecordBody::Audit(audit) => self.audit.apply(cx, audit),
+            RecordBody::Snapshot(part) => self.snapshots.apply(cx, &part),
         }
     }
 }
--- a/src/process/state/mod.rs
+++ b/src/process/state/mod.rs
@@ -1,23 +1,49 @@
 //! The state that all processes agree on, folded from the platform's log.
 
+mod audit_fold;
 mod document_fold;
+mod drain_fold;
 mod fold;
 mod job_fold;
 mod job_state;
+mod log_view;
+mod outbox;
+mod pace;
 mod record;
 mod record_cx;
+mod snapshot_fold;
+mod snapshot_keeper;
+mod snapshot_record;
 #[expect(
     clippy::module_inception,
     reason = "a file bears the name of its main type"
 )]
 mod state;
+mod state_error;
+mod state_peers;
+mod state_reader;
+mod state_writer;
+mod urgency;
+mod writer_fold;
 
 pub use {
+    audit_fold::{AuditEntry, AuditFold},
     document_fold::{AcceptedVersion, DocumentFold},
+    drain_fold::{DrainFold, DrainMark},
     fold::Fold,
     job_fold::JobFold,
     job_state::{JobEntry, JobStatus},
-    record::{DocumentRecord, JobEnd, JobRecord, Record, RecordBody, RecordKey},
+    log_view::{LogCondition, LogView},
+    record::{
+        AuditRecord, DocumentRecord, DrainRecord, JobEnd, JobRecord, Record, RecordBody, RecordKey,
+    },
     record_cx::{RecordCx, RecordOutcome},
-    state::{State, StateError},
+    snapshot_fold::{SnapshotFold, SnapshotMark},
+    snapshot_keeper::SnapshotPolicy,
+    snapshot_record::SnapshotRecord,
+    state::State,
+    state_error::StateError,
+    state_peers::{HttpPeers, NoPeers, StatePeers},
+    urgency::Urgency,
+    writer_fold::{WriterFold, WriterMark},
 };
--- /dev/null
+++ b/src/process/state/outbox.rs
@@ -0,0 +1,122 @@
+//! Records that wait to be appended.
+
+use {
+    super::{RecordBody, RecordKey, RecordOutcome, Urgency},
+    crate::prelude::*,
+    event_listener::Event,
+    futures_channel::oneshot,
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, VecDeque},
+    },
+};
+
+/// The most records that wait.
+const MAX_WAITING: usize = 20_000;
+
+/// The most records of one append.
+const MAX_BATCH: usize = 500;
+
+/// The most bytes of one append, except when one record alone has more.
+const MAX_BATCH_BYTES: usize = 256 << 10;
+
+/// How far a record has come, as its waiting caller and the writing task both see it.
+#[derive(Debug, Default)]
+pub(super) struct Ticket {
+    /// Whether the record may stand on the log.
+    pub(super) maybe_on_log: Cell<bool>,
+    /// Whether its caller has given up; it is then not sent any more.
+    pub(super) abandoned: Cell<bool>,
+}
+
+/// The identity and outcome of a folded record.
+pub(super) type Receipt = (RecordKey, RecordOutcome);
+
+/// A record that waits.
+pub(super) struct Waiting {
+    pub(super) body: RecordBody,
+    pub(super) bytes: usize,
+    pub(super) ticket: Rc<Ticket>,
+    pub(super) reply: oneshot::Sender<Receipt>,
+}
+
+impl Waiting {
+    /// Tells whether a caller still waits for the record.
+    pub(super) fn is_wanted(&self) -> bool {
+        !self.ticket.abandoned.get() && !self.reply.is_canceled()
+    }
+}
+
+/// The records that wait, by urgency and then in the order in which they came.
+#[derive(Default)]
+pub(super) struct Outbox {
+    queues: RefCell<BTreeMap<Urgency, VecDeque<Waiting>>>,
+    pushed: Event,
+}
+
+impl Outbox {
+    /// Adds a record; `None` when too many wait.
+    pub(super) fn push(
+        &self,
+        body: RecordBody,
+    ) -> Option<(Rc<Ticket>, oneshot::Receiver<Receipt>)> {
+        if self.len() >= MAX_WAITING {
+            return None;
+        }
+        let ticket = Rc::new(Ticket::default());
+        let (tx, rx) = oneshot::channel();
+        let waiting = Waiting {
+            ticket: ticket.clone(),
+            reply: tx,
+            bytes: postcard::to_stdvec(&body).ok()?.len(),
+            body,
+        };
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(waiting.body.urgency()).or_default();
+        queue.push_back(waiting);
+        self.pushed.notify(usize::MAX);
+        Some((ticket, rx))
+    }
+
+    /// Returns the number of waiting records.
+    pub(super) fn len(&self) -> usize {
+        self.queues.borrow().values().map(VecDeque::len).sum()
+    }
+
+    /// Waits until a record that is still wanted waits.
+    pub(super) async fn wait_for_record(&self) {
+        loop {
+            let pushed = self.pushed.listen();
+            self.drop_abandoned();
+            if self.len() > 0 {
+                return;
+            }
+            pushed.await;
+        }
+    }
+
+    /// Takes the records of the next append, the most urgent first.
+    pub(super) fn take_batch(&self) -> Vec<Waiting> {
+        self.drop_abandoned();
+        let mut queues = self.queues.borrow_mut();
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        for queue in queues.values_mut() {
+            while let Some(next) = queue.front() {
+                bytes += next.bytes;
+                let full = batch.len() >= MAX_BATCH || bytes > MAX_BATCH_BYTES;
+                if full && !batch.is_empty() {
+                    return batch;
+                }
+                batch.extend(queue.pop_front());
+            }
+        }
+        batch
+    }
+
+    fn drop_abandoned(&self) {
+        for queue in self.queues.borrow_mut().values_mut() {
+            queue.retain(Waiting::is_wanted);
+        }
+    }
+}
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,6 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
+    super::SnapshotRecord,
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -33,6 +34,34 @@
     Document(DocumentRecord),
     /// Something happened to a job.
     Job(JobRecord),
+    /// An operator drains an upstream or ends that.
+    Drain(DrainRecord),
+    /// An operator changed something.
+    Audit(AuditRecord),
+    /// A part of the whole state, written again so that the log keeps it.
+    Snapshot(SnapshotRecord),
+}
+
+/// The start or end of the drain of an upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DrainRecord {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Whether it drains.
+    pub on: bool,
+    /// Who asked for it.
+    pub operator: OperatorName,
+}
+
+/// What an operator did.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AuditRecord {
+    /// Who did it.
+    pub operator: OperatorName,
+    /// What was done, with the names of what it was done to.
+    pub action: Arc<str>,
+    /// The document version that the operator's entry had in force.
+    pub from_version: VersionNumber,
 }
 
 /// A submitted document. It is accepted when it follows the version in force where it stands.
--- a/src/process/state/state.rs
+++ b/src/process/state/state.rs
@@ -1,52 +1,41 @@
 //! The state of one process: the fold, kept up with the log.
 
 use {
-    super::{Fold, Record, RecordBody, RecordKey},
+    super::{
+        Fold, LogView, NoPeers, RecordBody, RecordKey, RecordOutcome, StateError, StatePeers,
+        outbox::{Outbox, Receipt, Waiting},
+    },
     crate::{
         prelude::*,
-        process::{
-            clock::with_timeout,
-            platform::{LogError, PlatformLog},
-        },
+        process::{clock::with_timeout, platform::PlatformLog},
     },
-    derive_more::{Display, Error},
     event_listener::{Event, EventListener},
-    std::cell::{Cell, Ref},
+    std::{
+        cell::{Cell, Ref},
+        collections::BTreeMap,
+    },
 };
 
-/// How long one read waits for a record.
-const READ_WAIT: Duration = Duration::from_secs(20);
-
-/// The pause after the log gave no answer.
-const READ_RETRY: Duration = Duration::from_millis(500);
-
-/// How long a writer waits to read its own record back.
-const READ_BACK: Duration = Duration::from_secs(5);
+/// How long a caller waits until its record is folded here.
+const APPEND_WAIT: Duration = Duration::from_secs(5);
 
-/// Why a record is not known to be on the log.
-#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
-pub enum StateError {
-    /// The record is not on the log.
-    #[display("the log is unavailable; nothing was recorded")]
-    NotRecorded,
-    /// The record may be on the log.
-    #[display("the log's answer was lost; it is not known whether the record stands")]
-    Unknown,
-}
-
-/// The fold with its log.
+/// The fold with its log. One task reads the log and one writes it.
 pub struct State {
-    log: Rc<dyn PlatformLog>,
-    clock: Rc<dyn Clock>,
-    writer: EntryName,
-    epoch: u64,
-    next_sequence: Cell<u64>,
-    fold: RefCell<Fold>,
-    changed: Event,
+    pub(super) log: Rc<dyn PlatformLog>,
+    pub(super) peers: Rc<dyn StatePeers>,
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) writer: EntryName,
+    pub(super) epoch: u64,
+    pub(super) next_sequence: Cell<u64>,
+    pub(super) outbox: Outbox,
+    pub(super) in_flight: RefCell<BTreeMap<u64, Waiting>>,
+    pub(super) fold: RefCell<Fold>,
+    pub(super) view: Cell<LogView>,
+    pub(super) changed: Event,
 }
 
 impl State {
-    /// Creates an empty state; `epoch` has to be new at each start of the process.
+    /// Creates an empty state without peers; `epoch` has to be new at each start of the process.
     pub fn new(
         log: Rc<dyn PlatformLog>,
         clock: Rc<dyn Clock>,
@@ -55,20 +44,43 @@
     ) -> Self {
         Self {
             log,
+            peers: Rc::new(NoPeers),
             clock,
             writer,
             epoch,
             next_sequence: Cell::new(1),
+            outbox: Outbox::default(),
+            in_flight: RefCell::default(),
             fold: RefCell::default(),
+            view: Cell::default(),
             changed: Event::new(),
         }
     }
 
+    /// Has the state learn from peers when the log does not give it.
+    pub fn with_peers(
+        mut self,
+        peers: Rc<dyn StatePeers>,
+    ) -> Self {
+        self.peers = peers;
+        self
+    }
+
     /// Returns the fold as it is now. The reference must not be held over a wait.
     pub fn fold(&self) -> Ref<'_, Fold> {
         self.fold.borrow()
     }
 
+    /// Returns how this process sees the log.
+    pub fn view(&self) -> LogView {
+        self.view.get()
+    }
+
+    /// Returns the number of records that wait to be appended.
+    pub fn waiting_records(&self) -> usize {
+        self.outbox.len()
+    }
+
     /// Returns the random number of this start of the process.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -85,25 +97,12 @@
         self.changed.listen().await;
     }
 
-    /// Reads the log for ever and folds what it brings.
+    /// Reads the log for ever and folds what it brings, and appends what callers record.
     pub async fn follow_log(&self) {
-        loop {
-            let from = self.fold.borrow().next();
-            match self.log.read(from, READ_WAIT).await {
-                Ok(batch) => {
-                    let mut fold = self.fold.borrow_mut();
-                    for record in &batch.records {
-                        fold.apply(record);
-                    }
-                    drop(fold);
-                    self.changed.notify(usize::MAX);
-                }
-                Err(_) => self.clock.sleep(READ_RETRY).await,
-            }
-        }
+        futures_util::future::join(self.read_log(), self.write_log()).await;
     }
 
-    /// Appends a record and waits until it is folded here.
+    /// Records something and waits until it is folded here.
     ///
     /// # Errors
     /// [`StateError`], which tells whether the record may stand on the log.
@@ -111,10 +110,10 @@
         &self,
         body: RecordBody,
     ) -> Result<(), StateError> {
-        self.append_keyed(body).await.map(drop)
+        self.append_within(body, APPEND_WAIT).await.map(drop)
     }
 
-    /// Appends a record, waits until it is folded here and returns its identity.
+    /// Records something, waits until it is folded here and returns its identity.
     ///
     /// # Errors
     /// [`StateError`], which tells whether the record may stand on the log.
@@ -122,37 +121,47 @@
         &self,
         body: RecordBody,
     ) -> Result<RecordKey, StateError> {
-        let record = Record {
-            key: self.next_key(),
-            writer: self.writer.clone(),
-            body,
-        };
-        let data = postcard::to_stdvec(&record).map_err(|_| StateError::NotRecorded)?;
-        match self.log.append(vec![data.into()]).await {
-            Ok(_) | Err(LogError::AnswerLost) => {}
-            Err(LogError::RateLimited | LogError::Unavailable) => {
-                return Err(StateError::NotRecorded);
-            }
-        }
-        let folded = self.wait_for_record(record.key);
-        let folded = with_timeout(&*self.clock, READ_BACK, folded).await;
-        folded.map(|()| record.key).ok_or(StateError::Unknown)
+        let receipt = self.append_within(body, APPEND_WAIT).await?;
+        Ok(receipt.0)
     }
 
-    async fn wait_for_record(
+    /// Records something, waits until it is folded here and returns what became of it.
+    ///
+    /// # Errors
+    /// [`StateError`], which tells whether the record may stand on the log.
+    pub async fn append_for_outcome(
         &self,
-        key: RecordKey,
-    ) {
-        loop {
-            let changed = self.changed.listen();
-            if self.fold.borrow().has_seen(key) {
-                return;
-            }
-            changed.await;
+        body: RecordBody,
+    ) -> Result<RecordOutcome, StateError> {
+        let receipt = self.append_within(body, APPEND_WAIT).await?;
+        Ok(receipt.1)
+    }
+
+    /// Records something and waits for a bounded time until it is folded here. A record that was
+    /// not sent within that time is never sent.
+    ///
+    /// # Errors
+    /// [`StateError`], which tells whether the record may stand on the log.
+    pub(super) async fn append_within(
+        &self,
+        body: RecordBody,
+        wait: Duration,
+    ) -> Result<Receipt, StateError> {
+        let pushed = self.outbox.push(body);
+        let (ticket, folded) = pushed.ok_or(StateError::NotRecorded)?;
+        if let Some(Ok(receipt)) = with_timeout(&*self.clock, wait, folded).await {
+            return Ok(receipt);
+        }
+        ticket.abandoned.set(true);
+        if ticket.maybe_on_log.get() {
+            Err(StateError::Unknown)
+        } else {
+            Err(StateError::NotRecorded)
         }
     }
 
-    fn next_key(&self) -> RecordKey {
+    /// Returns the next record's identity.
+    pub(super) fn next_key(&self) -> RecordKey {
         let sequence = self.next_sequence.get();
         self.next_sequence.set(sequence + 1);
         RecordKey {
--- a/src/request/api/entry_api.rs
+++ b/src/request/api/entry_api.rs
@@ -1,7 +1,10 @@
 //! The paths of an entry.
 
 use {
-    super::{admin_api::answer_admin, job_api::answer_jobs, request_api::answer_request},
+    super::{
+        admin_api::answer_admin, job_api::answer_jobs, request_api::answer_request,
+        state_api::answer_state,
+    },
     crate::{
         connection::{HttpHandler, HttpReply, HttpRequest, Problem},
         prelude::*,
@@ -35,6 +38,7 @@
             ["readyz"] if entry.is_ready() => HttpReply::text(200, "ready\n"),
             ["readyz"] => HttpReply::text(503, "not ready\n"),
             ["metrics"] => HttpReply::text(200, &entry.metrics.render()),
+            ["v1", "state"] => answer_state(entry, &req),
             ["v1", "admin", rest @ ..] => answer_admin(entry, &req, rest).await,
             ["v1", "requests", kind] => match authorise(entry, &req) {
                 Ok(account) => answer_request(entry, &req, &account, kind).await,
--- a/src/request/api/mod.rs
+++ b/src/request/api/mod.rs
@@ -4,5 +4,6 @@
 mod entry_api;
 mod job_api;
 mod request_api;
+mod state_api;
 
 pub use entry_api::EntryApi;
