Fuzz readers and writers over a log with every fault; let panics leave virtual time

Cause: a panic inside VirtualClock::block_on was swallowed while other tasks slept, so a failed check ran on for ever instead of failing its test. Change: block_on resumes the panic; tests/state runs random steps over a fake log and compares every reader with the fold of the whole log and with a plain model.

--- /dev/null
+++ b/tests/state/main.rs
@@ -0,0 +1,7 @@
+//! State on the platform's log, under faults of the log and of its readers and writers.
+
+mod cases;
+mod fake_log;
+mod fuzz;
+mod model;
+mod world;
