--- a/tests/state/cases.rs
+++ b/tests/state/cases.rs
@@ -20,7 +20,7 @@
             })
             .detach();
             panic!("a check failed");
-        })
+        });
     });
     let result: Result<(), _> = catch_unwind(run);
     let panic = result.expect_err("the panic is seen");
