Lay guaranteed shapes on concrete accelerators

Cause: guarantees were declared and nothing said which accelerators hold them. Change: a pure function lays every shape on workers of the fleet, keeps what the previous layout gave, and moves other shapes only when a shape does not fit in any way beside them. A shape that is not laid has a reason. Proof: two random properties against a search over all ways. Conclusion: on fleets of up to five workers a layout is found whenever there is one; larger fleets have the search's bound.

--- /dev/null
+++ b/src/version/layout/fleet.rs
@@ -0,0 +1,104 @@
+//! The workers that shapes and gangs are laid on.
+
+use {
+    crate::version::{AcceleratorSet, Adjacency, DataCentre, RackName, Region, UpstreamName},
+    std::collections::BTreeMap,
+};
+
+/// One worker, where it stands and what it has.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetWorker {
+    /// The worker.
+    pub upstream: UpstreamName,
+    /// Its region.
+    pub region: Region,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its rack.
+    pub rack: RackName,
+    /// All its accelerators.
+    pub accelerators: AcceleratorSet,
+}
+
+/// Workers by name, grouped by worker, rack, data centre and region. Workers are named by their
+/// index.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Fleet {
+    workers: Vec<FleetWorker>,
+    groups: [Vec<Vec<usize>>; 5],
+}
+
+impl Fleet {
+    /// Sorts workers by name and groups them. Of two workers of one name the first is kept.
+    pub fn new(mut workers: Vec<FleetWorker>) -> Self {
+        workers.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+        workers.dedup_by(|b, a| a.upstream == b.upstream);
+        let groups = Adjacency::ALL.map(|adjacency| group_workers(&workers, adjacency));
+        Self { workers, groups }
+    }
+
+    /// Returns the workers, by name.
+    pub fn workers(&self) -> &[FleetWorker] {
+        &self.workers
+    }
+
+    /// Returns the groups of workers that are as near to each other as `adjacency` says.
+    pub fn groups(
+        &self,
+        adjacency: Adjacency,
+    ) -> &[Vec<usize>] {
+        &self.groups[adjacency as usize]
+    }
+
+    /// Returns the index of a worker.
+    pub fn index_of(
+        &self,
+        upstream: &UpstreamName,
+    ) -> Option<usize> {
+        let found = self.workers.binary_search_by(|w| w.upstream.cmp(upstream));
+        found.ok()
+    }
+
+    /// Returns the number of accelerators of the largest worker.
+    pub fn largest_worker(&self) -> u32 {
+        let sizes = self.workers.iter().map(|w| w.accelerators.len());
+        sizes.max().unwrap_or_default()
+    }
+
+    /// Returns how many groups of `accelerators`, each on one worker, an empty group of workers
+    /// holds at most.
+    pub fn most_members(
+        &self,
+        adjacency: Adjacency,
+        accelerators: u32,
+    ) -> u32 {
+        let members = self.groups(adjacency).iter().map(|g| {
+            let fitting = g
+                .iter()
+                .map(|i| self.workers[*i].accelerators.len() / accelerators);
+            fitting.sum::<u32>()
+        });
+        members.max().unwrap_or_default()
+    }
+}
+
+/// Groups workers by the unit that an adjacency names.
+fn group_workers(
+    workers: &[FleetWorker],
+    adjacency: Adjacency,
+) -> Vec<Vec<usize>> {
+    let mut groups: BTreeMap<[&str; 3], Vec<usize>> = BTreeMap::new();
+    for (i, worker) in workers.iter().enumerate() {
+        let region = worker.region.as_str();
+        let data_centre = worker.data_centre.as_str();
+        let unit = match adjacency {
+            Adjacency::Worker => [worker.upstream.as_str(), "", ""],
+            Adjacency::Rack => [region, data_centre, worker.rack.as_str()],
+            Adjacency::DataCentre => [region, data_centre, ""],
+            Adjacency::Region => [region, "", ""],
+            Adjacency::Any => ["", "", ""],
+        };
+        groups.entry(unit).or_default().push(i);
+    }
+    groups.into_values().collect()
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -7,6 +7,7 @@
 mod ini_file;
 mod job_kind;
 mod key_hash;
+mod layout;
 mod names;
 mod operator;
 mod quantity;
@@ -21,6 +22,10 @@
     ini_file::{IniFile, IniSection},
     job_kind::JobKind,
     key_hash::KeyHash,
+    layout::{
+        Fleet, FleetWorker, Guarantee, LaidMember, LaidShape, Layout, UnmetReason, UnmetShape,
+        lay_out,
+    },
     names::{
         AccountName, DataCentre, EntryName, KindName, OperatorName, RackName, Region, UpstreamName,
     },
--- a/src/version/shape.rs
+++ b/src/version/shape.rs
@@ -57,6 +57,17 @@
     }
 }
 
+impl Adjacency {
+    /// All adjacencies, the nearest first.
+    pub const ALL: [Self; 5] = [
+        Self::Worker,
+        Self::Rack,
+        Self::DataCentre,
+        Self::Region,
+        Self::Any,
+    ];
+}
+
 impl FromStr for Adjacency {
     type Err = ShapeError;
 
--- /dev/null
+++ b/tests/placement/main.rs
@@ -0,0 +1,5 @@
+//! Layouts, placement, the queue of jobs, and what accounts learn about them.
+
+mod fuzz;
+mod layout;
+mod layout_fuzz;
