Announce guaranteed and borrowed accelerators, and split the gang's folder

Cause: placement has to tell free accelerators from those that it gets by eviction, and from other accounts' shares. Change: announcements carry the layout's shares and the borrowed accelerators; free_for and worker_view take the account and whether its work can be evicted. The gang's placement call moves to a file of its own. Conclusion: the policy's view is settled; the guard does not evict yet.

--- a/src/connection/peer/message.rs
+++ b/src/connection/peer/message.rs
@@ -60,6 +60,23 @@
     pub accelerators: AcceleratorSet,
 }
 
+impl GuaranteedShare {
+    /// Returns the accelerators of one account's shares.
+    pub fn of_account(
+        shares: &[Self],
+        account: &AccountName,
+    ) -> AcceleratorSet {
+        let own = shares.iter().filter(|s| s.account == *account);
+        own.fold(AcceleratorSet::empty(), |all, s| all.union(s.accelerators))
+    }
+
+    /// Returns the accelerators of all shares.
+    pub fn union_of(shares: &[Self]) -> AcceleratorSet {
+        let all = shares.iter().map(|s| s.accelerators);
+        all.fold(AcceleratorSet::empty(), AcceleratorSet::union)
+    }
+}
+
 /// A request to run, with who is asking.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RunGrant {
--- a/src/process/guard/accelerator_book.rs
+++ b/src/process/guard/accelerator_book.rs
@@ -80,14 +80,20 @@
         }
     }
 
-    /// Returns the accelerators that an account is guaranteed.
-    pub fn guaranteed_to(
-        &self,
-        account: &AccountName,
-    ) -> AcceleratorSet {
-        let own = self.guaranteed.iter().filter(|g| g.account == *account);
-        let own = own.map(|g| g.accelerators);
-        own.fold(AcceleratorSet::empty(), AcceleratorSet::union)
+    /// Returns which accelerators are guaranteed to whom.
+    pub fn guaranteed(&self) -> &[GuaranteedShare] {
+        &self.guaranteed
+    }
+
+    /// Returns the guaranteed accelerators that other accounts' evictable work holds.
+    pub fn borrowed(&self) -> AcceleratorSet {
+        let evictable = self.holdings.values().filter(|h| h.evictable);
+        let borrowed = evictable.map(|h| {
+            let own = GuaranteedShare::of_account(&self.guaranteed, &h.account);
+            let others = GuaranteedShare::union_of(&self.guaranteed).without(own);
+            h.accelerators.intersection(others)
+        });
+        borrowed.fold(AcceleratorSet::empty(), AcceleratorSet::union)
     }
 
     /// Returns what a member holds.
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -96,6 +96,8 @@
             slots_in_use: self.slots.in_use(),
             accelerators: accelerators.all(),
             accelerators_free: accelerators.free(),
+            evictable: accelerators.borrowed(),
+            guaranteed: accelerators.guaranteed().to_vec(),
             version: self.version.get(),
         }
     }
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -1,7 +1,7 @@
 //! The datagrams of membership.
 
 use {
-    crate::{prelude::*, request::WorkerView},
+    crate::{connection::GuaranteedShare, prelude::*, request::WorkerView},
     derive_more::Display,
     serde::{Deserialize, Serialize},
 };
@@ -51,6 +51,11 @@
     pub accelerators: AcceleratorSet,
     /// The accelerators that no task and no reservation holds.
     pub accelerators_free: AcceleratorSet,
+    /// The accelerators that an account is guaranteed and that another account's evictable work
+    /// holds.
+    pub evictable: AcceleratorSet,
+    /// The accelerators that accounts are guaranteed.
+    pub guaranteed: Vec<GuaranteedShare>,
     /// The document version that its guard has in force.
     pub version: VersionNumber,
 }
@@ -63,19 +68,50 @@
 }
 
 impl Announcement {
-    /// Returns the announcement as placement sees it.
-    pub fn worker_view(&self) -> WorkerView {
-        let free = match self.serving {
-            ServingState::Serving => self.accelerators_free,
-            ServingState::Draining | ServingState::Leaving => AcceleratorSet::empty(),
+    /// Returns the accelerators that an account is guaranteed here.
+    pub fn guaranteed_to(
+        &self,
+        account: &AccountName,
+    ) -> AcceleratorSet {
+        GuaranteedShare::of_account(&self.guaranteed, account)
+    }
+
+    /// Returns what an account could reserve now: what is free, and what others would have to
+    /// give back. Work that is not `evictable` gets nothing of another account's share.
+    pub fn free_for(
+        &self,
+        account: &AccountName,
+        evictable: bool,
+    ) -> AcceleratorSet {
+        if self.serving != ServingState::Serving {
+            return AcceleratorSet::empty();
+        }
+        let own = self.guaranteed_to(account);
+        let others = GuaranteedShare::union_of(&self.guaranteed).without(own);
+        let free = if evictable {
+            self.accelerators_free
+        } else {
+            self.accelerators_free.without(others)
         };
+        free.union(self.evictable.intersection(own))
+    }
+
+    /// Returns the announcement as placement sees it for one account's work.
+    pub fn worker_view(
+        &self,
+        account: &AccountName,
+        evictable: bool,
+    ) -> WorkerView {
+        let guaranteed = self.guaranteed_to(account);
         WorkerView {
             upstream: self.upstream.clone(),
             region: self.region.clone(),
             data_centre: self.data_centre.clone(),
             rack: self.rack.clone(),
             all: self.accelerators,
-            free,
+            free: self.free_for(account, evictable),
+            guaranteed,
+            evictable: self.evictable.intersection(guaranteed),
         }
     }
 }
--- /dev/null
+++ b/src/request/job/gang/place.rs
@@ -0,0 +1,42 @@
+//! Chooses the workers of one start of a gang.
+
+use {
+    super::run_job::Start,
+    crate::{
+        prelude::*,
+        request::job::{PlacementAsk, PlacementDecision, WorkerView},
+    },
+};
+
+impl Start<'_> {
+    /// Has the placement policy choose, and logs its decision.
+    pub(super) fn place(&self) -> PlacementDecision {
+        let document = self.entry.document();
+        let ask = PlacementAsk {
+            account: self.spec.account.clone(),
+            gang: self.kind.gang,
+            completion_weight: document.completion_weight,
+            fragmentation_weight: document.fragmentation_weight,
+        };
+        let upstreams = self.entry.members.borrow().live(self.entry.clock.now());
+        let evictable = self.kind.is_evictable();
+        let views = upstreams
+            .iter()
+            .map(|u| u.worker_view(&self.spec.account, evictable));
+        let workers: Vec<WorkerView> = views.collect();
+        let decision = self.entry.placement.place(&ask, &workers);
+        let members: Vec<&str> = decision.members.iter().map(UpstreamName::as_str).collect();
+        tracing::info!(
+            target: "decision",
+            decision = "placement",
+            job = %self.spec.id,
+            term = %self.term,
+            account = %self.spec.account,
+            kind = %self.kind.name,
+            gang = %self.kind.gang,
+            chosen = %members.join(","),
+            passed_over = %serde_json::to_string(&decision.passed_over).unwrap_or_default(),
+        );
+        decision
+    }
+}
--- a/src/request/job/gang.rs
+++ b/src/request/job/gang/run_job.rs
@@ -2,7 +2,6 @@
 //! member is lost.
 
 use {
-    super::{JobSpec, PlacementAsk, PlacementDecision, WorkerView},
     crate::{
         connection::{GuardPeer, GuardReply, GuardRequest, ReserveCall},
         prelude::*,
@@ -11,6 +10,7 @@
             platform::{TaskEnd, TaskId, TaskStart, TaskState, Term},
             state::{JobEnd, JobRecord, RecordBody},
         },
+        request::job::JobSpec,
         version::JobKind,
     },
     futures_util::future::join_all,
@@ -40,11 +40,11 @@
 }
 
 /// One start of the whole gang.
-struct Start<'a> {
-    entry: &'a Entry,
-    spec: &'a JobSpec,
-    kind: &'a JobKind,
-    term: Term,
+pub(super) struct Start<'a> {
+    pub(super) entry: &'a Entry,
+    pub(super) spec: &'a JobSpec,
+    pub(super) kind: &'a JobKind,
+    pub(super) term: Term,
 }
 
 /// How one start ended.
@@ -132,33 +132,6 @@
         end
     }
 
-    /// Has the placement policy choose, and logs its decision.
-    fn place(&self) -> PlacementDecision {
-        let document = self.entry.document();
-        let ask = PlacementAsk {
-            account: self.spec.account.clone(),
-            gang: self.kind.gang,
-            completion_weight: document.completion_weight,
-            fragmentation_weight: document.fragmentation_weight,
-        };
-        let upstreams = self.entry.members.borrow().live(self.entry.clock.now());
-        let workers: Vec<WorkerView> = upstreams.iter().map(|u| u.worker_view()).collect();
-        let decision = self.entry.placement.place(&ask, &workers);
-        let members: Vec<&str> = decision.members.iter().map(UpstreamName::as_str).collect();
-        tracing::info!(
-            target: "decision",
-            decision = "placement",
-            job = %self.spec.id,
-            term = %self.term,
-            account = %self.spec.account,
-            kind = %self.kind.name,
-            gang = %self.kind.gang,
-            chosen = %members.join(","),
-            passed_over = %serde_json::to_string(&decision.passed_over).unwrap_or_default(),
-        );
-        decision
-    }
-
     /// Reserves every member, or none.
     async fn reserve_all(
         &self,
--- a/src/request/job/placement.rs
+++ b/src/request/job/placement.rs
@@ -40,8 +40,14 @@
     pub rack: RackName,
     /// All its accelerators.
     pub all: AcceleratorSet,
-    /// The accelerators that are free for this account, as last announced.
+    /// The accelerators that this job could reserve, as last announced: those that nothing holds,
+    /// and those in `evictable`.
     pub free: AcceleratorSet,
+    /// The accelerators that this account is guaranteed.
+    pub guaranteed: AcceleratorSet,
+    /// The part of the account's guaranteed accelerators that others' evictable work holds;
+    /// reserving these evicts that work.
+    pub evictable: AcceleratorSet,
 }
 
 /// What a policy chose.
