--- a/src/process/cli/check_command.rs
+++ b/src/process/cli/check_command.rs
@@ -43,8 +43,11 @@
     }
 }
 
-/// Checks a text as what its sections say it is, and returns that.
-pub(super) fn check_text(
+/// Checks a text as what its sections say it is, and returns that; `path` stands in messages.
+///
+/// # Errors
+/// Every fault of the text.
+pub fn check_text(
     path: &str,
     text: &str,
 ) -> Result<&'static str, Faults> {
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -10,4 +10,4 @@
 mod run;
 mod signals;
 
-pub use {cli_error::CliError, command::Command, run::run};
+pub use {check_command::check_text, cli_error::CliError, command::Command, run::run};
--- a/src/version/ini_file.rs
+++ b/src/version/ini_file.rs
@@ -9,6 +9,7 @@
 pub struct IniFile {
     name: String,
     sections: Vec<IniSection>,
+    well_formed: bool,
     faults: RefCell<Vec<Fault>>,
 }
 
@@ -40,11 +41,12 @@
         let mut file = Self {
             name: name.to_owned(),
             sections: Vec::new(),
+            well_formed: true,
             faults: RefCell::default(),
         };
         match ini::Ini::load_from_str_noescape(text) {
             Ok(ini) => file.read_sections(&ini, text),
-            Err(e) => file.push_fault(e.line.max(1), "-", "-", e.msg.to_string()),
+            Err(e) => file.push_syntax_fault(text, e.line),
         }
         file.check_duplicate_sections();
         file
@@ -58,13 +60,14 @@
         self.sections.iter().filter(move |s| s.kind == kind)
     }
 
-    /// Returns the one section of a kind, and records a fault when there is none.
+    /// Returns the one section of a kind, and records a fault when there is none in a file that is
+    /// well formed.
     pub fn section(
         &self,
         kind: &str,
     ) -> Option<&IniSection> {
         let found = self.sections.iter().find(|s| s.kind == kind);
-        if found.is_none() {
+        if found.is_none() && self.well_formed {
             self.push_fault(1, kind, "-", "this section is missing".into());
         }
         found
@@ -167,6 +170,20 @@
         }
     }
 
+    /// Records the first line that is neither a header, a key with a value, a comment nor blank;
+    /// `parser_line` is where the parser gave up.
+    fn push_syntax_fault(
+        &mut self,
+        text: &str,
+        parser_line: usize,
+    ) {
+        self.well_formed = false;
+        let line = text.lines().position(|l| !is_ini_line(l.trim()));
+        let line = line.map_or(parser_line.max(1), |i| i + 1);
+        let message = "this line is not valid; expected [SECTION], KEY = VALUE or a ; comment";
+        self.push_fault(line, "-", "-", message.to_owned());
+    }
+
     fn check_unused(
         &self,
         section: &IniSection,
@@ -269,6 +286,12 @@
     }
 }
 
+/// Tells whether a trimmed line is a header, a key with a value, a comment or blank.
+fn is_ini_line(line: &str) -> bool {
+    let header = line.starts_with('[') && line.contains(']');
+    line.is_empty() || line.starts_with([';', '#']) || header || line.contains(['=', ':'])
+}
+
 /// Finds the lines of headers and keys, walking forward through the text.
 struct LineIndex<'a> {
     lines: Vec<&'a str>,
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -1,4 +1,5 @@
 //! The whole path, from a caller to an upstream and back, in one process over real sockets.
 
 mod clock;
+mod driver;
 mod whole_path;
--- a/tests/settings/examples.rs
+++ b/tests/settings/examples.rs
@@ -1,6 +1,9 @@
 //! The shipped examples are valid.
 
-use limpetquay::{process::settings::LocalSettings, version::Document};
+use limpetquay::{
+    process::{cli::check_text, settings::LocalSettings},
+    version::Document,
+};
 
 /// Both services' documents and settings pass the checks.
 #[test]
@@ -31,3 +34,23 @@
     ]
     "#);
 }
+
+/// The settings of the separate processes pass the checks.
+#[test]
+fn shipped_process_settings_are_valid() {
+    let files = [
+        include_str!("../../examples/triagehub/entry.ini"),
+        include_str!("../../examples/triagehub/guard.ini"),
+        include_str!("../../examples/triagehub/log.ini"),
+        include_str!("../../examples/triagehub/upstream.ini"),
+    ];
+    let kinds = files.map(|text| check_text("example.ini", text).expect("a valid file"));
+    insta::assert_debug_snapshot!(kinds, @r#"
+    [
+        "entry settings file",
+        "guard settings file",
+        "stand-in log settings file",
+        "stand-in upstream settings file",
+    ]
+    "#);
+}
