--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -1,7 +1,7 @@
 //! The border of a measurement.
 
 use {
-    super::Table,
+    super::{Table, capacity::CapacityBench},
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
     std::{io, path::PathBuf},
@@ -16,6 +16,8 @@
     pub quick: bool,
     /// Where CSV files and plots go; nothing is written without it.
     pub out: Option<PathBuf>,
+    /// A Markdown page whose tables are brought up to date.
+    pub page: Option<PathBuf>,
 }
 
 /// Why a measurement failed.
@@ -53,5 +55,5 @@
 
 /// Returns all measurements.
 pub fn benches() -> Vec<Box<dyn Bench>> {
-    vec![]
+    vec![Box::new(CapacityBench)]
 }
--- /dev/null
+++ b/src/process/bench/capacity/capacity_bench.rs
@@ -0,0 +1,64 @@
+//! `limpetquay bench capacity`.
+
+use {
+    super::{Figure, Probe, Quantity, fold_probe::FoldProbe, guard_probe::GuardProbe},
+    crate::process::bench::{Bench, BenchCx, BenchError, Series, Table, write_plot},
+    std::{fs, path::Path},
+};
+
+/// Measures every probe, fits lines and projects them to the target.
+pub struct CapacityBench;
+
+impl Bench for CapacityBench {
+    fn name(&self) -> &'static str {
+        "capacity"
+    }
+
+    fn summary(&self) -> &'static str {
+        "cost of each role as sizes grow, projected to the target size"
+    }
+
+    fn run(
+        &self,
+        cx: &BenchCx,
+    ) -> Result<Vec<Table>, BenchError> {
+        let mut table = Table::new("capacity", &Figure::COLUMNS);
+        for probe in probes() {
+            for quantity in probe.measure(cx)? {
+                if let Some(out) = &cx.out {
+                    plot_quantity(out, &quantity)?;
+                }
+                let name = quantity.name;
+                let figure = Figure::fit(quantity)
+                    .ok_or_else(|| BenchError::Failed(format!("{name}: too few sizes")))?;
+                table.push(figure.cells());
+            }
+        }
+        Ok(vec![table])
+    }
+}
+
+fn probes() -> Vec<Box<dyn Probe>> {
+    vec![Box::new(FoldProbe), Box::new(GuardProbe)]
+}
+
+/// Draws a quantity's points to `ROLE-NAME.svg`.
+fn plot_quantity(
+    folder: &Path,
+    quantity: &Quantity,
+) -> Result<(), BenchError> {
+    fs::create_dir_all(folder)?;
+    let name = format!("{}-{}", quantity.role, quantity.name).replace(' ', "-");
+    let series = Series {
+        name: quantity.name.to_owned(),
+        points: quantity.points.iter().map(|p| (p.x, p.y)).collect(),
+    };
+    let title = format!("{}: {}", quantity.role, quantity.name);
+    write_plot(
+        &folder.join(format!("{name}.svg")),
+        &title,
+        quantity.size,
+        quantity.unit,
+        &[series],
+    )
+}
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -5,7 +5,9 @@
     reason = "a file bears the name of its main type"
 )]
 mod bench;
+pub mod capacity;
 mod fit;
+mod page;
 mod plot;
 mod process_usage;
 mod table;
@@ -13,6 +15,7 @@
 pub use {
     bench::{Bench, BenchCx, BenchError, benches},
     fit::{LineFit, fit_line},
+    page::update_page,
     plot::{Series, write_plot},
     process_usage::ProcessUsage,
     table::Table,
--- a/src/process/bench/process_usage.rs
+++ b/src/process/bench/process_usage.rs
@@ -20,17 +20,22 @@
         Self::of("self")
     }
 
-    /// Reads the usage of a process by its number.
-    pub fn of_process(pid: u32) -> Self {
-        Self::of(&pid.to_string())
-    }
-
     fn of(process: &str) -> Self {
         Self {
             cpu: read_cpu(process).unwrap_or_default(),
             resident_bytes: read_resident(process).unwrap_or_default(),
         }
     }
+
+    /// Reads the processor time of the calling thread; zero where the system does not tell.
+    pub fn cpu_of_thread() -> Duration {
+        let schedstat = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+        let nanos = schedstat
+            .split_whitespace()
+            .next()
+            .and_then(|n| n.parse().ok());
+        Duration::from_nanos(nanos.unwrap_or_default())
+    }
 }
 
 /// Reads the user and system time from `/proc/PROCESS/stat`.
--- a/src/process/bench/table.rs
+++ b/src/process/bench/table.rs
@@ -70,6 +70,17 @@
         text
     }
 
+    /// Returns the table in Markdown.
+    pub fn markdown(&self) -> String {
+        let rule = self.columns.iter().map(|_| " --- |").collect::<String>();
+        let mut text = markdown_row(&self.columns);
+        text += &format!("|{rule}\n");
+        for row in &self.rows {
+            text += &markdown_row(row);
+        }
+        text
+    }
+
     /// Returns the table as CSV.
     pub fn csv(&self) -> String {
         let lines = std::iter::once(&self.columns).chain(&self.rows).map(|row| {
@@ -101,6 +112,14 @@
     }
 }
 
+fn markdown_row(cells: &[String]) -> String {
+    let cells: String = cells
+        .iter()
+        .map(|c| format!(" {} |", c.replace('|', "/")))
+        .collect();
+    format!("|{cells}\n")
+}
+
 /// Quotes a cell that holds a comma or a quote.
 fn quote(cell: &str) -> String {
     if cell.contains([',', '"', '\n']) {
--- a/src/process/cli/bench_command.rs
+++ b/src/process/cli/bench_command.rs
@@ -3,7 +3,7 @@
 use {
     super::{CliError, Command, command::only_argument},
     crate::process::{
-        bench::{Bench, BenchCx, BenchError, benches},
+        bench::{Bench, BenchCx, BenchError, benches, update_page},
         logging,
     },
     getopts::{Matches, Options},
@@ -40,6 +40,12 @@
             "write CSV files and plots to a folder",
             "FOLDER",
         );
+        opts.optopt(
+            "p",
+            "page",
+            "bring the tables of a Markdown page up to date",
+            "FILE",
+        );
         opts.optflag("q", "quick", "measure briefly, to see that it works");
     }
 
@@ -65,6 +71,7 @@
             seed: seed.map_err(|e| CliError::Usage(format!("--seed: {e}")))?,
             quick: matches.opt_present("quick"),
             out: matches.opt_str("out").map(PathBuf::from),
+            page: matches.opt_str("page").map(PathBuf::from),
         };
         logging::start("error");
         Ok(measure(&**bench, &cx)?)
@@ -81,6 +88,9 @@
         if let Some(out) = &cx.out {
             table.write_csv(out)?;
         }
+        if let Some(page) = &cx.page {
+            update_page(page, &table)?;
+        }
     }
     Ok(())
 }
