Show that malformed input ends only its own connection

Cause: the limits on frames, heads and headers were not shown to act. Change: tests that send a wrong protocol version, an oversized length, a malformed message, garbage, 100 headers and a 64 KiB header. Before: not tested. Conclusion: no fault found here.

--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -2,4 +2,5 @@
 
 mod clock;
 mod driver;
+mod malformed;
 mod whole_path;
