Decide placement and the queue by weights, and replay arrivals through it

Cause: jobs were placed as they came, on the fullest workers, with a poll of each job every 100 ms; nothing ordered them and nothing was learned from them. Change: a policy prices places by what they add to fragmentation and how far they spread, borrow and evict. A queue orders jobs by class, guarantee, use and weighed size, holds a dated claim for the first job that waits for room, lets deferrable work give way, learns run times and ejects workers that fail everything. The gang driver does not use the queue yet. bench placement replays arrivals through the same code.

--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -8,6 +8,7 @@
 pub mod capacity;
 mod fit;
 mod page;
+pub mod placement;
 mod plot;
 mod process_usage;
 mod table;
--- /dev/null
+++ b/src/process/bench/placement/decision_cost.rs
@@ -0,0 +1,168 @@
+//! The cost of one placement decision, by the size of the fleet.
+
+use {
+    crate::{
+        connection::GuaranteedShare,
+        prelude::*,
+        process::bench::{BenchCx, Table, fit_line},
+        request::{FleetView, PlacementAsk, PlacementPolicy, Room, ShapeMix, WeighedPlacement},
+        version::{Class, Fleet, FleetWorker, Shape},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::time::Instant,
+};
+
+/// The measured fleets, in workers; the last one is the target's.
+const FLEETS: [u32; 3] = [11, 100, 950];
+
+/// The accelerators of the target's fleet; smaller fleets have as many for each worker.
+const TARGET_ACCELERATORS: u32 = 1_800;
+
+/// The tasks that run at the target; several share a worker.
+const TARGET_TASKS: u32 = 17_000;
+
+/// The part of the accelerators that are held.
+const HELD_PART: f64 = 0.8;
+
+/// The number of accounts.
+const ACCOUNTS: u32 = 44;
+
+/// The decisions that are timed, in a full and in a quick run.
+const DECISIONS: [u32; 2] = [400, 20];
+
+/// Measures the decisions for several gangs on each fleet.
+pub(super) fn measure_decision_cost(cx: &BenchCx) -> Table {
+    let columns = [
+        "gang",
+        "workers",
+        "accelerators",
+        "tasks",
+        "mean us",
+        "us / worker",
+    ];
+    let mut table = Table::new("placement-decision-cost", &columns);
+    let decisions = DECISIONS[usize::from(cx.quick)];
+    for gang in [
+        "1x1 any",
+        "1x2 worker",
+        "2x2 rack",
+        "8x2 data-centre",
+        "64x1 region",
+    ] {
+        let gang: Shape = gang.parse().unwrap_or(Shape::SINGLE);
+        let mut points = Vec::new();
+        for workers in FLEETS {
+            let view = crowded_view(workers, cx.seed);
+            let micros = time_decisions(&view, gang, decisions);
+            points.push((f64::from(workers), micros));
+            table.push(vec![
+                gang.to_string(),
+                workers.to_string(),
+                total_accelerators(&view).to_string(),
+                (TARGET_TASKS * workers / FLEETS[2]).to_string(),
+                format!("{micros:.1}"),
+                format!("{:.3}", micros / f64::from(workers)),
+            ]);
+        }
+        if let Some(line) = fit_line(&points) {
+            table.push(vec![
+                format!("{gang}: slope"),
+                String::new(),
+                String::new(),
+                String::new(),
+                format!("{:.1}", line.base),
+                format!("{:.3}", line.slope),
+            ]);
+        }
+    }
+    table
+}
+
+fn total_accelerators(view: &FleetView) -> u32 {
+    let workers = view.fleet.workers().iter();
+    workers.map(|w| w.accelerators.len()).sum()
+}
+
+/// Returns the mean time of a decision, in microseconds.
+fn time_decisions(
+    view: &FleetView,
+    gang: Shape,
+    decisions: u32,
+) -> f64 {
+    let mix = Rc::new(target_mix());
+    let began = Instant::now();
+    let mut placed = 0;
+    for i in 0..decisions {
+        let ask = PlacementAsk {
+            account: format!("team-{}", i % ACCOUNTS).as_str().into(),
+            gang,
+            class: Class::Normal,
+            evictable: i % 2 == 0,
+            waited: 0.0,
+            may_hold: false,
+            completion_weight: 0.5,
+            fragmentation_weight: 0.5,
+            mix: mix.clone(),
+        };
+        placed += u32::from(WeighedPlacement.place(&ask, view).is_placed());
+    }
+    let micros = began.elapsed().as_secs_f64() * 1e6;
+    std::hint::black_box(placed);
+    micros / f64::from(decisions)
+}
+
+/// Returns the mix of many teams: eight shapes.
+fn target_mix() -> ShapeMix {
+    let shapes = [
+        "1x1 any",
+        "1x2 worker",
+        "2x1 rack",
+        "2x2 rack",
+        "4x2 rack",
+        "8x2 data-centre",
+        "16x1 region",
+        "64x1 any",
+    ];
+    ShapeMix::even(shapes.iter().filter_map(|s| s.parse().ok()))
+}
+
+/// Returns a fleet of eight data centres in two regions on which much is held.
+fn crowded_view(
+    workers: u32,
+    seed: u64,
+) -> FleetView {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let total = TARGET_ACCELERATORS * workers / FLEETS[2];
+    let fleet = (0..workers).map(|i| FleetWorker {
+        upstream: format!("worker-{i:04}").as_str().into(),
+        region: format!("region-{}", i % 2).as_str().into(),
+        data_centre: format!("dc-{}", i % 8).as_str().into(),
+        rack: format!("rack-{}", i / 24).as_str().into(),
+        accelerators: AcceleratorSet::first(total / workers + u32::from(i < total % workers)),
+    });
+    let fleet = Fleet::new(fleet.collect());
+    let rooms = fleet.workers().iter().map(|worker| {
+        let held = worker
+            .accelerators
+            .indexes()
+            .filter(|_| rng.random_bool(HELD_PART))
+            .count();
+        let held = AcceleratorSet::first(held as u32);
+        let share = GuaranteedShare {
+            account: format!("team-{}", rng.random_range(0..ACCOUNTS))
+                .as_str()
+                .into(),
+            accelerators: AcceleratorSet::first(worker.accelerators.len() / 2),
+        };
+        Room {
+            idle: worker.accelerators.without(held),
+            guaranteed: vec![share],
+            evictable: AcceleratorSet::empty(),
+            claimed: false,
+        }
+    });
+    FleetView {
+        rooms: rooms.collect(),
+        fleet: Rc::new(fleet),
+    }
+}
--- /dev/null
+++ b/src/process/bench/placement/workload.rs
@@ -0,0 +1,208 @@
+//! Arrivals: bursts of small and large jobs whose run times are far from the declared ones.
+
+use {
+    super::{Deployment, ReplayJob, replay_job::BadSpell},
+    crate::{prelude::*, version::JobKind},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::collections::BTreeMap,
+};
+
+/// Milliseconds of one hour.
+const HOUR_MS: u64 = 3_600_000;
+
+/// The part of the fleet's time that the arriving work fills.
+const LOAD: f64 = 0.85;
+
+/// The most jobs of one burst.
+const MAX_BURST: u32 = 8;
+
+/// The longest time over which a burst arrives, in milliseconds.
+const BURST_MS: u64 = 600_000;
+
+/// The part of jobs that are cancelled one by one.
+const CANCELLED_PART: f64 = 0.04;
+
+/// The part of jobs that fail wherever they run.
+const FAILING_PART: f64 = 0.02;
+
+/// The time between two waves of cancellations, in hours.
+const WAVE_HOURS: u64 = 36;
+
+/// The time over which the jobs that a wave cancels arrive, in hours.
+const WAVE_REACH_HOURS: u64 = 3;
+
+/// The length of a bad spell of a worker, in hours.
+const SPELL_HOURS: u64 = 5;
+
+/// How long arrivals last.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkloadSize {
+    /// The days over which jobs arrive.
+    pub days: u64,
+}
+
+/// Jobs and bad spells.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    /// The jobs, in the order of arrival.
+    pub jobs: Vec<ReplayJob>,
+    /// The bad spells.
+    pub bad_spells: Vec<BadSpell>,
+}
+
+/// Whose jobs of which kind, and by how much their run times differ from the declared one.
+struct Source {
+    account: AccountName,
+    kind: Rc<JobKind>,
+    factor: f64,
+}
+
+impl Workload {
+    /// Draws a workload for a deployment.
+    pub fn draw(
+        deployment: &Deployment,
+        size: WorkloadSize,
+        seed: u64,
+    ) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let sources = draw_sources(&deployment.document, &mut rng);
+        let span_ms = size.days * 24 * HOUR_MS;
+        let workers = deployment.fleet.workers();
+        let accelerators: u32 = workers.iter().map(|w| w.accelerators.len()).sum();
+        let work_ms = f64::from(accelerators) * span_ms as f64 * LOAD;
+        let mut jobs = draw_jobs(&deployment.document, &sources, span_ms, work_ms, &mut rng);
+        add_cancellations(&mut jobs, span_ms, &mut rng);
+        let spells = (0..size.days).map(|day| {
+            let from = Millis((day * 24 + rng.random_range(0..18)) * HOUR_MS);
+            BadSpell {
+                worker: rng.random_range(0..workers.len()),
+                from,
+                until: from + Millis(SPELL_HOURS * HOUR_MS),
+            }
+        });
+        Self {
+            bad_spells: spells.collect(),
+            jobs,
+        }
+    }
+}
+
+/// Pairs accounts with the kinds that fit their quotas; run times are off by 3 to 10, either way.
+fn draw_sources(
+    document: &Document,
+    rng: &mut StdRng,
+) -> Vec<Source> {
+    let mut sources = Vec::new();
+    for account in document.accounts.values() {
+        for kind in document.job_kinds.values() {
+            if kind.gang.total() > account.quota_accelerators {
+                continue;
+            }
+            let off = rng.random_range(3.0..10.0);
+            let factor = if rng.random_bool(0.3) { off } else { 1.0 / off };
+            let capped = kind.run_time.as_secs_f64() * factor > MAX_RUN_S;
+            sources.push(Source {
+                account: account.name.clone(),
+                kind: Rc::new(kind.clone()),
+                factor: if capped { 1.0 / off } else { factor },
+            });
+        }
+    }
+    sources
+}
+
+/// The longest typical run time of a kind, in seconds.
+const MAX_RUN_S: f64 = 43_200.0;
+
+/// Draws bursts until each account has its part of the work, which is as large as its quota is
+/// beside the others' quotas.
+fn draw_jobs(
+    document: &Document,
+    sources: &[Source],
+    span_ms: u64,
+    work_ms: f64,
+    rng: &mut StdRng,
+) -> Vec<ReplayJob> {
+    let quotas: u32 = document
+        .accounts
+        .values()
+        .map(|a| a.quota_accelerators)
+        .sum();
+    let mut jobs = Vec::new();
+    for account in document.accounts.values() {
+        let own = sources.iter().filter(|s| s.account == account.name);
+        let own: Vec<&Source> = own.collect();
+        let part = f64::from(account.quota_accelerators) / f64::from(quotas);
+        let mut left_ms = work_ms * part;
+        while left_ms > 0.0 && !own.is_empty() {
+            let burst = draw_burst(own[rng.random_range(0..own.len())], span_ms, rng);
+            let work = burst.iter();
+            let work = work.map(|j| j.run_time.as_secs_f64() * f64::from(j.kind.gang.total()));
+            left_ms -= work.sum::<f64>() * 1000.0;
+            jobs.extend(burst);
+        }
+    }
+    jobs.sort_by_key(|j| j.arrives);
+    for (i, job) in jobs.iter_mut().enumerate() {
+        job.id = JobId(i as u64 + 1);
+    }
+    jobs
+}
+
+/// Draws the jobs of one burst: more of a small kind than of a large one.
+fn draw_burst(
+    source: &Source,
+    span_ms: u64,
+    rng: &mut StdRng,
+) -> Vec<ReplayJob> {
+    let size = source.kind.gang.total();
+    let burst = rng.random_range(1..=(MAX_BURST * 2 / size).clamp(1, MAX_BURST));
+    let at = rng.random_range(0..span_ms);
+    let jobs = (0..burst).map(|_| {
+        let noise = 2.0_f64.powf(rng.random_range(-1.0..1.0));
+        ReplayJob {
+            id: JobId(0),
+            account: source.account.clone(),
+            kind: source.kind.clone(),
+            arrives: Millis(at + rng.random_range(0..BURST_MS)),
+            run_time: source.kind.run_time.mul_f64(source.factor * noise),
+            cancelled: None,
+            fails: rng.random_bool(FAILING_PART),
+        }
+    });
+    jobs.collect()
+}
+
+/// Cancels single jobs, and in waves half of an account's jobs of the last hours.
+fn add_cancellations(
+    jobs: &mut [ReplayJob],
+    span_ms: u64,
+    rng: &mut StdRng,
+) {
+    for job in jobs.iter_mut() {
+        if rng.random_bool(CANCELLED_PART) {
+            let after = rng.random_range(0..4 * HOUR_MS);
+            job.cancelled = Some(job.arrives + Millis(after));
+        }
+    }
+    let mut accounts: BTreeMap<AccountName, u32> = BTreeMap::new();
+    for job in jobs.iter() {
+        *accounts.entry(job.account.clone()).or_default() += 1;
+    }
+    let busiest = accounts
+        .into_iter()
+        .max_by_key(|(_, n)| *n)
+        .map(|(name, _)| name);
+    for wave in 1..=span_ms / HOUR_MS / WAVE_HOURS {
+        let at = wave * WAVE_HOURS * HOUR_MS;
+        let since = at - WAVE_REACH_HOURS * HOUR_MS;
+        let reached = jobs
+            .iter_mut()
+            .filter(|j| (since..at).contains(&j.arrives.0));
+        for job in reached.filter(|j| Some(&j.account) == busiest.as_ref()) {
+            if rng.random_bool(0.5) {
+                job.cancelled = Some(Millis(at));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/process/job_queue/ejections.rs
@@ -0,0 +1,135 @@
+//! Workers that fail what they are given.
+
+use {
+    crate::prelude::*,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How many jobs have to fail on a worker, with none succeeding in between, before it is ejected.
+const FAILURES_TO_EJECT: usize = 3;
+
+/// On how many workers a job has to fail before its failures count against none of them.
+const WORKERS_TO_EXCULPATE: usize = 3;
+
+/// How long a worker is ejected for the first time; each further time is twice as long.
+const FIRST_EJECTION: Duration = Duration::from_secs(60);
+
+/// The most doublings of the time.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// The most jobs whose failures are remembered.
+const MAX_JOBS: usize = 1_000;
+
+/// The largest part of the fleet that is ejected at once is one of this many workers.
+const EJECTED_PART: usize = 3;
+
+/// What is known of one worker.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    failed: BTreeSet<JobId>,
+    until: Option<Millis>,
+    times: u32,
+}
+
+/// What is known of one job that failed.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    failed_on: BTreeSet<UpstreamName>,
+    succeeded: bool,
+}
+
+/// Ejects workers that fail every job, for some time. A job that fails everywhere counts against
+/// no worker.
+#[derive(Clone, Debug, Default)]
+pub struct Ejections {
+    workers: BTreeMap<UpstreamName, Record>,
+    jobs: BTreeMap<JobId, Suspect>,
+}
+
+impl Ejections {
+    /// Notes that a job failed on a worker; `true` when that ejects the worker. `fleet` is the
+    /// number of known workers.
+    pub fn failed(
+        &mut self,
+        now: Millis,
+        job: JobId,
+        worker: &UpstreamName,
+        fleet: usize,
+    ) -> bool {
+        if self.jobs.len() >= MAX_JOBS {
+            self.jobs.pop_first();
+        }
+        let suspect = self.jobs.entry(job).or_default();
+        suspect.failed_on.insert(worker.clone());
+        let record = self.workers.entry(worker.clone()).or_default();
+        record.failed.insert(job);
+        let on_trial = record.times > 0;
+        let needed = if on_trial { 1 } else { FAILURES_TO_EJECT };
+        let ejected = self.ejected(now).len();
+        if self.counted(worker) < needed || (ejected + 1) * EJECTED_PART > fleet.max(EJECTED_PART) {
+            return false;
+        }
+        self.eject(now, worker);
+        true
+    }
+
+    /// Notes that a job finished on workers, which clears them.
+    pub fn succeeded(
+        &mut self,
+        job: JobId,
+        workers: &[UpstreamName],
+    ) {
+        if let Some(suspect) = self.jobs.get_mut(&job) {
+            suspect.succeeded = true;
+        }
+        for worker in workers {
+            self.workers.remove(worker);
+        }
+    }
+
+    /// Returns the workers that get no job now.
+    pub fn ejected(
+        &self,
+        now: Millis,
+    ) -> BTreeSet<UpstreamName> {
+        let ejected = self.workers.iter();
+        let ejected = ejected.filter(|(_, r)| r.until.is_some_and(|until| now < until));
+        ejected.map(|(worker, _)| worker.clone()).collect()
+    }
+
+    /// Returns the workers on which a job has failed.
+    pub fn failed_on(
+        &self,
+        job: JobId,
+    ) -> BTreeSet<UpstreamName> {
+        let suspect = self.jobs.get(&job);
+        suspect.map(|s| s.failed_on.clone()).unwrap_or_default()
+    }
+
+    /// Returns how many jobs speak against a worker.
+    fn counted(
+        &self,
+        worker: &UpstreamName,
+    ) -> usize {
+        let Some(record) = self.workers.get(worker) else {
+            return 0;
+        };
+        let counts = |job: &&JobId| {
+            let suspect = self.jobs.get(job);
+            suspect.is_some_and(|s| s.succeeded || s.failed_on.len() < WORKERS_TO_EXCULPATE)
+        };
+        record.failed.iter().filter(counts).count()
+    }
+
+    fn eject(
+        &mut self,
+        now: Millis,
+        worker: &UpstreamName,
+    ) {
+        let record = self.workers.entry(worker.clone()).or_default();
+        let span = FIRST_EJECTION * 2_u32.pow(record.times.min(MAX_DOUBLINGS));
+        record.until = Some(now + Millis::from(span));
+        record.times += 1;
+        record.failed.clear();
+    }
+}
--- /dev/null
+++ b/src/process/job_queue/mod.rs
@@ -0,0 +1,27 @@
+//! The jobs of one entry that wait for their turn, and what is learned from those that had it.
+
+mod claim;
+mod ejections;
+mod estimates;
+mod explanation;
+pub mod fitness;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod job_queue;
+mod queue_rules;
+mod queued_job;
+mod turn;
+mod usage;
+
+pub use {
+    claim::Claim,
+    ejections::Ejections,
+    estimates::{Estimate, Estimates},
+    explanation::{Explanation, WaitReason},
+    job_queue::{JobQueue, JobStart, TurnCx, TurnOutcome},
+    queue_rules::{Backfill, QueueRules, Rank, RankCx, WeighedRules, class_rank},
+    queued_job::{HeldOn, RunningJob, WaitingJob},
+    usage::{AccountUsage, Usage},
+};
--- /dev/null
+++ b/src/process/job_queue/turn.rs
@@ -0,0 +1,475 @@
+//! One turn of the queue: which jobs start now.
+
+use {
+    super::{
+        Backfill, Claim, Estimate, Explanation, HeldOn, JobQueue, JobStart, Rank, RankCx,
+        RunningJob, TurnCx, TurnOutcome, WaitReason, WaitingJob,
+        claim::claim_earliest,
+        fitness::{self, FleetFit},
+    },
+    crate::{
+        prelude::*,
+        request::{FleetView, PlacementAsk, PlacementDecision, Taken},
+        version::{Account, Class, Shape},
+    },
+    std::collections::BTreeMap,
+};
+
+/// The most jobs that one turn has the policy place or fail to place.
+const MAX_TRIES: usize = 256;
+
+/// The most running jobs that one turn considers as ones that give way.
+const MAX_GIVING_WAY: usize = 64;
+
+/// How long work that may wait is left alone by a normal job.
+const NORMAL_PATIENCE: Duration = Duration::from_secs(120);
+
+/// How long giving way is expected to take.
+const GIVE_WAY_TIME: Duration = Duration::from_secs(5);
+
+/// The longest time that a normal job is held back for a better place.
+const MAX_NORMAL_HOLD: Duration = Duration::from_secs(30 * 60);
+
+/// The longest time that a deferrable job is held back for a better place.
+const MAX_DEFERRABLE_HOLD: Duration = Duration::from_secs(10 * 3600);
+
+/// Jobs that get the same answer from the policy within a turn.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct AskKey {
+    account: AccountName,
+    gang: Shape,
+    evictable: bool,
+    class: Class,
+    backfills: bool,
+}
+
+/// A turn under way.
+struct Turn<'a> {
+    queue: &'a mut JobQueue,
+    cx: TurnCx<'a>,
+    /// The fleet beside all claims.
+    beside: FleetView,
+    claims: Vec<Claim>,
+    stuck: BTreeMap<AskKey, Explanation>,
+    tries: usize,
+    blocked: bool,
+    outcome: TurnOutcome,
+}
+
+impl JobQueue {
+    /// Decides which jobs start now. A job that starts counts as running from here on, until it is
+    /// put back, removed or finished.
+    pub fn turn(
+        &mut self,
+        mut cx: TurnCx<'_>,
+    ) -> TurnOutcome {
+        let running = self.running.values().chain(&self.others);
+        self.usage.count(cx.now, cx.document, running);
+        cx.view.close(&self.ejections.ejected(cx.now));
+        let claims = self.others_claims.clone();
+        let mut beside = cx.view.clone();
+        for claim in &claims {
+            beside.claim(&claim.workers);
+        }
+        self.claim = None;
+        let turn = Turn {
+            queue: self,
+            beside,
+            claims,
+            cx,
+            stuck: BTreeMap::new(),
+            tries: 0,
+            blocked: false,
+            outcome: TurnOutcome::default(),
+        };
+        turn.run()
+    }
+}
+
+impl Turn<'_> {
+    fn run(mut self) -> TurnOutcome {
+        let order = self.order();
+        let queued = order.len();
+        for (i, id) in order.into_iter().enumerate() {
+            let Some(job) = self.queue.waiting.get(&id).cloned() else {
+                continue;
+            };
+            let explanation = self.look_at(&job, i + 1, queued);
+            if let Some(explanation) = explanation {
+                self.queue.explanations.insert(id, explanation);
+            }
+        }
+        self.outcome
+    }
+
+    /// Returns the waiting jobs in the order of the rules.
+    fn order(&self) -> Vec<JobId> {
+        let waiting = self.queue.waiting.values();
+        let mut ranks: Vec<Rank> = waiting.map(|job| self.rank(job)).collect();
+        ranks.sort_by(|a, b| a.partial_cmp(b).unwrap_or_else(|| a.job.cmp(&b.job)));
+        ranks.into_iter().map(|r| JobId(r.job)).collect()
+    }
+
+    fn rank(
+        &self,
+        job: &WaitingJob,
+    ) -> Rank {
+        let account = self.cx.document.accounts.get(&job.account);
+        let estimate = self.estimate(job);
+        self.cx.rules.rank(&RankCx {
+            job,
+            waited: self.cx.now.since(job.since),
+            estimate,
+            usage: self.queue.usage.of(&job.account),
+            guaranteed: account.map_or(0, Account::guaranteed_accelerators),
+            share: account.map_or(1, |a| a.share),
+            completion_weight: self.cx.document.completion_weight,
+            fragmentation_weight: self.cx.document.fragmentation_weight,
+        })
+    }
+
+    /// Estimates how long a job still runs.
+    fn estimate(
+        &self,
+        job: &WaitingJob,
+    ) -> Estimate {
+        let kind = &job.kind;
+        let estimates = &self.queue.estimates;
+        if job.progress.is_zero() {
+            estimates.expect(&job.account, &kind.name, kind.run_time)
+        } else {
+            estimates.remaining(&job.account, &kind.name, kind.run_time, job.progress)
+        }
+    }
+
+    /// Starts a job, or says why it waits.
+    fn look_at(
+        &mut self,
+        job: &WaitingJob,
+        position: usize,
+        queued: usize,
+    ) -> Option<Explanation> {
+        let wait = |reason| Some(Explanation::waiting(reason, position, queued));
+        if let Some(reason) = self.outside_reason(job) {
+            return wait(reason);
+        }
+        if self.blocked || self.tries >= MAX_TRIES {
+            return wait(WaitReason::Order);
+        }
+        let backfills = self.backfills(job);
+        let key = AskKey {
+            account: job.account.clone(),
+            gang: job.kind.gang,
+            evictable: job.kind.is_evictable(),
+            class: job.kind.class,
+            backfills,
+        };
+        if let Some(known) = self.stuck.get(&key) {
+            let mut explanation = known.clone();
+            explanation.position = position;
+            return Some(explanation);
+        }
+        self.tries += 1;
+        let ask = self.ask(job);
+        let decision = self.place(job, &ask, backfills);
+        if decision.is_placed() {
+            self.start(job, decision);
+            return None;
+        }
+        let reason = self.wait_reason(job, &ask, &decision, backfills);
+        let mut explanation = Explanation::waiting(reason, position, queued);
+        explanation.passed_over = decision.passed_over;
+        if !decision.held_back {
+            self.stuck.insert(key, explanation.clone());
+        }
+        Some(explanation)
+    }
+
+    /// Returns a reason to wait that does not depend on what else runs.
+    fn outside_reason(
+        &self,
+        job: &WaitingJob,
+    ) -> Option<WaitReason> {
+        if !self.cx.document.job_kinds.contains_key(&job.kind.name) {
+            return Some(WaitReason::KindRemoved);
+        }
+        let needed = job.kind.gang.total();
+        let running = self.queue.usage.of(&job.account).running;
+        let quota = self.cx.document.accounts.get(&job.account);
+        let quota = quota.map_or(0, |a| a.quota_accelerators);
+        if running + needed > quota {
+            return Some(WaitReason::Quota {
+                running,
+                needed,
+                quota,
+            });
+        }
+        match fitness::check(&self.cx.view.fleet, &job.kind.gang) {
+            FleetFit::Fits => None,
+            FleetFit::Lacks(what) => Some(WaitReason::Machines { what }),
+        }
+    }
+
+    fn ask(
+        &self,
+        job: &WaitingJob,
+    ) -> PlacementAsk {
+        let waited = self.cx.now.since(job.since);
+        let estimate = self.estimate(job);
+        let max_hold = match job.kind.class {
+            Class::Urgent => Duration::ZERO,
+            Class::Normal => MAX_NORMAL_HOLD,
+            Class::Deferrable => MAX_DEFERRABLE_HOLD,
+        };
+        PlacementAsk {
+            account: job.account.clone(),
+            gang: job.kind.gang,
+            class: job.kind.class,
+            evictable: job.kind.is_evictable(),
+            waited: waited.as_secs_f64() / estimate.typical.as_secs_f64().max(1.0),
+            may_hold: waited < max_hold && self.has_running(),
+            completion_weight: self.cx.document.completion_weight,
+            fragmentation_weight: self.cx.document.fragmentation_weight,
+            mix: self.cx.mix.clone(),
+        }
+    }
+
+    /// Tells whether anything runs that may give a better place when it ends.
+    fn has_running(&self) -> bool {
+        !self.queue.running.is_empty() || !self.queue.others.is_empty()
+    }
+
+    /// Tells whether a job is expected to end before every claim.
+    fn backfills(
+        &self,
+        job: &WaitingJob,
+    ) -> bool {
+        let estimate = self.estimate(job);
+        let end = self.cx.now + Millis::from(estimate.upper);
+        self.claims.iter().all(|c| end <= c.at)
+    }
+
+    /// Has the policy place a job, on workers where it has not failed if there are some.
+    fn place(
+        &self,
+        job: &WaitingJob,
+        ask: &PlacementAsk,
+        backfills: bool,
+    ) -> PlacementDecision {
+        let view = if backfills {
+            &self.cx.view
+        } else {
+            &self.beside
+        };
+        let failed_on = self.queue.ejections.failed_on(job.id);
+        if !failed_on.is_empty() {
+            let mut elsewhere = view.clone();
+            elsewhere.close(&failed_on);
+            let decision = self.cx.policy.place(ask, &elsewhere);
+            if decision.is_placed() {
+                return decision;
+            }
+        }
+        self.cx.policy.place(ask, view)
+    }
+
+    fn start(
+        &mut self,
+        job: &WaitingJob,
+        decision: PlacementDecision,
+    ) {
+        self.cx.view.take(&decision.taken);
+        self.beside.take(&decision.taken);
+        let held = decision.taken.iter().map(|t| HeldOn {
+            upstream: self.cx.view.name_of(t.worker).clone(),
+            accelerators: t.accelerators,
+        });
+        let running = RunningJob {
+            id: job.id,
+            account: job.account.clone(),
+            kind: job.kind.clone(),
+            held: held.collect(),
+            started: self.cx.now,
+            waited_since: job.since,
+            progress: job.progress,
+            gives_way: false,
+        };
+        self.queue
+            .usage
+            .started(&job.account, running.accelerators());
+        self.queue.waiting.remove(&job.id);
+        self.queue.explanations.remove(&job.id);
+        self.queue.running.insert(job.id, running);
+        self.outcome.starts.push(JobStart {
+            job: job.id,
+            decision,
+        });
+    }
+
+    /// Says why a job that was not placed waits, and does what the rules say to get it started.
+    fn wait_reason(
+        &mut self,
+        job: &WaitingJob,
+        ask: &PlacementAsk,
+        decision: &PlacementDecision,
+        backfills: bool,
+    ) -> WaitReason {
+        if decision.held_back {
+            return WaitReason::BetterPlace {
+                fragmentation_rise: decision.fragmentation_rise,
+            };
+        }
+        if let Some(by) = self.claimed_by(ask, backfills) {
+            return WaitReason::Claimed { by };
+        }
+        if let Some(jobs) = self.make_way(job, ask) {
+            return WaitReason::GivingWay { jobs };
+        }
+        match self.cx.rules.backfill() {
+            Backfill::Always => {}
+            Backfill::Never => self.blocked = true,
+            Backfill::BesideClaim => return self.claim(job, ask),
+        }
+        WaitReason::Room {
+            claimed_for_ms: None,
+        }
+    }
+
+    /// Returns the job whose claim alone keeps another one waiting.
+    fn claimed_by(
+        &self,
+        ask: &PlacementAsk,
+        backfills: bool,
+    ) -> Option<JobId> {
+        let claim = self.claims.first()?;
+        let fits = !backfills && self.cx.policy.place(ask, &self.cx.view).is_placed();
+        fits.then_some(claim.job)
+    }
+
+    /// Claims workers for the first job of this queue that waits for room.
+    fn claim(
+        &mut self,
+        job: &WaitingJob,
+        ask: &PlacementAsk,
+    ) -> WaitReason {
+        let free = self.queue.claim.is_none() && job.kind.class != Class::Deferrable;
+        let running = self.queue.running.values().chain(&self.queue.others);
+        let estimates = &self.queue.estimates;
+        let claim = free
+            .then(|| claim_earliest(self.cx.now, job.id, ask, &self.beside, running, estimates));
+        let Some(claim) = claim.flatten() else {
+            return WaitReason::Room {
+                claimed_for_ms: None,
+            };
+        };
+        let claimed_for_ms = Some(claim.at.since(self.cx.now).as_millis() as u64);
+        self.hold_claim(claim);
+        WaitReason::Room { claimed_for_ms }
+    }
+
+    fn hold_claim(
+        &mut self,
+        claim: Claim,
+    ) {
+        self.beside.claim(&claim.workers);
+        self.claims.push(claim.clone());
+        self.queue.claim = Some(claim);
+        self.stuck.clear();
+    }
+
+    /// Asks deferrable jobs to give their place to one that cannot wait; returns how many do.
+    fn make_way(
+        &mut self,
+        job: &WaitingJob,
+        ask: &PlacementAsk,
+    ) -> Option<usize> {
+        let waited = self.cx.now.since(job.since);
+        let pressing = match job.kind.class {
+            Class::Urgent => true,
+            Class::Normal => waited >= NORMAL_PATIENCE,
+            Class::Deferrable => false,
+        };
+        if !pressing || !self.cx.rules.gives_way() || self.queue.claim.is_some() {
+            return None;
+        }
+        let decision = self.place_after_way(ask)?;
+        let taken = decision
+            .taken
+            .iter()
+            .map(|t| self.cx.view.name_of(t.worker).clone());
+        let claim = Claim {
+            job: job.id,
+            workers: taken.collect(),
+            at: self.cx.now + Millis::from(GIVE_WAY_TIME),
+        };
+        let way = self.jobs_in_the_way(&decision);
+        for id in &way {
+            if let Some(running) = self.queue.running.get_mut(id)
+                && !running.gives_way
+            {
+                running.gives_way = true;
+                self.outcome.give_way.push(*id);
+            }
+        }
+        self.hold_claim(claim);
+        Some(way.len())
+    }
+
+    /// Places a job as if deferrable jobs had given way, the one that started last first.
+    fn place_after_way(
+        &self,
+        ask: &PlacementAsk,
+    ) -> Option<PlacementDecision> {
+        let mut deferrable: Vec<&RunningJob> = self
+            .queue
+            .running
+            .values()
+            .filter(|r| is_removable(r))
+            .collect();
+        deferrable.sort_by_key(|r| (!r.gives_way, std::cmp::Reverse(r.started), r.id));
+        let mut view = self.beside.clone();
+        for running in deferrable.into_iter().take(MAX_GIVING_WAY) {
+            view.give_back(&taken_by(running, &view));
+            let decision = self.cx.policy.place(ask, &view);
+            if decision.is_placed() {
+                return Some(decision);
+            }
+        }
+        None
+    }
+
+    /// Returns the deferrable jobs that hold something of a place.
+    fn jobs_in_the_way(
+        &self,
+        decision: &PlacementDecision,
+    ) -> Vec<JobId> {
+        let removable = self.queue.running.values().filter(|r| is_removable(r));
+        let in_the_way = removable.filter(|r| {
+            let parts = taken_by(r, &self.cx.view);
+            parts.iter().any(|part| {
+                let mut taken = decision.taken.iter().filter(|t| t.worker == part.worker);
+                taken.any(|t| t.accelerators.intersects(part.accelerators))
+            })
+        });
+        in_the_way.map(|r| r.id).collect()
+    }
+}
+
+/// Tells whether a running job may be asked to give way.
+fn is_removable(job: &RunningJob) -> bool {
+    job.kind.class == Class::Deferrable && job.kind.is_evictable()
+}
+
+/// Returns what a running job holds, by index in the fleet.
+fn taken_by(
+    job: &RunningJob,
+    view: &FleetView,
+) -> Vec<Taken> {
+    let held = job.held.iter().filter_map(|h| {
+        Some(Taken {
+            worker: view.fleet.index_of(&h.upstream)?,
+            accelerators: h.accelerators,
+        })
+    });
+    held.collect()
+}
--- /dev/null
+++ b/src/process/job_queue/usage.rs
@@ -0,0 +1,74 @@
+//! What accounts use, and how much of it is beyond their guarantees.
+
+use {
+    super::RunningJob,
+    crate::{prelude::*, version::Account},
+    std::collections::BTreeMap,
+};
+
+/// The time after which use beyond a guarantee counts half.
+const HALF_LIFE: Duration = Duration::from_secs(6 * 3600);
+
+/// Seconds of one hour.
+const HOUR_S: f64 = 3600.0;
+
+/// The use of one account.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AccountUsage {
+    /// The accelerators that its running jobs hold.
+    pub running: u32,
+    /// The accelerator hours that it has used beyond its guarantee, older ones counting less.
+    pub beyond_hours: f64,
+}
+
+/// The use of all accounts.
+#[derive(Clone, Debug, Default)]
+pub struct Usage {
+    accounts: BTreeMap<AccountName, AccountUsage>,
+    counted: Millis,
+}
+
+impl Usage {
+    /// Returns the use of an account.
+    pub fn of(
+        &self,
+        account: &AccountName,
+    ) -> AccountUsage {
+        self.accounts.get(account).copied().unwrap_or_default()
+    }
+
+    /// Counts the time since the last count at the use of then, and takes over the present use.
+    pub fn count<'a, I>(
+        &mut self,
+        now: Millis,
+        document: &Document,
+        running: I,
+    ) where
+        I: Iterator<Item = &'a RunningJob>,
+    {
+        let span = now.since(self.counted);
+        self.counted = now;
+        let kept = 0.5_f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        for (name, usage) in &mut self.accounts {
+            let account = document.accounts.get(name);
+            let guaranteed = account.map_or(0, Account::guaranteed_accelerators);
+            let beyond = usage.running.saturating_sub(guaranteed);
+            usage.beyond_hours *= kept;
+            usage.beyond_hours += f64::from(beyond) * span.as_secs_f64() / HOUR_S;
+            usage.running = 0;
+        }
+        for job in running {
+            self.started(&job.account, job.accelerators());
+        }
+    }
+
+    /// Counts accelerators that have just been given to an account.
+    pub fn started(
+        &mut self,
+        account: &AccountName,
+        accelerators: u32,
+    ) {
+        let usage = self.accounts.entry(account.clone()).or_default();
+        usage.running += accelerators;
+    }
+}
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -1,7 +1,7 @@
 //! The datagrams of membership.
 
 use {
-    crate::{connection::GuaranteedShare, prelude::*, request::WorkerView},
+    crate::{connection::GuaranteedShare, prelude::*, request::Room, version::FleetWorker},
     derive_more::Display,
     serde::{Deserialize, Serialize},
 };
@@ -96,22 +96,27 @@
         free.union(self.evictable.intersection(own))
     }
 
-    /// Returns the announcement as placement sees it for one account's work.
-    pub fn worker_view(
-        &self,
-        account: &AccountName,
-        evictable: bool,
-    ) -> WorkerView {
-        let guaranteed = self.guaranteed_to(account);
-        WorkerView {
+    /// Returns the worker, where it stands and what it has.
+    pub fn fleet_worker(&self) -> FleetWorker {
+        FleetWorker {
             upstream: self.upstream.clone(),
             region: self.region.clone(),
             data_centre: self.data_centre.clone(),
             rack: self.rack.clone(),
-            all: self.accelerators,
-            free: self.free_for(account, evictable),
-            guaranteed,
-            evictable: self.evictable.intersection(guaranteed),
+            accelerators: self.accelerators,
+        }
+    }
+
+    /// Returns what is to be had on the worker; nothing unless it is serving.
+    pub fn room(&self) -> Room {
+        if self.serving != ServingState::Serving {
+            return Room::default();
+        }
+        Room {
+            idle: self.accelerators_free,
+            guaranteed: self.guaranteed.clone(),
+            evictable: self.evictable,
+            claimed: false,
         }
     }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod entry;
 pub mod guard;
+pub mod job_queue;
 pub mod local;
 pub mod logging;
 pub mod membership;
--- a/src/request/job/gang/place.rs
+++ b/src/request/job/gang/place.rs
@@ -4,7 +4,8 @@
     super::run_job::Start,
     crate::{
         prelude::*,
-        request::job::{PlacementAsk, PlacementDecision, WorkerView},
+        request::job::{FleetView, PlacementAsk, PlacementDecision, ShapeMix},
+        version::Fleet,
     },
 };
 
@@ -15,16 +16,21 @@
         let ask = PlacementAsk {
             account: self.spec.account.clone(),
             gang: self.kind.gang,
+            class: self.kind.class,
+            evictable: self.kind.is_evictable(),
+            waited: 0.0,
+            may_hold: false,
             completion_weight: document.completion_weight,
             fragmentation_weight: document.fragmentation_weight,
+            mix: Rc::new(ShapeMix::of(&document)),
         };
         let upstreams = self.entry.members.borrow().live(self.entry.clock.now());
-        let evictable = self.kind.is_evictable();
-        let views = upstreams
-            .iter()
-            .map(|u| u.worker_view(&self.spec.account, evictable));
-        let workers: Vec<WorkerView> = views.collect();
-        let decision = self.entry.placement.place(&ask, &workers);
+        let workers = upstreams.iter().map(|u| u.fleet_worker()).collect();
+        let view = FleetView {
+            fleet: Rc::new(Fleet::new(workers)),
+            rooms: upstreams.iter().map(|u| u.room()).collect(),
+        };
+        let decision = self.entry.placement.place(&ask, &view);
         let members: Vec<&str> = decision.members.iter().map(UpstreamName::as_str).collect();
         tracing::info!(
             target: "decision",
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -1,13 +1,27 @@
 //! One job, from its submission to its end.
 
+mod first_fit_placement;
+mod fleet_view;
+mod fragmentation;
 mod gang;
 mod pack_placement;
+mod packing;
+mod passed_over;
 mod placement;
+mod shape_mix;
 mod submission;
+mod weighed_placement;
 
 pub use {
+    first_fit_placement::FirstFitPlacement,
+    fleet_view::{FleetView, Room, Taken, Tiers},
+    fragmentation::Fragmentation,
     gang::run_job,
     pack_placement::PackPlacement,
-    placement::{PassedOver, PlacementAsk, PlacementDecision, PlacementPolicy, WorkerView},
+    placement::{
+        PassReason, PassedOver, PassedWorkers, PlacementAsk, PlacementDecision, PlacementPolicy,
+    },
+    shape_mix::{MixShape, ShapeMix},
     submission::{JobError, JobSpec, JobSubmission, submit_job},
+    weighed_placement::WeighedPlacement,
 };
--- a/src/request/job/pack_placement.rs
+++ b/src/request/job/pack_placement.rs
@@ -1,13 +1,12 @@
 //! A placement policy that packs gangs tightly.
 
-use {
-    super::{PassedOver, PlacementAsk, PlacementDecision, PlacementPolicy, WorkerView},
-    crate::{prelude::*, version::Adjacency},
-    std::collections::BTreeMap,
+use super::{
+    FleetView, PlacementAsk, PlacementDecision, PlacementPolicy, packing::PackingSite,
+    passed_over::pass_over,
 };
 
-/// Packs a gang into the smallest group of workers that its adjacency allows, on the workers
-/// with the fewest free accelerators left over.
+/// Packs a gang into the group of workers that its adjacency allows and that has the fewest idle
+/// accelerators, whatever that does to other shapes.
 #[derive(Debug, Default)]
 pub struct PackPlacement;
 
@@ -15,71 +14,22 @@
     fn place(
         &self,
         ask: &PlacementAsk,
-        workers: &[WorkerView],
+        view: &FleetView,
     ) -> PlacementDecision {
         let mut decision = PlacementDecision::default();
-        for worker in workers {
-            if worker.free.len() < ask.gang.accelerators {
-                decision.passed_over.push(PassedOver {
-                    upstream: worker.upstream.clone(),
-                    reason: "too few free accelerators",
-                });
+        for evicting in [false, true] {
+            let site = PackingSite::new(ask, view, evicting);
+            let groups = view.fleet.groups(ask.gang.adjacency).iter();
+            let packings = groups.filter_map(|g| site.pack(ask, g));
+            let best = packings.min_by_key(|p| p.idle_left(view));
+            if let Some(packing) = best {
+                let members = packing.members.iter();
+                decision.members = members.map(|w| view.name_of(*w).clone()).collect();
+                decision.taken = packing.taken;
+                break;
             }
         }
-        let groups = group_workers(ask.gang.adjacency, workers);
-        let placements = groups.values().filter_map(|g| pack(ask, g));
-        let best = placements.min_by_key(|p| p.left_over);
-        decision.members = best.map(|p| p.members).unwrap_or_default();
+        decision.passed_over = pass_over(ask, view, &decision.taken);
         decision
     }
 }
-
-/// One way to place the gang.
-struct Packing {
-    members: Vec<UpstreamName>,
-    left_over: u32,
-}
-
-/// Groups workers by the unit that the members have to share.
-fn group_workers(
-    adjacency: Adjacency,
-    workers: &[WorkerView],
-) -> BTreeMap<String, Vec<&WorkerView>> {
-    let mut groups: BTreeMap<String, Vec<&WorkerView>> = BTreeMap::new();
-    for worker in workers {
-        let unit = match adjacency {
-            Adjacency::Worker => worker.upstream.to_string(),
-            Adjacency::Rack => format!("{}/{}", worker.data_centre, worker.rack),
-            Adjacency::DataCentre => worker.data_centre.to_string(),
-            Adjacency::Region => worker.region.to_string(),
-            Adjacency::Any => String::new(),
-        };
-        groups.entry(unit).or_default().push(worker);
-    }
-    groups
-}
-
-/// Packs the gang on the workers of one group, the fullest first.
-fn pack(
-    ask: &PlacementAsk,
-    group: &[&WorkerView],
-) -> Option<Packing> {
-    let mut workers = group.to_vec();
-    workers.sort_by_key(|w| (w.free.len(), w.upstream.clone()));
-    let mut packing = Packing {
-        members: Vec::new(),
-        left_over: 0,
-    };
-    for worker in workers {
-        let wanted = ask.gang.members - packing.members.len() as u32;
-        let fitting = (worker.free.len() / ask.gang.accelerators).min(wanted);
-        for _ in 0..fitting {
-            packing.members.push(worker.upstream.clone());
-        }
-        if fitting > 0 {
-            packing.left_over += worker.free.len() - fitting * ask.gang.accelerators;
-        }
-    }
-    let complete = packing.members.len() as u32 == ask.gang.members;
-    complete.then_some(packing)
-}
--- /dev/null
+++ b/src/request/job/passed_over.rs
@@ -0,0 +1,52 @@
+//! Says why workers were passed over.
+
+use {
+    super::{FleetView, PassReason, PassedWorkers, PlacementAsk, Taken},
+    std::collections::BTreeMap,
+};
+
+/// Sorts the workers that a decision did not take by the reason, with an example of each.
+pub(super) fn pass_over(
+    ask: &PlacementAsk,
+    view: &FleetView,
+    taken: &[Taken],
+) -> Vec<PassedWorkers> {
+    let mut passed: BTreeMap<PassReason, PassedWorkers> = BTreeMap::new();
+    for worker in 0..view.rooms.len() {
+        if taken.iter().any(|t| t.worker == worker) {
+            continue;
+        }
+        let reason = reason_of(ask, view, worker, !taken.is_empty());
+        let entry = passed.entry(reason).or_insert_with(|| PassedWorkers {
+            upstream: view.name_of(worker).clone(),
+            reason,
+            workers: 0,
+        });
+        entry.workers += 1;
+    }
+    passed.into_values().collect()
+}
+
+fn reason_of(
+    ask: &PlacementAsk,
+    view: &FleetView,
+    worker: usize,
+    placed: bool,
+) -> PassReason {
+    let needed = ask.gang.accelerators;
+    let room = &view.rooms[worker];
+    let to_be_had = room.tiers(&ask.account, ask.evictable).all().len();
+    if view.fleet.workers()[worker].accelerators.len() < needed {
+        PassReason::TooSmall
+    } else if to_be_had >= needed && placed {
+        PassReason::FitsWorse
+    } else if to_be_had >= needed {
+        PassReason::NotAdjacent
+    } else if room.claimed && room.idle.len() >= needed {
+        PassReason::Claimed
+    } else if room.idle.len() >= needed {
+        PassReason::Guaranteed
+    } else {
+        PassReason::TooFewIdle
+    }
+}
--- a/src/request/job/placement.rs
+++ b/src/request/job/placement.rs
@@ -1,10 +1,42 @@
 //! The placement policy's border.
 
 use {
-    crate::{prelude::*, version::Shape},
+    super::{FleetView, ShapeMix, Taken},
+    crate::{
+        prelude::*,
+        version::{Class, Shape},
+    },
+    derive_more::Display,
     serde::Serialize,
 };
 
+/// Why workers were passed over.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PassReason {
+    /// It has fewer accelerators than one member needs, even when it is idle.
+    #[display("too small")]
+    TooSmall,
+    /// Too few of its accelerators are idle.
+    #[display("too few idle accelerators")]
+    TooFewIdle,
+    /// Enough is idle, but guaranteed to other accounts, and the job cannot be evicted.
+    #[display("guaranteed to other accounts")]
+    Guaranteed,
+    /// Not enough other workers near it have room.
+    #[display("too few neighbours with room")]
+    NotAdjacent,
+    /// It fails what it is given and is on trial.
+    #[display("ejected after failures")]
+    Ejected,
+    /// It is kept for a job that has waited longer.
+    #[display("claimed by a job that waits longer")]
+    Claimed,
+    /// It would do, and another one does better.
+    #[display("another fits better")]
+    FitsWorse,
+}
+
 /// An upstream that a decision passed over.
 #[derive(Clone, Debug, Serialize)]
 pub struct PassedOver {
@@ -14,6 +46,17 @@
     pub reason: &'static str,
 }
 
+/// Workers that a placement passed over for one reason.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct PassedWorkers {
+    /// One of them.
+    pub upstream: UpstreamName,
+    /// Why they were passed over.
+    pub reason: PassReason,
+    /// How many they are.
+    pub workers: u32,
+}
+
 /// What a policy is told of the job.
 #[derive(Clone, Debug)]
 pub struct PlacementAsk {
@@ -21,42 +64,42 @@
     pub account: AccountName,
     /// The gang to place.
     pub gang: Shape,
+    /// How urgent the job is.
+    pub class: Class,
+    /// Whether the job gives its accelerators back when they are reclaimed.
+    pub evictable: bool,
+    /// How long the job has waited, in parts of the run time that is expected of it.
+    pub waited: f64,
+    /// Whether the job may be held back for a better place.
+    pub may_hold: bool,
     /// How much completion time counts, from 0 to 1.
     pub completion_weight: f64,
     /// How much fragmentation counts, from 0 to 1.
     pub fragmentation_weight: f64,
-}
-
-/// What a policy is told of one worker.
-#[derive(Clone, Debug)]
-pub struct WorkerView {
-    /// The worker.
-    pub upstream: UpstreamName,
-    /// Its region.
-    pub region: Region,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// Its rack.
-    pub rack: RackName,
-    /// All its accelerators.
-    pub all: AcceleratorSet,
-    /// The accelerators that this job could reserve, as last announced: those that nothing holds,
-    /// and those in `evictable`.
-    pub free: AcceleratorSet,
-    /// The accelerators that this account is guaranteed.
-    pub guaranteed: AcceleratorSet,
-    /// The part of the account's guaranteed accelerators that others' evictable work holds;
-    /// reserving these evicts that work.
-    pub evictable: AcceleratorSet,
+    /// The mix of shapes that the service asks for.
+    pub mix: Rc<ShapeMix>,
 }
 
 /// What a policy chose.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct PlacementDecision {
     /// The worker of each member, in the order of the members; empty when the gang has to wait.
     pub members: Vec<UpstreamName>,
+    /// The accelerators that the gang is expected to hold on each worker.
+    pub taken: Vec<Taken>,
+    /// By how much the accelerators that the mix cannot use would rise.
+    pub fragmentation_rise: f64,
+    /// Whether the gang fits, but waits for a place where it fragments less.
+    pub held_back: bool,
     /// The workers that were passed over, and why.
-    pub passed_over: Vec<PassedOver>,
+    pub passed_over: Vec<PassedWorkers>,
+}
+
+impl PlacementDecision {
+    /// Tells whether the gang has a place.
+    pub fn is_placed(&self) -> bool {
+        !self.members.is_empty()
+    }
 }
 
 /// Chooses the workers of a gang.
@@ -65,6 +108,6 @@
     fn place(
         &self,
         ask: &PlacementAsk,
-        workers: &[WorkerView],
+        view: &FleetView,
     ) -> PlacementDecision;
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,8 +11,9 @@
     call::{CallerRequest, NotRun, Outcome, run_request},
     id::{IdSource, JobId, RequestId},
     job::{
-        JobError, JobSpec, JobSubmission, PackPlacement, PassedOver, PlacementAsk,
-        PlacementDecision, PlacementPolicy, WorkerView, run_job, submit_job,
+        FirstFitPlacement, FleetView, Fragmentation, JobError, JobSpec, JobSubmission, MixShape,
+        PackPlacement, PassReason, PassedOver, PassedWorkers, PlacementAsk, PlacementDecision,
+        PlacementPolicy, Room, ShapeMix, Taken, Tiers, WeighedPlacement, run_job, submit_job,
     },
     routing::{LeastWaitRouting, RoutingAsk, RoutingDecision, RoutingPolicy},
 };
--- a/src/version/layout/fleet.rs
+++ b/src/version/layout/fleet.rs
@@ -26,6 +26,7 @@
 pub struct Fleet {
     workers: Vec<FleetWorker>,
     groups: [Vec<Vec<usize>>; 5],
+    group_of: [Vec<usize>; 5],
 }
 
 impl Fleet {
@@ -34,7 +35,12 @@
         workers.sort_by(|a, b| a.upstream.cmp(&b.upstream));
         workers.dedup_by(|b, a| a.upstream == b.upstream);
         let groups = Adjacency::ALL.map(|adjacency| group_workers(&workers, adjacency));
-        Self { workers, groups }
+        let group_of = groups.each_ref().map(|g| index_groups(g, workers.len()));
+        Self {
+            workers,
+            groups,
+            group_of,
+        }
     }
 
     /// Returns the workers, by name.
@@ -50,6 +56,15 @@
         &self.groups[adjacency as usize]
     }
 
+    /// Returns the index, within [`groups`](Self::groups), of the group that a worker is in.
+    pub fn group_of(
+        &self,
+        adjacency: Adjacency,
+        worker: usize,
+    ) -> usize {
+        self.group_of[adjacency as usize][worker]
+    }
+
     /// Returns the index of a worker.
     pub fn index_of(
         &self,
@@ -102,3 +117,17 @@
     }
     groups.into_values().collect()
 }
+
+/// Returns for each worker the index of its group.
+fn index_groups(
+    groups: &[Vec<usize>],
+    workers: usize,
+) -> Vec<usize> {
+    let mut index = vec![0; workers];
+    for (group, members) in groups.iter().enumerate() {
+        for worker in members {
+            index[*worker] = group;
+        }
+    }
+    index
+}
--- a/src/version/shape.rs
+++ b/src/version/shape.rs
@@ -51,6 +51,13 @@
 pub struct ShapeError;
 
 impl Shape {
+    /// One accelerator anywhere.
+    pub const SINGLE: Self = Self {
+        members: 1,
+        accelerators: 1,
+        adjacency: Adjacency::Any,
+    };
+
     /// Returns the number of accelerators of the whole shape.
     pub fn total(&self) -> u32 {
         self.members * self.accelerators
