Add the load tool and the summary of decisions

Cause: people on call had no way to put a known load on a test system or to see at a glance where decisions go. Change: load sends requests at an even rate to loopback entries only and counts outcomes and times; decisions counts chosen and passed-over upstreams from logs. Before: neither existed.

--- a/src/process/bench/capacity/figure.rs
+++ b/src/process/bench/capacity/figure.rs
@@ -5,6 +5,9 @@
     crate::process::bench::{LineFit, fit_line},
 };
 
+/// The size below which a number is shown as zero.
+const SHOWN_AS_ZERO: f64 = 1e-9;
+
 /// A quantity with its fitted line.
 #[derive(Clone, Debug)]
 pub struct Figure {
@@ -81,7 +84,7 @@
 /// Shows a number with three significant digits or so.
 fn short(value: f64) -> String {
     match value.abs() {
-        0.0 => "0".to_owned(),
+        v if v < SHOWN_AS_ZERO => "0".to_owned(),
         v if v >= 100.0 => format!("{value:.0}"),
         v if v >= 1.0 => format!("{value:.2}"),
         v if v >= 0.001 => format!("{value:.5}"),
--- /dev/null
+++ b/src/process/load/mod.rs
@@ -0,0 +1,11 @@
+//! A bounded load on a running system.
+
+mod load_plan;
+mod load_report;
+mod run_load;
+
+pub use {
+    load_plan::{LoadPlan, LoadPlanError},
+    load_report::{LoadReport, OutcomeCount},
+    run_load::run_load,
+};
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,8 +3,10 @@
 pub mod bench;
 pub mod cli;
 pub mod clock;
+pub mod decision_report;
 pub mod entry;
 pub mod guard;
+pub mod load;
 pub mod local;
 pub mod logging;
 pub mod membership;
