Start gangs whole from a commit point at one guard, and reclaim shares at each

Cause: an entry held a gang together, so its death ended running gangs, and a lost member left the rest running; nobody enforced guaranteed shares. Change: a gang is reserved by piece (its members on one worker), committed at the first piece's guard, and held together by leases between guards. A guard gives an account its guaranteed accelerators, evicting borrowers within RECLAIM_BOUND. Owners and starts are fenced by term; ends are kept, bounded, until the owner releases them; a new owner inspects guards and adopts a committed gang. Tasks far over their declaration are throttled, then stopped. A new guard gives nothing out until tasks of an earlier one have lapsed. Faults are not yet caused by tests.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,7 +9,9 @@
         Problem, query_value,
     },
     peer::{
-        FrameError, GuaranteedShare, GuardPeer, GuardReply, GuardRequest, LinkError, PeerHandler,
-        PeerLink, PeerServer, Refusal, ReserveCall, RunGrant, read_frame, write_frame,
+        Beat, CommitCall, Eviction, FrameError, GangEnd, GangId, GangPhase, GangReply, GangRequest,
+        GuaranteedShare, GuardPeer, GuardReply, GuardRequest, KnownGang, LinkError, PeerHandler,
+        PeerLink, PeerServer, PieceAddress, PieceEnd, PieceState, Refusal, ReserveCall, RunGrant,
+        StartCall, StopCause, Work, read_frame, write_frame,
     },
 };
--- a/src/connection/peer/message.rs
+++ b/src/connection/peer/message.rs
@@ -1,10 +1,8 @@
 //! The messages of the protocol.
 
 use {
-    crate::{
-        prelude::*,
-        process::platform::{TaskEnd, TaskId, TaskStart, TaskState},
-    },
+    super::{GangReply, GangRequest},
+    crate::prelude::*,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
 };
@@ -14,22 +12,8 @@
 pub enum GuardRequest {
     /// Run a request under a slot.
     Run(RunGrant),
-    /// Hold accelerators for one member of a gang until they are committed or released.
-    Reserve(ReserveCall),
-    /// Start the member's task on its reservation.
-    Commit(TaskStart),
-    /// Give back whatever the member holds, and stop its task.
-    Release {
-        /// The member's task; an older term changes nothing.
-        id: TaskId,
-    },
-    /// Renew the member's lease and tell how its task stands, waiting for its end.
-    Renew {
-        /// The member's task.
-        id: TaskId,
-        /// The longest wait for the task's end, in milliseconds.
-        wait_ms: u64,
-    },
+    /// A call about a gang.
+    Gang(GangRequest),
     /// Take over a document version.
     Document {
         /// The version.
@@ -92,21 +76,6 @@
     pub timeout_ms: u64,
 }
 
-/// A reservation for one member of a gang.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ReserveCall {
-    /// The member's task.
-    pub id: TaskId,
-    /// The account that owns the job.
-    pub account: AccountName,
-    /// The number of accelerators.
-    pub accelerators: u32,
-    /// Whether the task gives its accelerators back when they are reclaimed.
-    pub evictable: bool,
-    /// How long the reservation stands without a commit, in milliseconds.
-    pub hold_ms: u64,
-}
-
 /// What a guard answers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum GuardReply {
@@ -126,17 +95,10 @@
         /// What was seen.
         reason: String,
     },
-    /// The accelerators are held.
-    Reserved {
-        /// The accelerators.
-        accelerators: AcceleratorSet,
-    },
+    /// The answer to a call about a gang.
+    Gang(GangReply),
     /// The call was done.
     Done,
-    /// How the member's task stands.
-    Task(TaskState),
-    /// The member's task has ended on this guard, with its result if it finished.
-    Ended(TaskEnd),
 }
 
 /// Why a guard refused.
--- /dev/null
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -0,0 +1,170 @@
+//! Keeps the pieces and the led gangs of one guard.
+
+use {
+    super::{Fences, LedGang, Piece, Stage, bounds::TASK_LEASE},
+    crate::{
+        connection::{
+            GangId, GangRequest, GuaranteedShare, GuardReply, GuardRequest, LinkError, StopCause,
+        },
+        prelude::*,
+        process::{entry::Dialer, guard::AcceleratorBook, metrics::Metrics, platform::Worker},
+    },
+    event_listener::Event,
+    std::collections::BTreeMap,
+};
+
+/// The pieces of gangs that run on one worker, and the gangs that its guard leads.
+pub struct GangKeeper {
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) metrics: Rc<Metrics>,
+    pub(super) worker: Rc<dyn Worker>,
+    pub(super) dialer: Rc<dyn Dialer>,
+    pub(super) book: RefCell<AcceleratorBook>,
+    pub(super) fences: RefCell<Fences>,
+    pub(super) pieces: RefCell<BTreeMap<GangId, Rc<Piece>>>,
+    pub(super) led: RefCell<BTreeMap<GangId, Rc<LedGang>>>,
+    /// Notified when accelerators change hands.
+    pub(super) changed: Rc<Event>,
+}
+
+impl GangKeeper {
+    /// Creates a keeper without gangs. It gives accelerators out once the leases of tasks that
+    /// were started before it have lapsed.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
+        worker: Rc<dyn Worker>,
+        dialer: Rc<dyn Dialer>,
+        all: AcceleratorSet,
+        changed: Rc<Event>,
+    ) -> Self {
+        let usable_from = clock.now() + Millis::from(TASK_LEASE);
+        Self {
+            clock,
+            metrics,
+            worker,
+            dialer,
+            book: RefCell::new(AcceleratorBook::new(all, usable_from)),
+            fences: RefCell::default(),
+            pieces: RefCell::default(),
+            led: RefCell::default(),
+            changed,
+        }
+    }
+
+    /// Returns the accelerators that nothing holds.
+    pub fn free(&self) -> AcceleratorSet {
+        self.book.borrow().free(self.clock.now())
+    }
+
+    /// Returns the guaranteed accelerators that their account can reclaim from others' work.
+    pub fn borrowed(&self) -> AcceleratorSet {
+        self.book.borrow().borrowed()
+    }
+
+    /// Returns which accelerators are guaranteed to whom.
+    pub fn guaranteed(&self) -> Vec<GuaranteedShare> {
+        self.book.borrow().guaranteed().to_vec()
+    }
+
+    /// Tells whether no gang holds, runs or has left anything here.
+    pub fn is_idle(&self) -> bool {
+        self.pieces.borrow().is_empty() && self.led.borrow().is_empty()
+    }
+
+    /// Takes a layout over unless as new a one is known. Work that is never evicted finishes where
+    /// it is; meanwhile the guarantee is reported as not met.
+    pub fn set_guaranteed(
+        &self,
+        layout: u64,
+        guaranteed: Vec<GuaranteedShare>,
+    ) {
+        if self.book.borrow_mut().set_guaranteed(layout, guaranteed) {
+            tracing::info!(layout, "a layout is in force");
+            self.accelerators_changed();
+        }
+    }
+
+    /// Gives back what has lapsed and forgets old fences.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        let lapsed = self.book.borrow_mut().expire(now);
+        for gang in &lapsed {
+            let mut pieces = self.pieces.borrow_mut();
+            let reserved = pieces
+                .get(gang)
+                .is_some_and(|p| p.stage() == Stage::Reserved);
+            if reserved {
+                pieces.remove(gang);
+                tracing::info!(%gang, "a reservation lapsed");
+            }
+        }
+        self.fences.borrow_mut().expire(now);
+        if !lapsed.is_empty() {
+            self.accelerators_changed();
+        }
+    }
+
+    /// Does a call about a gang.
+    pub async fn answer(
+        self: Rc<Self>,
+        req: GangRequest,
+    ) -> GuardReply {
+        let result = match req {
+            GangRequest::Reserve(call) => self.reserve(call).await,
+            GangRequest::Commit(call) => self.commit(call),
+            GangRequest::Start(call) => self.start(call).await,
+            GangRequest::Beat(beat) => self.beat(&beat),
+            GangRequest::Stop { gang } => self.stop(gang, StopCause::WithGang).await,
+            GangRequest::Watch {
+                gang,
+                known,
+                wait_ms,
+            } => {
+                self.watch(gang, known, Duration::from_millis(wait_ms))
+                    .await
+            }
+            GangRequest::Release { gang, ownership } => self.release(gang, ownership).await,
+            GangRequest::Inspect { job, ownership } => self.inspect(job, ownership),
+        };
+        match result {
+            Ok(reply) => GuardReply::Gang(reply),
+            Err(refusal) => GuardReply::Refused(refusal),
+        }
+    }
+
+    /// Sends a call about a gang to a guard, or does it here when this guard leads the gang.
+    pub(super) async fn call(
+        self: &Rc<Self>,
+        guard: SocketAddr,
+        req: GangRequest,
+    ) -> Result<GuardReply, LinkError> {
+        let led_here = match &req {
+            GangRequest::Beat(beat) => self.led.borrow().contains_key(&beat.gang),
+            _ => false,
+        };
+        if led_here {
+            return Ok(self.clone().answer(req).await);
+        }
+        let peer = self.dialer.peer(guard);
+        peer.call(GuardRequest::Gang(req)).await
+    }
+
+    /// Tells waiting tasks and the metrics that accelerators changed hands.
+    pub(super) fn accelerators_changed(&self) {
+        let book = self.book.borrow();
+        let held = book.held_by(|_| true).len();
+        let unmet = book.unmet().len();
+        self.metrics.accelerators_in_use.set(i64::from(held));
+        let before = self.metrics.gangs.unmet_accelerators.get();
+        self.metrics.gangs.unmet_accelerators.set(i64::from(unmet));
+        if before != i64::from(unmet) {
+            tracing::warn!(
+                layout = book.layout(),
+                accelerators = unmet,
+                "guaranteed accelerators are held by others' work that is never evicted"
+            );
+        }
+        self.changed.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/src/process/guard/gang/reserve_calls.rs
@@ -0,0 +1,141 @@
+//! Reservations, and the evictions that they bring about.
+
+use {
+    super::{GangKeeper, LedGang, Piece, Stage, bounds::RECLAIM_BOUND},
+    crate::{
+        connection::{GangEnd, GangId, GangReply, Refusal, ReserveCall, StopCause},
+        prelude::*,
+        process::clock::with_timeout,
+    },
+};
+
+impl GangKeeper {
+    pub(super) async fn reserve(
+        self: &Rc<Self>,
+        call: ReserveCall,
+    ) -> Result<GangReply, Refusal> {
+        let gang = call.gang;
+        self.fences.borrow_mut().admit(self.clock.now(), gang)?;
+        self.stop_older_starts(gang);
+        let started = self.clock.now();
+        if !self.pieces.borrow().contains_key(&gang) {
+            self.claim(call)?;
+        }
+        let waiting = self.wait_until_clear(gang);
+        let clear = with_timeout(&*self.clock, RECLAIM_BOUND, waiting).await;
+        let took = self.clock.now().since(started);
+        match clear {
+            Some(Ok((accelerators, true))) => {
+                self.metrics
+                    .gangs
+                    .reclaim_seconds
+                    .observe(took.as_secs_f64());
+                Ok(GangReply::Reserved { accelerators })
+            }
+            Some(Ok((accelerators, false))) => Ok(GangReply::Reserved { accelerators }),
+            Some(Err(refusal)) => Err(refusal),
+            None => {
+                self.metrics.gangs.late_reclaims.inc();
+                tracing::warn!(%gang, "a guaranteed share was not reclaimed within the bound");
+                self.drop_reservation(gang);
+                Err(Refusal::NoAccelerators)
+            }
+        }
+    }
+
+    /// Claims accelerators for a piece and asks their borrowers to stop.
+    pub(super) fn claim(
+        &self,
+        call: ReserveCall,
+    ) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let until = now + Millis(call.hold_ms) + Millis::from(RECLAIM_BOUND);
+        let claim = self.book.borrow_mut().claim(now, &call, until)?;
+        let gang = call.gang;
+        if !claim.victims.is_empty() {
+            let victims: Vec<String> = claim.victims.iter().map(GangId::to_string).collect();
+            tracing::info!(
+                target: "decision",
+                decision = "reclaim",
+                %gang,
+                account = %call.account,
+                accelerators = ?claim.accelerators,
+                evicted = %victims.join(","),
+            );
+        }
+        let piece = Piece::new(call, claim.accelerators);
+        self.pieces.borrow_mut().insert(gang, Rc::new(piece));
+        for victim in claim.victims {
+            self.metrics.gangs.evictions.inc();
+            self.stop_piece(victim, StopCause::Evicted);
+        }
+        self.accelerators_changed();
+        Ok(())
+    }
+
+    /// Waits until nothing else is on a piece's accelerators; tells whether it had to wait.
+    pub(super) async fn wait_until_clear(
+        &self,
+        gang: GangId,
+    ) -> Result<(AcceleratorSet, bool), Refusal> {
+        let mut waited = false;
+        loop {
+            let changed = self.changed.listen();
+            let clear = self.book.borrow().is_clear(gang);
+            let piece = self.pieces.borrow().get(&gang).cloned();
+            match (clear, piece) {
+                (Some(true), Some(piece)) => return Ok((piece.accelerators, waited)),
+                (Some(false), Some(_)) => {}
+                _ => return Err(Refusal::NotReserved),
+            }
+            waited = true;
+            changed.await;
+        }
+    }
+
+    /// Stops what earlier starts of the same job have here.
+    pub(super) fn stop_older_starts(
+        &self,
+        gang: GangId,
+    ) {
+        let older = |other: &GangId| other.job == gang.job && other.term < gang.term;
+        let led: Vec<Rc<LedGang>> = self.led.borrow().values().cloned().collect();
+        for led in led.iter().filter(|l| older(&l.id)) {
+            led.decide(GangEnd::Released);
+        }
+        let pieces: Vec<GangId> = self.pieces.borrow().keys().copied().collect();
+        for piece in pieces.into_iter().filter(older) {
+            self.stop_piece(piece, StopCause::Released);
+        }
+    }
+
+    /// Asks a started piece to stop, or drops it when nothing was started.
+    pub(super) fn stop_piece(
+        &self,
+        gang: GangId,
+        cause: StopCause,
+    ) {
+        let piece = self.pieces.borrow().get(&gang).cloned();
+        match piece {
+            Some(piece) if piece.stage() == Stage::Reserved => self.drop_reservation(gang),
+            Some(piece) => piece.stop(cause),
+            None => {}
+        }
+    }
+
+    pub(super) fn drop_reservation(
+        &self,
+        gang: GangId,
+    ) {
+        let mut pieces = self.pieces.borrow_mut();
+        let reserved = pieces
+            .get(&gang)
+            .is_some_and(|p| p.stage() == Stage::Reserved);
+        if reserved {
+            pieces.remove(&gang);
+            self.book.borrow_mut().release(gang);
+        }
+        drop(pieces);
+        self.accelerators_changed();
+    }
+}
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -1,14 +1,15 @@
 //! The guard.
 
 use {
-    super::{AcceleratorBook, SlotBook},
+    super::{GangKeeper, SlotBook},
     crate::{
-        connection::{GuardReply, GuardRequest, PeerHandler, Refusal, ReserveCall, RunGrant},
+        connection::{GangRequest, GuardReply, GuardRequest, PeerHandler, Refusal, RunGrant},
         prelude::*,
         process::{
+            entry::{Dialer, LinkDialer},
             membership::{Announcement, ServingState},
             metrics::Metrics,
-            platform::{RunCall, TaskId, TaskStart, TaskState, Worker, WorkerError},
+            platform::{RunCall, Worker, WorkerError},
             settings::GuardSettings,
         },
     },
@@ -16,7 +17,7 @@
     std::cell::Cell,
 };
 
-/// How often lapsed reservations are looked for.
+/// How often lapsed reservations and fences are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The guard of one upstream.
@@ -26,7 +27,7 @@
     metrics: Rc<Metrics>,
     worker: Rc<dyn Worker>,
     slots: Rc<SlotBook>,
-    accelerators: RefCell<AcceleratorBook>,
+    gangs: Rc<GangKeeper>,
     version: Cell<VersionNumber>,
     document: RefCell<Rc<Document>>,
     incarnation: u64,
@@ -43,12 +44,39 @@
         metrics: Rc<Metrics>,
         worker: Rc<dyn Worker>,
         incarnation: u64,
+    ) -> Self {
+        let dialer = LinkDialer::new(clock.clone(), metrics.clone());
+        Self::with_dialer(
+            settings,
+            clock,
+            metrics,
+            worker,
+            incarnation,
+            Rc::new(dialer),
+        )
+    }
+
+    /// Creates a guard that reaches other guards through `dialer`.
+    pub fn with_dialer(
+        settings: GuardSettings,
+        clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
+        worker: Rc<dyn Worker>,
+        incarnation: u64,
+        dialer: Rc<dyn Dialer>,
     ) -> Self {
         let changed = Rc::new(Event::new());
-        let all = AcceleratorSet::first(settings.accelerators);
+        let gangs = GangKeeper::new(
+            clock.clone(),
+            metrics.clone(),
+            worker.clone(),
+            dialer,
+            AcceleratorSet::first(settings.accelerators),
+            changed.clone(),
+        );
         Self {
             slots: Rc::new(SlotBook::new(settings.slots, changed.clone())),
-            accelerators: RefCell::new(AcceleratorBook::new(all)),
+            gangs: Rc::new(gangs),
             settings,
             clock,
             metrics,
@@ -61,6 +89,11 @@
         }
     }
 
+    /// Returns the gangs.
+    pub fn gangs(&self) -> &Rc<GangKeeper> {
+        &self.gangs
+    }
+
     /// Returns what is notified when the announcement changes.
     pub fn changed(&self) -> Rc<Event> {
         self.changed.clone()
@@ -77,7 +110,6 @@
         guard_address: SocketAddr,
     ) -> Announcement {
         self.sequence.set(self.sequence.get() + 1);
-        let accelerators = self.accelerators.borrow();
         let serving = if self.slots.is_draining() {
             ServingState::Draining
         } else {
@@ -94,10 +126,10 @@
             serving,
             slots: self.slots.limit(),
             slots_in_use: self.slots.in_use(),
-            accelerators: accelerators.all(),
-            accelerators_free: accelerators.free(),
-            evictable: accelerators.borrowed(),
-            guaranteed: accelerators.guaranteed().to_vec(),
+            accelerators: AcceleratorSet::first(self.settings.accelerators),
+            accelerators_free: self.gangs.free(),
+            evictable: self.gangs.borrowed(),
+            guaranteed: self.gangs.guaranteed(),
             version: self.version.get(),
         }
     }
@@ -115,17 +147,11 @@
         self.slots.in_use() == 0
     }
 
-    /// Gives lapsed reservations back, for ever.
+    /// Gives back what has lapsed, for ever.
     pub async fn run_expiry(self: Rc<Self>) {
         loop {
             self.clock.sleep(EXPIRY_INTERVAL).await;
-            let lapsed = self.accelerators.borrow_mut().expire(self.clock.now());
-            for id in &lapsed {
-                tracing::info!(task = %id, "a reservation lapsed");
-            }
-            if !lapsed.is_empty() {
-                self.changed.notify(usize::MAX);
-            }
+            self.gangs.expire();
         }
     }
 
@@ -166,80 +192,16 @@
         }
     }
 
-    fn reserve(
+    /// Does a call about a gang; a draining upstream takes no new ones.
+    async fn call_gang(
         &self,
-        call: &ReserveCall,
+        req: GangRequest,
     ) -> GuardReply {
-        if self.slots.is_draining() {
+        let reserves = matches!(req, GangRequest::Reserve(_));
+        if reserves && self.slots.is_draining() {
             return GuardReply::Refused(Refusal::Draining);
         }
-        let result = self
-            .accelerators
-            .borrow_mut()
-            .reserve(self.clock.now(), call);
-        self.accelerators_changed();
-        match result {
-            Ok(accelerators) => GuardReply::Reserved { accelerators },
-            Err(refusal) => GuardReply::Refused(refusal),
-        }
-    }
-
-    async fn commit(
-        &self,
-        mut task: TaskStart,
-    ) -> GuardReply {
-        let id = task.id;
-        let committed = self.accelerators.borrow_mut().commit(id);
-        match committed {
-            Ok(accelerators) => task.accelerators = accelerators,
-            Err(refusal) => return GuardReply::Refused(refusal),
-        }
-        match self.worker.start(task).await {
-            Ok(()) => GuardReply::Done,
-            Err(e) => {
-                tracing::warn!(task = %id, error = %e, "a task was not started");
-                self.release(id).await;
-                GuardReply::Refused(Refusal::Worker)
-            }
-        }
-    }
-
-    async fn release(
-        &self,
-        id: TaskId,
-    ) -> GuardReply {
-        let held = self.accelerators.borrow().holding(id).is_some();
-        if !held {
-            return GuardReply::Done;
-        }
-        if let Err(e) = self.worker.stop(id).await {
-            tracing::warn!(task = %id, error = %e, "a task was not stopped; its lease will lapse");
-        }
-        self.accelerators.borrow_mut().release(id);
-        self.accelerators_changed();
-        GuardReply::Done
-    }
-
-    async fn renew(
-        &self,
-        id: TaskId,
-        wait: Duration,
-    ) -> GuardReply {
-        let held = self.accelerators.borrow().holding(id).is_some();
-        if !held {
-            return GuardReply::Refused(Refusal::NotReserved);
-        }
-        match self.worker.renew(id, wait).await {
-            Ok(state @ TaskState::Ended(_)) => {
-                self.accelerators.borrow_mut().release(id);
-                self.accelerators_changed();
-                GuardReply::Task(state)
-            }
-            Ok(state) => GuardReply::Task(state),
-            Err(e) => GuardReply::Unknown {
-                reason: e.to_string(),
-            },
-        }
+        self.gangs.clone().answer(req).await
     }
 
     /// Takes a document over unless a newer one is in force.
@@ -262,30 +224,16 @@
         GuardReply::Done
     }
 
-    fn accelerators_changed(&self) {
-        let book = self.accelerators.borrow();
-        let in_use = book.all().len() - book.free().len();
-        self.metrics.accelerators_in_use.set(i64::from(in_use));
-        self.changed.notify(usize::MAX);
-    }
-
     async fn answer(
         &self,
         req: GuardRequest,
     ) -> GuardReply {
         match req {
             GuardRequest::Run(grant) => self.run(grant).await,
-            GuardRequest::Reserve(call) => self.reserve(&call),
-            GuardRequest::Commit(task) => self.commit(task).await,
-            GuardRequest::Release { id } => self.release(id).await,
-            GuardRequest::Renew { id, wait_ms } => {
-                self.renew(id, Duration::from_millis(wait_ms)).await
-            }
+            GuardRequest::Gang(req) => self.call_gang(req).await,
             GuardRequest::Document { version, text } => self.take_document(version, &text),
             GuardRequest::Layout { number, guaranteed } => {
-                self.accelerators
-                    .borrow_mut()
-                    .set_guaranteed(number, guaranteed);
+                self.gangs.set_guaranteed(number, guaranteed);
                 GuardReply::Done
             }
             GuardRequest::Drain { on } => {
--- a/src/process/guard/mod.rs
+++ b/src/process/guard/mod.rs
@@ -1,6 +1,7 @@
 //! The guard beside an upstream: the one authority on its slots and accelerators.
 
 mod accelerator_book;
+mod gang;
 #[expect(
     clippy::module_inception,
     reason = "a file bears the name of its main type"
@@ -10,7 +11,8 @@
 mod slot_book;
 
 pub use {
-    accelerator_book::{AcceleratorBook, Holding},
+    accelerator_book::{AcceleratorBook, Claim, Hold, Holding},
+    gang::{Fences, GangKeeper, LedGang, Measure, Overrun, Piece, Stage, bounds},
     guard::Guard,
     running_guard::RunningGuard,
     slot_book::{Slot, SlotBook},
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -1,6 +1,9 @@
 //! The metrics of one process.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use {
+    super::GangMetrics,
+    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
+};
 
 /// All metrics with their registry.
 pub struct Metrics {
@@ -23,6 +26,8 @@
     pub slots_in_use: IntGauge,
     /// Accelerators in use.
     pub accelerators_in_use: IntGauge,
+    /// Gangs and guarantees.
+    pub gangs: GangMetrics,
 }
 
 impl Default for Metrics {
@@ -71,6 +76,7 @@
                 "limpetquay_accelerators_in_use",
                 "Accelerators in use.",
             ),
+            gangs: GangMetrics::new(&registry),
             registry,
         }
     }
@@ -86,7 +92,7 @@
     }
 }
 
-fn counter(
+pub(super) fn counter(
     registry: &Registry,
     name: &str,
     help: &str,
@@ -105,7 +111,7 @@
     register(registry, metric)
 }
 
-fn gauge(
+pub(super) fn gauge(
     registry: &Registry,
     name: &str,
     help: &str,
@@ -114,7 +120,7 @@
     register(registry, metric)
 }
 
-fn register<M>(
+pub(super) fn register<M>(
     registry: &Registry,
     metric: M,
 ) -> M
--- /dev/null
+++ b/src/request/job/gang/follow.rs
@@ -0,0 +1,108 @@
+//! Follows a committed gang to its end.
+
+use {
+    super::{JobRun, PlacedGang},
+    crate::{
+        connection::{GangEnd, GangPhase, GangReply, GangRequest, GuardReply},
+        prelude::*,
+        process::entry::Entry,
+    },
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
+};
+
+/// How long one call waits for the gang's next change.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// The longest time that a call may take beyond its wait.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+
+/// The pause before a failed call is sent again.
+const WATCH_RETRY: Duration = Duration::from_millis(500);
+
+/// How long a lead guard may not answer before the gang counts as lost.
+const LEAD_SILENCE: Duration = Duration::from_secs(20);
+
+/// How long a gang in a region that is cut off is left to run.
+const REGION_PATIENCE: Duration = Duration::from_secs(2 * 3600);
+
+/// What came of following a gang.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Followed {
+    /// The gang has ended.
+    Ended(GangEnd),
+    /// The lead guard is gone, or does not know the gang.
+    Lost,
+    /// The job's task has to leave its course.
+    Interrupted,
+}
+
+impl PlacedGang {
+    /// Follows the gang until it ends or the job's task is interrupted.
+    pub(super) async fn follow(
+        &self,
+        run: &JobRun,
+    ) -> Followed {
+        let watching = self.watch(&run.entry);
+        let interrupted = run.interrupted();
+        pin_mut!(watching, interrupted);
+        match select(watching, interrupted).await {
+            Either::Left((Some(end), _)) => Followed::Ended(end),
+            Either::Left((None, _)) => Followed::Lost,
+            Either::Right(_) => Followed::Interrupted,
+        }
+    }
+
+    /// Asks the lead guard until the gang has ended; `None` when the lead guard is lost.
+    async fn watch(
+        &self,
+        entry: &Entry,
+    ) -> Option<GangEnd> {
+        let mut known = None;
+        let mut heard = entry.clock.now();
+        loop {
+            let req = GangRequest::Watch {
+                gang: self.gang,
+                known: known.clone(),
+                wait_ms: Millis::from(WATCH_WAIT).0,
+            };
+            match Self::call(entry, self.lead(), req, WATCH_WAIT + WATCH_MARGIN).await {
+                Ok(GuardReply::Gang(GangReply::State { phase, .. })) => {
+                    heard = entry.clock.now();
+                    if let GangPhase::Ended(end) = phase {
+                        return Some(end);
+                    }
+                    known = Some(phase);
+                }
+                Ok(GuardReply::Refused(_)) => return None,
+                _ if self.is_lost(entry, entry.clock.now().since(heard)) => return None,
+                _ => entry.clock.sleep(WATCH_RETRY).await,
+            }
+        }
+    }
+
+    /// Tells whether a lead guard that has been silent for a time counts as lost. When nothing of
+    /// its region is heard, the region is taken to be cut off and the gang to run on.
+    fn is_lost(
+        &self,
+        entry: &Entry,
+        silence: Duration,
+    ) -> bool {
+        let now = entry.clock.now();
+        let lead = self.lead();
+        let members = entry.members.borrow();
+        let cut_off = self.region.as_ref().is_some_and(|region| {
+            let live = members.live(now);
+            let mut others = live.iter().filter(|u| u.guard_address != lead);
+            !others.any(|u| u.region == *region)
+        });
+        let patience = if cut_off {
+            REGION_PATIENCE
+        } else {
+            LEAD_SILENCE
+        };
+        silence >= patience
+    }
+}
--- /dev/null
+++ b/src/request/job/gang/job_run.rs
@@ -0,0 +1,239 @@
+//! Runs one job to its end under one ownership.
+
+use {
+    super::{Followed, PlacedGang, Start},
+    crate::{
+        connection::GangEnd,
+        prelude::*,
+        process::{
+            clock::with_timeout,
+            entry::Entry,
+            platform::Term,
+            state::{JobEnd, JobRecord, RecordBody},
+        },
+        request::job::JobSpec,
+        version::JobKind,
+    },
+};
+
+/// The pause before a job that does not fit is looked at again.
+const PLACEMENT_RETRY: Duration = Duration::from_millis(100);
+
+/// The longest pause before a job whose starts fail is started again.
+const MAX_START_RETRY: Duration = Duration::from_secs(5);
+
+/// The longest pause before an end is recorded again while the log is away.
+const RECORD_RETRY: Duration = Duration::from_secs(1);
+
+/// Why the task of a job leaves its present course.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Interrupt {
+    /// The job was cancelled.
+    Cancelled,
+    /// Another entry owns the job, or its end stands on the log.
+    Superseded,
+}
+
+/// The task of one job.
+pub(super) struct JobRun {
+    pub(super) entry: Rc<Entry>,
+    pub(super) spec: JobSpec,
+    pub(super) ownership: u32,
+    /// The number of the last start under this ownership.
+    start: u32,
+    /// The starts whose tasks ran and failed or were lost.
+    failures: u32,
+    /// The starts in a row that failed before a task ran.
+    misses: u32,
+    /// The progress that the next start begins from, in milliseconds of run time.
+    progress_ms: u64,
+    /// The committed gang.
+    pub(super) placed: Option<PlacedGang>,
+}
+
+/// Runs a job to its end under one ownership and records how it ended. Stops without a record
+/// once another entry owns the job.
+pub async fn run_job(
+    entry: Rc<Entry>,
+    spec: JobSpec,
+    ownership: u32,
+) {
+    let mut run = JobRun {
+        entry,
+        spec,
+        ownership,
+        start: 0,
+        failures: 0,
+        misses: 0,
+        progress_ms: 0,
+        placed: None,
+    };
+    let Some(end) = run.drive().await else {
+        return;
+    };
+    run.record_end(end).await;
+    if let Some(placed) = run.placed.take() {
+        placed.release(&run).await;
+    }
+}
+
+impl JobRun {
+    /// Starts the gang until it finishes, is cancelled or has no attempts left; `None` when
+    /// another entry owns the job.
+    async fn drive(&mut self) -> Option<JobEnd> {
+        if self.ownership > 1 {
+            self.placed = self.adopt().await;
+        }
+        loop {
+            match self.interrupt() {
+                Some(Interrupt::Superseded) => return None,
+                Some(Interrupt::Cancelled) => {
+                    self.release_placed().await;
+                    return Some(JobEnd::Cancelled);
+                }
+                None => {}
+            }
+            if self.placed.is_none() {
+                let Some(kind) = self.kind() else {
+                    let reason = format!("the job kind {} was removed", self.spec.kind);
+                    return Some(JobEnd::Failed(reason));
+                };
+                self.place(&kind).await;
+            }
+            if let Some(end) = self.follow_placed().await {
+                return Some(end);
+            }
+            self.pause().await;
+        }
+    }
+
+    /// Returns the job's kind under the document in force.
+    fn kind(&self) -> Option<JobKind> {
+        self.entry
+            .document()
+            .job_kinds
+            .get(&self.spec.kind)
+            .cloned()
+    }
+
+    /// Tries to place, reserve and commit the gang once.
+    async fn place(
+        &mut self,
+        kind: &JobKind,
+    ) {
+        self.start += 1;
+        let term = Term {
+            ownership: self.ownership,
+            start: self.start,
+        };
+        let start = Start {
+            entry: &self.entry,
+            spec: &self.spec,
+            kind,
+            term,
+        };
+        self.placed = start.run(self, self.progress_ms).await;
+    }
+
+    /// Follows the committed gang to its end; returns the job's end when that brings it.
+    async fn follow_placed(&mut self) -> Option<JobEnd> {
+        let followed = self.placed.as_ref()?.follow(self).await;
+        let end = match followed {
+            Followed::Ended(GangEnd::Finished(result)) => return Some(JobEnd::Finished(result)),
+            Followed::Ended(end) => self.note_end(end),
+            Followed::Lost => self.note_failure("the lead guard was lost".to_owned()),
+            Followed::Interrupted => return None,
+        };
+        self.release_placed().await;
+        end
+    }
+
+    /// Notes how a start ended without a result; returns the job's end when no attempt is left.
+    fn note_end(
+        &mut self,
+        end: GangEnd,
+    ) -> Option<JobEnd> {
+        tracing::info!(job = %self.spec.id, start = self.start, ?end, "a start has ended");
+        match end {
+            GangEnd::Evicted { progress_ms } => self.note_progress(progress_ms),
+            GangEnd::Failed { reason, .. } => return self.note_failure(reason),
+            GangEnd::Lost {
+                progress_ms, cause, ..
+            } => {
+                self.note_progress(progress_ms);
+                return self.note_failure(format!("a member was lost: {cause}"));
+            }
+            GangEnd::NotStarted { .. } => self.misses += 1,
+            GangEnd::Finished(_) | GangEnd::Released => {}
+        }
+        None
+    }
+
+    fn note_progress(
+        &mut self,
+        progress_ms: u64,
+    ) {
+        self.misses = 0;
+        self.progress_ms = progress_ms;
+    }
+
+    fn note_failure(
+        &mut self,
+        reason: String,
+    ) -> Option<JobEnd> {
+        self.failures += 1;
+        let limit = self.kind().map_or(0, |k| k.max_attempts);
+        (self.failures >= limit).then_some(JobEnd::Failed(reason))
+    }
+
+    async fn release_placed(&mut self) {
+        if let Some(placed) = self.placed.take() {
+            placed.release(self).await;
+        }
+    }
+
+    /// Waits before the next start, longer when starts fail one after the other.
+    async fn pause(&self) {
+        let span = PLACEMENT_RETRY * 2u32.pow(self.misses.min(6));
+        let span = span.min(MAX_START_RETRY);
+        with_timeout(&*self.entry.clock, span, self.interrupted()).await;
+    }
+
+    /// Tells why the task has to leave its present course, if it has to.
+    pub(super) fn interrupt(&self) -> Option<Interrupt> {
+        let fold = self.entry.state.fold();
+        let job = fold.job(self.spec.id)?;
+        if job.ownership > self.ownership || job.end.is_some() {
+            return Some(Interrupt::Superseded);
+        }
+        job.cancelled.then_some(Interrupt::Cancelled)
+    }
+
+    /// Waits until the task has to leave its present course.
+    pub(super) async fn interrupted(&self) -> Interrupt {
+        loop {
+            if let Some(interrupt) = self.interrupt() {
+                return interrupt;
+            }
+            self.entry.state.wait_for_change().await;
+        }
+    }
+
+    /// Records the end until it stands on the log or another entry owns the job.
+    async fn record_end(
+        &self,
+        end: JobEnd,
+    ) {
+        while self.interrupt() != Some(Interrupt::Superseded) {
+            let record = RecordBody::Job(JobRecord::Ended {
+                job: self.spec.id,
+                end: end.clone(),
+            });
+            match self.entry.state.append(record).await {
+                Ok(()) => return,
+                Err(e) => tracing::warn!(job = %self.spec.id, error = %e, "recording failed"),
+            }
+            self.entry.clock.sleep(RECORD_RETRY).await;
+        }
+    }
+}
--- a/src/request/job/gang/mod.rs
+++ b/src/request/job/gang/mod.rs
@@ -1,6 +1,16 @@
-//! The gang of one job: placed, reserved, committed, watched and started again.
+//! The gang of one job: placed, reserved, committed, followed and started again.
 
+mod adopt;
+mod follow;
+mod job_run;
 mod place;
-mod run_job;
+mod placed_gang;
+mod start;
 
-pub use run_job::run_job;
+pub use job_run::run_job;
+use {
+    follow::Followed,
+    job_run::{Interrupt, JobRun},
+    placed_gang::PlacedGang,
+    start::Start,
+};
--- a/src/request/job/gang/place.rs
+++ b/src/request/job/gang/place.rs
@@ -1,7 +1,7 @@
 //! Chooses the workers of one start of a gang.
 
 use {
-    super::run_job::Start,
+    super::Start,
     crate::{
         prelude::*,
         request::job::{PlacementAsk, PlacementDecision, WorkerView},
--- /dev/null
+++ b/src/request/job/gang/start.rs
@@ -0,0 +1,159 @@
+//! One start of a gang: placed, reserved on every guard and committed at one.
+
+use {
+    super::{Interrupt, JobRun, PlacedGang},
+    crate::{
+        connection::{
+            CommitCall, Eviction, GangId, GangReply, GangRequest, GuardReply, LinkError,
+            PieceAddress, ReserveCall, Work,
+        },
+        prelude::*,
+        process::{entry::Entry, platform::Term},
+        request::job::JobSpec,
+        version::JobKind,
+    },
+    futures_util::future::join_all,
+};
+
+/// How long a guard holds a reservation without a start.
+const RESERVATION_HOLD: Duration = Duration::from_secs(5);
+
+/// The longest time that a reservation may take, evictions included.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// The longest time that a commit may take.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often a call whose reply is lost is sent.
+const TRIES: u32 = 3;
+
+/// One start of the whole gang.
+pub(super) struct Start<'a> {
+    pub(super) entry: &'a Entry,
+    pub(super) spec: &'a JobSpec,
+    pub(super) kind: &'a JobKind,
+    pub(super) term: Term,
+}
+
+impl Start<'_> {
+    /// Places, reserves and commits the gang; `None` when it does not start.
+    pub(super) async fn run(
+        &self,
+        run: &JobRun,
+        progress_ms: u64,
+    ) -> Option<PlacedGang> {
+        let decision = self.place();
+        if decision.members.is_empty() {
+            return None;
+        }
+        let placed = self.address(&decision.members)?;
+        let whole = self.reserve_all(&placed, progress_ms).await;
+        if run.interrupt() == Some(Interrupt::Superseded) {
+            return None;
+        }
+        if whole && run.interrupt().is_none() && self.commit(&placed).await {
+            return Some(placed);
+        }
+        placed.release(run).await;
+        None
+    }
+
+    /// Groups the members by worker, with the addresses of their guards; the first member's guard
+    /// leads.
+    fn address(
+        &self,
+        upstreams: &[UpstreamName],
+    ) -> Option<PlacedGang> {
+        let members = self.entry.members.borrow();
+        let mut pieces: Vec<PieceAddress> = Vec::new();
+        for (index, upstream) in (0..).zip(upstreams) {
+            let guard = members.get(upstream)?.guard_address;
+            match pieces.iter_mut().find(|p| p.guard == guard) {
+                Some(piece) => piece.members.push(index),
+                None => pieces.push(PieceAddress {
+                    guard,
+                    members: vec![index],
+                }),
+            }
+        }
+        let region = members.get(upstreams.first()?)?.region.clone();
+        let gang = GangId {
+            job: self.spec.id,
+            term: self.term,
+        };
+        Some(PlacedGang::new(gang, pieces, Some(region)))
+    }
+
+    /// Reserves every piece; `false` when one is not held.
+    async fn reserve_all(
+        &self,
+        placed: &PlacedGang,
+        progress_ms: u64,
+    ) -> bool {
+        let reservations = placed.pieces.iter().map(|p| self.reserve(p, progress_ms));
+        join_all(reservations).await.into_iter().all(|held| held)
+    }
+
+    async fn reserve(
+        &self,
+        piece: &PieceAddress,
+        progress_ms: u64,
+    ) -> bool {
+        let call = ReserveCall {
+            gang: GangId {
+                job: self.spec.id,
+                term: self.term,
+            },
+            account: self.spec.account.clone(),
+            members: piece.members.clone(),
+            accelerators: self.kind.gang.accelerators,
+            eviction: eviction_of(self.kind),
+            hold_ms: Millis::from(RESERVATION_HOLD).0,
+            work: Work {
+                kind: self.kind.name.clone(),
+                payload: self.spec.payload.clone(),
+                progress_ms,
+                declared_ms: Millis::from(self.kind.run_time).0,
+            },
+        };
+        let reply = self.send(piece.guard, call.into(), RESERVE_TIMEOUT).await;
+        matches!(reply, Some(GuardReply::Gang(GangReply::Reserved { .. })))
+    }
+
+    /// Commits the gang at the lead guard; `true` unless it is known not to be committed.
+    async fn commit(
+        &self,
+        placed: &PlacedGang,
+    ) -> bool {
+        let call = CommitCall {
+            gang: placed.gang,
+            pieces: placed.pieces.clone(),
+        };
+        let reply = self.send(placed.lead(), call.into(), COMMIT_TIMEOUT).await;
+        !matches!(reply, Some(GuardReply::Refused(_)))
+    }
+
+    /// Sends a call until a reply comes, a few times at most.
+    async fn send(
+        &self,
+        guard: SocketAddr,
+        req: GangRequest,
+        timeout: Duration,
+    ) -> Option<GuardReply> {
+        for _ in 0..TRIES {
+            match PlacedGang::call(self.entry, guard, req.clone(), timeout).await {
+                Ok(reply) => return Some(reply),
+                Err(LinkError::NotSent | LinkError::ReplyLost) => {}
+            }
+        }
+        None
+    }
+}
+
+fn eviction_of(kind: &JobKind) -> Eviction {
+    match (kind.checkpoint, kind.stoppable) {
+        (true, _) => Eviction::Checkpoint,
+        (false, true) => Eviction::Stop,
+        (false, false) => Eviction::Never,
+    }
+}
