--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod decision_report;
 pub mod entry;
 pub mod guard;
+pub mod job_queue;
 pub mod load;
 pub mod local;
 pub mod logging;
