--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -6,7 +6,11 @@
         connection::GuardPeer,
         prelude::*,
         process::{
-            membership::MemberTable, metrics::Metrics, settings::EntrySettings, state::State,
+            link::{CountedPeer, LinkAccount},
+            membership::{EntryTable, MemberTable},
+            metrics::Metrics,
+            settings::EntrySettings,
+            state::State,
         },
         request::{IdSource, PlacementPolicy, RoutingPolicy},
     },
@@ -24,7 +28,11 @@
     /// The state that the log tells.
     pub state: Rc<State>,
     /// The known upstreams.
-    pub members: RefCell<MemberTable>,
+    pub members: Rc<RefCell<MemberTable>>,
+    /// The known entries, this one among them.
+    pub entries: Rc<RefCell<EntryTable>>,
+    /// The count of what crosses the link between regions.
+    pub link: LinkAccount,
     /// The links to guards.
     pub dialer: Rc<dyn Dialer>,
     /// The choice of upstreams for requests.
@@ -51,12 +59,18 @@
         upstream: &UpstreamName,
     ) -> Option<Rc<dyn GuardPeer>> {
         let announcement = self.members.borrow().get(upstream)?;
-        Some(self.dialer.peer(announcement.guard_address))
+        let peer = self.dialer.peer(announcement.guard_address);
+        if self.link.crosses(&announcement.region) {
+            return Some(Rc::new(CountedPeer::new(peer, self.link.clone())));
+        }
+        Some(peer)
     }
 
-    /// Returns the names of the entries that are known to live, this one among them.
+    /// Returns the names of the entries that are known to live and take work, by name; this one is
+    /// among them unless it is draining.
     pub fn live_entries(&self) -> Vec<EntryName> {
-        vec![self.settings.name.clone()]
+        let live = self.entries.borrow().live(self.clock.now());
+        live.iter().map(|r| r.name.clone()).collect()
     }
 
     /// Tells whether the entry can serve: it has a document, knows an upstream and is not
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -7,6 +7,7 @@
 )]
 mod entry;
 mod in_flight;
+mod registration;
 mod running_entry;
 mod tasks;
 
@@ -14,6 +15,7 @@
     dialer::{Dialer, LinkDialer},
     entry::Entry,
     in_flight::{InFlight, InFlightLimits},
+    registration::{follow_registry, register},
     running_entry::RunningEntry,
     tasks::{push_documents, run_jobs},
 };
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -1,13 +1,25 @@
 //! An entry with its sockets and tasks.
 
 use {
-    super::{Entry, InFlightLimits, LinkDialer, push_documents, run_jobs},
+    super::{
+        Entry, InFlightLimits, LinkDialer, follow_registry, push_documents, register, run_jobs,
+    },
     crate::{
         connection::{HttpClient, HttpServer},
         prelude::*,
         process::{
-            clock::with_timeout, membership::MemberListener, metrics::Metrics, platform::HttpLog,
-            settings::EntrySettings, shutdown::Shutdown, state::State,
+            clock::with_timeout,
+            link::LinkAccount,
+            membership::{
+                DatagramLink, EntryRow, EntryTable, Membership, MembershipParts,
+                PublicationVersion, ServingState, UdpLink, new_incarnation,
+            },
+            metrics::Metrics,
+            platform::HttpLog,
+            settings::EntrySettings,
+            shutdown::Shutdown,
+            state::State,
+            task_group::TaskGroup,
         },
         request::{EntryApi, IdSource, LeastWaitRouting, PackPlacement},
     },
@@ -19,13 +31,15 @@
 /// balancer notices.
 const READINESS_LEAD: Duration = Duration::from_millis(500);
 
-/// A started entry.
+/// A started entry. Dropping it ends its tasks at once.
 pub struct RunningEntry {
     entry: Rc<Entry>,
+    membership: Rc<Membership>,
     http_address: SocketAddr,
     announcement_address: SocketAddr,
     shutdown: Rc<Shutdown>,
-    server: JoinHandle<()>,
+    server: Option<JoinHandle<()>>,
+    tasks: TaskGroup,
 }
 
 impl RunningEntry {
@@ -37,40 +51,31 @@
         settings: EntrySettings,
         clock: Rc<dyn Clock>,
     ) -> io::Result<Self> {
-        let metrics = Rc::new(Metrics::default());
-        let ids = IdSource::random();
-        let client = HttpClient::new(clock.clone());
-        let log = Rc::new(HttpLog::new(client, settings.log));
-        let state = State::new(log, clock.clone(), settings.name.clone(), ids.epoch());
-        let listener =
-            MemberListener::bind(settings.announcements, clock.clone(), metrics.clone()).await?;
-        let announcement_address = listener.local_addr()?;
-        let http = settings.http;
-        let entry = Rc::new(Entry {
-            settings,
-            dialer: Rc::new(LinkDialer::new(clock.clone(), metrics.clone())),
-            clock,
-            metrics,
-            state: Rc::new(state),
-            members: RefCell::default(),
-            routing: Box::new(LeastWaitRouting),
-            placement: Box::new(PackPlacement),
-            ids,
-            in_flight: InFlightLimits::default(),
-            draining: Cell::new(false),
-        });
+        let link = UdpLink::bind(settings.announcements, clock.clone()).await?;
+        let announcement_address = link.address();
+        let entry = Rc::new(build_entry(settings, clock, announcement_address));
+        let http = entry.settings.http;
         let server = HttpServer::bind(http, Rc::new(EntryApi::new(entry.clone()))).await?;
         let http_address = server.local_addr()?;
+        let membership = Membership::start(MembershipParts {
+            clock: entry.clock.clone(),
+            link: Rc::new(link),
+            metrics: entry.metrics.clone(),
+            entries: entry.entries.clone(),
+            members: entry.members.clone(),
+            seed: rand::random(),
+        });
         let shutdown = Rc::new(Shutdown::default());
         let stop = shutdown.clone();
         let server = spawn(server.run(async move { stop.wait().await }));
-        spawn_tasks(&entry, listener);
         Ok(Self {
+            tasks: start_tasks(&entry),
             entry,
+            membership,
             http_address,
             announcement_address,
             shutdown,
-            server,
+            server: Some(server),
         })
     }
 
@@ -89,27 +94,81 @@
         self.announcement_address
     }
 
-    /// Stops being ready, lets the requests in progress finish, and stops.
-    pub async fn stop(self) {
+    /// Stops being ready and watching, lets the requests in progress finish, tells the other
+    /// entries, and stops.
+    pub async fn stop(mut self) {
         self.entry.draining.set(true);
+        self.membership.drain();
         self.entry.clock.sleep(READINESS_LEAD).await;
         self.shutdown.start();
         let timeout = self.entry.settings.drain_timeout;
-        let drained = with_timeout(&*self.entry.clock, timeout, self.server).await;
-        if drained.is_none() {
-            tracing::warn!("requests were still in progress when the drain timeout passed");
+        if let Some(server) = self.server.take() {
+            let drained = with_timeout(&*self.entry.clock, timeout, server).await;
+            if drained.is_none() {
+                tracing::warn!("requests were still in progress when the drain timeout passed");
+            }
         }
+        self.membership.leave().await;
+    }
+
+    /// Ends all tasks at once, as the death of the process would.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for RunningEntry {
+    fn drop(&mut self) {
+        self.membership.kill();
+        self.tasks.cancel();
+    }
+}
+
+fn build_entry(
+    settings: EntrySettings,
+    clock: Rc<dyn Clock>,
+    address: SocketAddr,
+) -> Entry {
+    let metrics = Rc::new(Metrics::default());
+    let ids = IdSource::random();
+    let client = HttpClient::new(clock.clone());
+    let log = Rc::new(HttpLog::new(client, settings.log));
+    let state = State::new(log, clock.clone(), settings.name.clone(), ids.epoch());
+    let own = EntryRow {
+        name: settings.name.clone(),
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        address,
+        incarnation: new_incarnation(&*clock),
+        heartbeat: 0,
+        serving: ServingState::Serving,
+        published: PublicationVersion::default(),
+    };
+    let entries = EntryTable::new(own, settings.seeds.clone());
+    Entry {
+        link: LinkAccount::new(settings.region.clone(), metrics.clone()),
+        dialer: Rc::new(LinkDialer::new(clock.clone(), metrics.clone())),
+        members: Rc::default(),
+        entries: Rc::new(RefCell::new(entries)),
+        settings,
+        clock,
+        metrics,
+        state: Rc::new(state),
+        routing: Box::new(LeastWaitRouting),
+        placement: Box::new(PackPlacement),
+        ids,
+        in_flight: InFlightLimits::default(),
+        draining: Cell::new(false),
     }
 }
 
-fn spawn_tasks(
-    entry: &Rc<Entry>,
-    listener: MemberListener,
-) {
+fn start_tasks(entry: &Rc<Entry>) -> TaskGroup {
+    let tasks = TaskGroup::default();
     let state = entry.state.clone();
-    spawn(async move { state.follow_log().await }).detach();
-    let hearing = entry.clone();
-    spawn(async move { listener.run(&hearing.members).await }).detach();
-    spawn(run_jobs(entry.clone())).detach();
-    spawn(push_documents(entry.clone())).detach();
+    tasks.spawn(async move { state.follow_log().await });
+    tasks.spawn(run_jobs(entry.clone()));
+    tasks.spawn(push_documents(entry.clone()));
+    tasks.spawn(register(entry.clone()));
+    tasks.spawn(follow_registry(entry.clone()));
+    tasks
 }
--- a/src/process/guard/running_guard.rs
+++ b/src/process/guard/running_guard.rs
@@ -6,23 +6,31 @@
         connection::{HttpClient, PeerServer},
         prelude::*,
         process::{
-            clock::with_timeout, membership::run_announcer, metrics::Metrics, platform::HttpWorker,
+            clock::with_timeout,
+            membership::{Announcer, AnnouncerParts, UdpLink, new_incarnation},
+            metrics::Metrics,
+            platform::HttpWorker,
             settings::GuardSettings,
+            task_group::TaskGroup,
         },
     },
-    compio::runtime::spawn,
     std::io,
 };
 
 /// How often a stopping guard looks whether its requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
-/// A started guard.
+/// How long a guard that is idle still answers calls, so that answers on their way are sent.
+const ANSWER_LEAD: Duration = Duration::from_millis(100);
+
+/// A started guard. Dropping it ends its tasks at once.
 pub struct RunningGuard {
     guard: Rc<Guard>,
+    announcer: Rc<Announcer>,
     address: SocketAddr,
     clock: Rc<dyn Clock>,
     drain_timeout: Duration,
+    tasks: TaskGroup,
 }
 
 impl RunningGuard {
@@ -39,34 +47,36 @@
         let worker = Rc::new(HttpWorker::new(client, settings.worker));
         let listen = settings.listen;
         let drain_timeout = settings.drain_timeout;
-        let entries = settings.entries.clone();
-        let incarnation = rand::random();
+        let seeds = settings.entries.clone();
         let guard = Rc::new(Guard::new(
             settings,
             clock.clone(),
             metrics.clone(),
             worker,
-            incarnation,
+            new_incarnation(&*clock),
         ));
         let server = PeerServer::bind(listen, guard.clone(), metrics).await?;
         let address = server.local_addr()?;
-        spawn(server.run()).detach();
-        spawn(guard.clone().run_expiry()).detach();
+        let link = UdpLink::bind(SocketAddr::new(listen.ip(), 0), clock.clone()).await?;
+        let tasks = TaskGroup::default();
+        tasks.spawn(server.run());
+        tasks.spawn(guard.clone().run_expiry());
         let described = guard.clone();
-        let announcing = run_announcer(clock.clone(), entries, guard.changed(), move || {
-            described.describe(address)
+        let announcer = Announcer::start(AnnouncerParts {
+            clock: clock.clone(),
+            link: Rc::new(link),
+            seeds,
+            changed: guard.changed(),
+            describe: Box::new(move || described.describe(address)),
+            seed: rand::random(),
         });
-        spawn(async move {
-            if let Err(e) = announcing.await {
-                tracing::error!(error = %e, "announcing has ended");
-            }
-        })
-        .detach();
         Ok(Self {
             guard,
+            announcer,
             address,
             clock,
             drain_timeout,
+            tasks,
         })
     }
 
@@ -80,7 +90,8 @@
         self.address
     }
 
-    /// Takes no new work and waits until the requests in progress have ended.
+    /// Takes no new work, waits until the requests in progress have ended, tells the entries that
+    /// the upstream leaves, and stops.
     pub async fn stop(self) {
         self.guard.set_draining(true);
         let idle = async {
@@ -88,11 +99,23 @@
                 self.clock.sleep(DRAIN_POLL).await;
             }
         };
-        if with_timeout(&*self.clock, self.drain_timeout, idle)
-            .await
-            .is_none()
-        {
+        let drained = with_timeout(&*self.clock, self.drain_timeout, idle).await;
+        if drained.is_none() {
             tracing::warn!("requests were still in progress when the drain timeout passed");
         }
+        self.announcer.leave().await;
+        self.clock.sleep(ANSWER_LEAD).await;
+    }
+
+    /// Ends all tasks at once, as the death of the process would.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.announcer.kill();
+        self.tasks.cancel();
     }
 }
--- /dev/null
+++ b/src/process/link/counted_peer.rs
@@ -0,0 +1,68 @@
+//! The way to a guard of another region.
+
+use {
+    super::{LinkAccount, LinkPurpose},
+    crate::{
+        connection::{GuardPeer, GuardReply, GuardRequest, LinkError},
+        prelude::*,
+    },
+    serde::Serialize,
+};
+
+/// The bytes around the content of a frame: its header, its number, and the headers of TCP and IP.
+const FRAME_OVERHEAD_BYTES: usize = 5 + 2 + 40;
+
+/// A peer whose calls and replies are counted as traffic on the link.
+pub struct CountedPeer {
+    peer: Rc<dyn GuardPeer>,
+    account: LinkAccount,
+}
+
+impl CountedPeer {
+    /// Wraps the way to a guard.
+    pub fn new(
+        peer: Rc<dyn GuardPeer>,
+        account: LinkAccount,
+    ) -> Self {
+        Self { peer, account }
+    }
+
+    async fn call_counted(
+        &self,
+        req: GuardRequest,
+    ) -> Result<GuardReply, LinkError> {
+        let purpose = purpose_of(&req);
+        self.account.count_crossing(purpose, frame_bytes(&req));
+        let reply = self.peer.call(req).await?;
+        self.account.count_crossing(purpose, frame_bytes(&reply));
+        Ok(reply)
+    }
+}
+
+impl GuardPeer for CountedPeer {
+    fn call(
+        &self,
+        req: GuardRequest,
+    ) -> LocalBoxFuture<'_, Result<GuardReply, LinkError>> {
+        Box::pin(self.call_counted(req))
+    }
+}
+
+fn purpose_of(req: &GuardRequest) -> LinkPurpose {
+    match req {
+        GuardRequest::Run(_) => LinkPurpose::Requests,
+        GuardRequest::Document { .. }
+        | GuardRequest::Layout { .. }
+        | GuardRequest::Drain { .. } => LinkPurpose::Documents,
+        _ => LinkPurpose::Gang,
+    }
+}
+
+/// Returns the size of a message with what is around it on the way.
+fn frame_bytes<T>(message: &T) -> usize
+where
+    T: Serialize,
+{
+    let content = postcard::experimental::serialized_size(message).unwrap_or_default();
+    content + FRAME_OVERHEAD_BYTES
+}
--- /dev/null
+++ b/src/process/link/mod.rs
@@ -0,0 +1,11 @@
+//! The link between regions: what crosses it is counted by purpose, and control is paced.
+
+mod byte_budget;
+mod counted_peer;
+mod link_account;
+
+pub use {
+    byte_budget::ByteBudget,
+    counted_peer::CountedPeer,
+    link_account::{LinkAccount, LinkPurpose},
+};
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -135,6 +135,7 @@
                 data_centre: data_centre.name.clone(),
                 http: ANY_PORT,
                 announcements: ANY_PORT,
+                seeds: self.seeds(),
                 log,
                 drain_timeout: DRAIN_TIMEOUT,
                 bootstrap: None,
@@ -164,11 +165,7 @@
                 rack: format!("rack-{rack}").as_str().into(),
                 listen: ANY_PORT,
                 worker,
-                entries: self
-                    .entries
-                    .iter()
-                    .map(RunningEntry::announcement_address)
-                    .collect(),
+                entries: self.seeds(),
                 slots: workers.slots,
                 connections: workers.connections,
                 accelerators: workers.accelerators,
@@ -180,6 +177,12 @@
         Ok(())
     }
 
+    /// Returns where the entries hear announcements.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        entries.map(RunningEntry::announcement_address).collect()
+    }
+
     async fn submit_document(
         &self,
         text: &str,
--- a/src/process/membership/announcer.rs
+++ b/src/process/membership/announcer.rs
@@ -1,57 +1,345 @@
-//! Announces an upstream to entries.
+//! Announces an upstream to the entries that watch it.
 
 use {
-    super::{Announcement, Datagram, announcement::MAX_DATAGRAM_BYTES},
-    crate::{prelude::*, process::clock::with_timeout},
-    compio::net::UdpSocket,
+    super::{
+        Announce, Announcement, Datagram, DatagramLink, EntryRow, Received, ServingState,
+        WatcherRole,
+        entry_table::candidates_digest,
+        rendezvous::rendezvous_weight,
+        watcher::{Watcher, announce},
+    },
+    crate::{
+        prelude::*,
+        process::{clock::with_timeout, task_group::TaskGroup},
+    },
     event_listener::Event,
-    std::io,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{cell::Cell, cmp::Reverse, collections::BTreeMap},
 };
 
-/// The pause between announcements when nothing changes.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The shortest pause between two announcements.
-const ANNOUNCE_SPACING: Duration = Duration::from_millis(10);
-
-/// Announces for ever: at each change, and at an interval when there is none.
-///
-/// # Errors
-/// The error of binding the socket.
-pub async fn run_announcer<F>(
-    clock: Rc<dyn Clock>,
-    entries: Vec<SocketAddr>,
-    changed: Rc<Event>,
-    describe: F,
-) -> io::Result<()>
-where
-    F: Fn() -> Announcement,
-{
-    let socket = UdpSocket::bind(("0.0.0.0", 0)).await?;
+/// The number of entries to which a guard announces.
+const WATCHERS: usize = 2;
+
+/// How often the choice of watchers is looked at.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The shortest pause between two searches for entries.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a silent entry is not chosen again.
+const SILENT_SPAN: Duration = Duration::from_secs(10);
+
+/// How often the last announcement of a leaving upstream is sent.
+const FAREWELLS: u32 = 3;
+
+/// The pause between those.
+const FAREWELL_SPACING: Duration = Duration::from_millis(50);
+
+/// What an announcer is made of.
+pub struct AnnouncerParts {
+    /// The time.
+    pub clock: Rc<dyn Clock>,
+    /// The socket.
+    pub link: Rc<dyn DatagramLink>,
+    /// Addresses behind which entries are; one that a balancer spreads is enough.
+    pub seeds: Vec<SocketAddr>,
+    /// Notified when the announcement changes.
+    pub changed: Rc<Event>,
+    /// Describes the upstream, with a new number at each call.
+    pub describe: Box<dyn Fn() -> Announcement>,
+    /// The seed of the random parts of pauses.
+    pub seed: u64,
+}
+
+/// Announces one upstream.
+pub struct Announcer {
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) changed: Rc<Event>,
+    link: Rc<dyn DatagramLink>,
+    seeds: Vec<SocketAddr>,
+    describe: Box<dyn Fn() -> Announcement>,
+    leaving: Cell<bool>,
+    candidates: RefCell<Vec<EntryRow>>,
+    silent: RefCell<BTreeMap<EntryName, Millis>>,
+    watchers: RefCell<BTreeMap<EntryName, Rc<Watcher>>>,
+    searched: Cell<Option<Millis>>,
+    sent_bytes: Cell<u64>,
+    choose: Event,
+    rng: RefCell<StdRng>,
+    tasks: TaskGroup,
+}
+
+impl Announcer {
+    /// Starts the tasks. They end with [`Announcer::kill`] or [`Announcer::leave`].
+    pub fn start(parts: AnnouncerParts) -> Rc<Self> {
+        let announcer = Rc::new(Self {
+            clock: parts.clock,
+            changed: parts.changed,
+            link: parts.link,
+            seeds: parts.seeds,
+            describe: parts.describe,
+            leaving: Cell::new(false),
+            candidates: RefCell::default(),
+            silent: RefCell::default(),
+            watchers: RefCell::default(),
+            searched: Cell::new(None),
+            sent_bytes: Cell::new(0),
+            choose: Event::new(),
+            rng: RefCell::new(StdRng::seed_from_u64(parts.seed)),
+            tasks: TaskGroup::default(),
+        });
+        announcer.tasks.spawn(run_receiving(announcer.clone()));
+        announcer.tasks.spawn(run_choosing(announcer.clone()));
+        announcer
+    }
+
+    /// Tells the watchers that the upstream leaves, and ends.
+    pub async fn leave(&self) {
+        self.leaving.set(true);
+        for _ in 0..FAREWELLS {
+            let watchers: Vec<Rc<Watcher>> = self.watchers.borrow().values().cloned().collect();
+            for watcher in watchers {
+                announce(self, &watcher).await;
+            }
+            self.clock.sleep(FAREWELL_SPACING).await;
+        }
+        self.kill();
+    }
+
+    /// Ends all tasks at once.
+    pub fn kill(&self) {
+        self.tasks.cancel();
+        let watchers = std::mem::take(&mut *self.watchers.borrow_mut());
+        for watcher in watchers.values() {
+            watcher.end();
+        }
+    }
+
+    /// Returns the bytes that were sent, without headers.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.get()
+    }
+
+    /// Returns the names of the entries that watch, the primary one first.
+    pub fn watchers(&self) -> Vec<EntryName> {
+        let watchers = self.watchers.borrow();
+        let mut watchers: Vec<&Rc<Watcher>> = watchers.values().collect();
+        watchers.sort_by_key(|w| w.role() != WatcherRole::Primary);
+        watchers.iter().map(|w| w.row.name.clone()).collect()
+    }
+
+    /// Describes the upstream for an announcement.
+    pub(super) fn describe(&self) -> Announcement {
+        let mut announcement = (self.describe)();
+        if self.leaving.get() {
+            announcement.serving = ServingState::Leaving;
+        }
+        announcement
+    }
+
+    /// Returns the digest of the known entries.
+    pub(super) fn digest(&self) -> u32 {
+        candidates_digest(&self.candidates.borrow())
+    }
+
+    /// Sends a datagram.
+    pub(super) async fn send(
+        &self,
+        to: SocketAddr,
+        datagram: &Datagram,
+    ) {
+        if let Ok(content) = postcard::to_stdvec(datagram) {
+            self.sent_bytes
+                .set(self.sent_bytes.get() + content.len() as u64);
+            self.link.send(to, content).await;
+        }
+    }
+
+    /// Returns a pause within a tenth of `span`, so that guards do not act in step.
+    pub(super) fn jittered(
+        &self,
+        span: Duration,
+    ) -> Duration {
+        let factor = self.rng.borrow_mut().random_range(0.9..1.1);
+        span.mul_f64(factor)
+    }
+
+    /// Stops choosing entries that have been silent for too long.
+    fn drop_silent(&self) {
+        let now = self.clock.now();
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|_, until| now < *until);
+        let watchers = self.watchers.borrow();
+        for watcher in watchers.values().filter(|w| w.is_silent(now)) {
+            let until = now + Millis::from(SILENT_SPAN);
+            silent.insert(watcher.row.name.clone(), until);
+        }
+    }
+
+    /// Returns the entries to announce to, the primary watcher first: those of the own data
+    /// centre, then of the own region, ranked by rendezvous hash within each.
+    fn chosen(&self) -> Vec<EntryRow> {
+        let own = self.describe();
+        let silent = self.silent.borrow();
+        let mut candidates = self.candidates.borrow().clone();
+        if candidates.iter().any(|c| !silent.contains_key(&c.name)) {
+            candidates.retain(|c| !silent.contains_key(&c.name));
+        }
+        candidates.sort_by_key(|c| {
+            let weight = rendezvous_weight(own.upstream.as_str(), c.name.as_str());
+            (
+                c.data_centre != own.data_centre,
+                c.region != own.region,
+                Reverse(weight),
+            )
+        });
+        candidates.truncate(WATCHERS);
+        candidates
+    }
+
+    /// Returns every address behind which an entry may be.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let known = self.candidates.borrow();
+        let known = known.iter().map(|c| c.address);
+        let mut addresses: Vec<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    fn has_primary(&self) -> bool {
+        let now = self.clock.now();
+        let watchers = self.watchers.borrow();
+        watchers
+            .values()
+            .any(|w| w.role() == WatcherRole::Primary && w.has_acked() && !w.is_silent(now))
+    }
+
+    fn watcher_at(
+        &self,
+        address: SocketAddr,
+    ) -> Option<Rc<Watcher>> {
+        let watchers = self.watchers.borrow();
+        watchers
+            .values()
+            .find(|w| w.row.address == address)
+            .cloned()
+    }
+}
+
+/// Chooses watchers whenever the known entries change, and looks for entries while there is no
+/// primary watcher, for ever.
+async fn run_choosing(announcer: Rc<Announcer>) {
     loop {
-        let listener = changed.listen();
-        announce(&socket, &entries, describe()).await;
-        clock.sleep(ANNOUNCE_SPACING).await;
-        with_timeout(&*clock, ANNOUNCE_INTERVAL, listener).await;
+        let again = announcer.choose.listen();
+        announcer.drop_silent();
+        choose_watchers(&announcer).await;
+        if !announcer.has_primary() {
+            search(&announcer).await;
+        }
+        let pause = announcer.jittered(CHOICE_INTERVAL);
+        with_timeout(&*announcer.clock, pause, again).await;
     }
 }
 
-async fn announce(
-    socket: &UdpSocket,
-    entries: &[SocketAddr],
-    announcement: Announcement,
-) {
-    let datagram = match postcard::to_stdvec(&Datagram::Announce(announcement)) {
-        Ok(datagram) if datagram.len() <= MAX_DATAGRAM_BYTES => datagram,
-        _ => {
-            tracing::error!("an announcement does not fit a datagram");
-            return;
+async fn choose_watchers(announcer: &Rc<Announcer>) {
+    let chosen = announcer.chosen();
+    release_others(announcer, &chosen).await;
+    for (i, row) in chosen.into_iter().enumerate() {
+        let role = if i == 0 {
+            WatcherRole::Primary
+        } else {
+            WatcherRole::Standby
+        };
+        let known = announcer.watchers.borrow().get(&row.name).cloned();
+        match known {
+            Some(watcher) => watcher.set_role(role),
+            None => {
+                let name = row.name.clone();
+                let watcher = Watcher::start(announcer, row, role);
+                announcer.watchers.borrow_mut().insert(name, watcher);
+            }
         }
+    }
+}
+
+/// Tells entries that are no longer chosen so, and stops announcing to them.
+async fn release_others(
+    announcer: &Announcer,
+    chosen: &[EntryRow],
+) {
+    let is_chosen = |w: &Watcher| {
+        let same = |c: &EntryRow| (&c.name, c.address) == (&w.row.name, w.row.address);
+        chosen.iter().any(same)
     };
-    for entry in entries {
-        let sent = socket.send_to(datagram.clone(), *entry).await;
-        if let Err(e) = sent.0 {
-            tracing::debug!(error = %e, %entry, "announcing failed");
+    let watchers: Vec<Rc<Watcher>> = announcer.watchers.borrow().values().cloned().collect();
+    for watcher in watchers.into_iter().filter(|w| !is_chosen(w)) {
+        watcher.end();
+        announcer.watchers.borrow_mut().remove(&watcher.row.name);
+        watcher.set_role(WatcherRole::Released);
+        announce(announcer, &watcher).await;
+    }
+}
+
+/// Asks every known address for entries.
+async fn search(announcer: &Announcer) {
+    let now = announcer.clock.now();
+    let searched = announcer.searched.get();
+    if searched.is_some_and(|at| now.since(at) < SEARCH_INTERVAL) {
+        return;
+    }
+    announcer.searched.set(Some(now));
+    for address in announcer.addresses() {
+        announce_as(announcer, address, WatcherRole::Seed).await;
+    }
+}
+
+/// Announces whole to an address in a role.
+async fn announce_as(
+    announcer: &Announcer,
+    to: SocketAddr,
+    role: WatcherRole,
+) {
+    let datagram = Datagram::Announce(Announce {
+        content: announcer.describe(),
+        role,
+        candidates: announcer.digest(),
+    });
+    announcer.send(to, &datagram).await;
+}
+
+/// Takes over what entries answer, for ever.
+async fn run_receiving(announcer: Rc<Announcer>) {
+    loop {
+        let received = announcer.link.receive().await;
+        receive(&announcer, received).await;
+    }
+}
+
+async fn receive(
+    announcer: &Announcer,
+    received: Received,
+) {
+    let watcher = announcer.watcher_at(received.from);
+    match postcard::from_bytes(&received.content) {
+        Ok(Datagram::Ack(ack)) => {
+            let now = announcer.clock.now();
+            let spacing = Duration::from_millis(u64::from(ack.load_spacing_ms));
+            if let Some(watcher) = watcher {
+                watcher.note_ack(now, ack.sequence, ack.known, spacing);
+            }
+        }
+        Ok(Datagram::Candidates(candidates)) => {
+            let from_primary = watcher.is_some_and(|w| w.role() == WatcherRole::Primary);
+            if from_primary || !announcer.has_primary() {
+                *announcer.candidates.borrow_mut() = candidates;
+                announcer.choose.notify(usize::MAX);
+            }
+        }
+        Ok(Datagram::Probe) => {
+            let role = watcher.map_or(WatcherRole::Released, |w| w.role());
+            announce_as(announcer, received.from, role).await;
         }
+        _ => {}
     }
 }
--- /dev/null
+++ b/src/process/membership/hear_entries.rs
@@ -0,0 +1,199 @@
+//! Takes over what other entries tell.
+
+use {
+    super::{
+        Behind, Datagram, Delta, EntryRow, HeardEntry, Membership, ServingState,
+        datagram::split_rows, membership::LEAVING_GRACE, peer_task::start_peer,
+    },
+    crate::prelude::*,
+};
+
+/// The most deltas that answer one ask.
+const MAX_DELTAS: usize = 16;
+
+/// The shortest pause between two asks to an entry of the own region.
+const REGION_ASK_SPACING: Duration = Duration::from_millis(200);
+
+/// The shortest pause between two asks to an entry of another region.
+const REMOTE_ASK_SPACING: Duration = Duration::from_secs(1);
+
+pub(super) async fn hear_heartbeats(
+    membership: &Rc<Membership>,
+    from: SocketAddr,
+    rows: Vec<EntryRow>,
+) {
+    let mut remote = Vec::new();
+    for row in rows {
+        let now = membership.clock.now();
+        let heard = membership.entries.borrow_mut().hear(now, row.clone());
+        if heard == HeardEntry::Stale {
+            continue;
+        }
+        hear_entry(membership, &row).await;
+        if heard == HeardEntry::Joined {
+            start_peer(membership, &row.name);
+            if from == row.address {
+                introduce(membership, &row).await;
+            }
+        }
+        if membership.account.crosses(&row.region) {
+            remote.push(row);
+        }
+    }
+    if !remote.is_empty() && !is_in_region(membership, from) {
+        relay(membership, &Datagram::Heartbeats(remote)).await;
+    }
+}
+
+/// Takes over what an entry's heartbeat says of its publication.
+async fn hear_entry(
+    membership: &Membership,
+    row: &EntryRow,
+) {
+    let now = membership.clock.now();
+    if row.serving == ServingState::Leaving {
+        let until = now + Millis::from(LEAVING_GRACE);
+        let mut members = membership.members.borrow_mut();
+        members.end_vouching(&row.name, until);
+        return;
+    }
+    let lease = membership.entries.borrow().lease(row);
+    let behind = membership.members.borrow_mut().vouch(now, row, lease);
+    if let Some(behind) = behind {
+        ask_for_deltas(membership, &row.name, behind).await;
+    }
+}
+
+/// Tells an entry that has just been met of all live entries.
+async fn introduce(
+    membership: &Membership,
+    to: &EntryRow,
+) {
+    let own = membership.own_row();
+    let now = membership.clock.now();
+    let peers = membership.entries.borrow().live_peers(now);
+    let mut rows = vec![own];
+    rows.extend(
+        peers
+            .iter()
+            .filter(|p| p.name != to.name)
+            .map(|p| (**p).clone()),
+    );
+    for rows in split_rows(rows) {
+        let datagram = Datagram::Heartbeats(rows);
+        membership
+            .send(to.address, Some(&to.region), &datagram)
+            .await;
+    }
+}
+
+pub(super) async fn hear_delta(
+    membership: &Membership,
+    delta: Delta,
+) {
+    if delta.relay {
+        let delta = Delta {
+            relay: false,
+            ..delta.clone()
+        };
+        relay(membership, &Datagram::Delta(delta)).await;
+    }
+    let now = membership.clock.now();
+    let publisher = delta.publisher.clone();
+    let behind = membership.members.borrow_mut().apply_delta(now, delta);
+    if let Some(behind) = behind {
+        ask_for_deltas(membership, &publisher, behind).await;
+    }
+}
+
+async fn ask_for_deltas(
+    membership: &Membership,
+    publisher: &EntryName,
+    behind: Behind,
+) {
+    let row = membership.entries.borrow().get(publisher);
+    let Some(row) = row else {
+        return;
+    };
+    let spacing = if membership.account.crosses(&row.region) {
+        membership.jittered(REMOTE_ASK_SPACING)
+    } else {
+        REGION_ASK_SPACING
+    };
+    let now = membership.clock.now();
+    let may_ask = membership
+        .members
+        .borrow_mut()
+        .may_ask(now, publisher, spacing);
+    if may_ask {
+        let ask = Datagram::DeltaAsk {
+            asker: membership.entries.borrow().own().name.clone(),
+            incarnation: behind.incarnation,
+            generation: behind.generation,
+            have: behind.have,
+        };
+        membership.send(row.address, Some(&row.region), &ask).await;
+    }
+}
+
+/// Sends what an entry does not have; across the link only as far as the budget goes.
+pub(super) async fn answer_delta_ask(
+    membership: &Membership,
+    to: SocketAddr,
+    asker: &EntryName,
+    behind: Behind,
+) {
+    let region = membership
+        .entries
+        .borrow()
+        .get(asker)
+        .map(|r| r.region.clone());
+    let deltas = {
+        let publication = membership.publication.borrow();
+        let entries = membership.entries.borrow();
+        let own = entries.own();
+        let known = (own.incarnation, publication.version().generation);
+        let same = (behind.incarnation, behind.generation) == known;
+        let base = if same { behind.have } else { 0 };
+        publication.deltas_after(base, &own.name, own.incarnation)
+    };
+    let crosses = region
+        .as_ref()
+        .is_some_and(|r| membership.account.crosses(r));
+    for delta in deltas.into_iter().take(MAX_DELTAS) {
+        let datagram = Datagram::Delta(delta);
+        let bytes = postcard::to_stdvec(&datagram).map_or(0, |d| d.len());
+        let now = membership.clock.now();
+        if crosses && !membership.link_budget.try_spend(now, bytes) {
+            return;
+        }
+        membership.send(to, region.as_ref(), &datagram).await;
+    }
+}
+
+/// Passes a datagram on to the other entries of the own region.
+async fn relay(
+    membership: &Membership,
+    datagram: &Datagram,
+) {
+    let now = membership.clock.now();
+    let peers = membership.entries.borrow().live_peers(now);
+    let own = membership.account.own_region();
+    for peer in peers.iter().filter(|p| p.region == *own) {
+        membership
+            .send(peer.address, Some(&peer.region), datagram)
+            .await;
+    }
+}
+
+fn is_in_region(
+    membership: &Membership,
+    address: SocketAddr,
+) -> bool {
+    let now = membership.clock.now();
+    let peers = membership.entries.borrow().live_peers(now);
+    let own = membership.account.own_region();
+    peers
+        .iter()
+        .any(|p| p.address == address && p.region == *own)
+}
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -1,13 +1,41 @@
-//! Which upstreams there are: they announce themselves by datagram.
+//! Which entries and upstreams there are: they tell each other by datagram.
 
 mod announcement;
 mod announcer;
-mod listener;
+mod contact_task;
+mod datagram;
+mod datagram_link;
+mod entry_row;
+mod entry_table;
+mod hear_announce;
+mod hear_entries;
+mod hear_task;
+mod incarnation;
+mod live_cache;
+mod member;
 mod member_table;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
+mod membership;
+mod peer_task;
+mod publication;
+mod publish_task;
+mod publisher;
+mod rendezvous;
+mod watch_task;
+mod watcher;
 
 pub use {
-    announcement::{Announcement, Datagram, ServingState},
-    announcer::run_announcer,
-    listener::MemberListener,
+    announcement::{Announcement, Pulse, ServingState},
+    announcer::{Announcer, AnnouncerParts},
+    datagram::{Announce, AnnounceAck, Datagram, Delta, MemberRow, WatcherRole},
+    datagram_link::{DatagramLink, Received, UdpLink},
+    entry_row::{EntryRow, PublicationVersion},
+    entry_table::{EntryTable, HeardEntry},
+    incarnation::new_incarnation,
     member_table::MemberTable,
+    membership::{Membership, MembershipParts},
+    publisher::Behind,
 };
--- /dev/null
+++ b/src/process/membership/peer_task.rs
@@ -0,0 +1,82 @@
+//! Tells one other entry that this one lives, as long as that one does.
+
+use {
+    super::{Datagram, EntryRow, Membership, datagram::split_rows},
+    crate::{
+        prelude::*,
+        process::{clock::with_timeout, task_group::TaskGroup},
+    },
+};
+
+/// The pause between heartbeats to an entry of the own region.
+const REGION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The pause between heartbeats to an entry of another region.
+const REMOTE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The number of entries of another region that get the heartbeats of a data centre.
+const GATEWAYS: usize = 2;
+
+/// Starts the task for an entry that was not known as live.
+pub(super) fn start_peer(
+    membership: &Rc<Membership>,
+    peer: &EntryName,
+) {
+    let group = TaskGroup::default();
+    group.spawn(run_peer(membership.clone(), peer.clone()));
+    let mut peers = membership.peers.borrow_mut();
+    peers.insert(peer.clone(), group);
+}
+
+/// Sends heartbeats to an entry until it is no longer heard.
+async fn run_peer(
+    membership: Rc<Membership>,
+    peer: EntryName,
+) {
+    loop {
+        let now = membership.clock.now();
+        let Some(row) = membership.entries.borrow().reachable(now, &peer) else {
+            return;
+        };
+        let beat = membership.beat.listen();
+        let in_region = row.region == *membership.account.own_region();
+        let rows = if in_region {
+            vec![membership.own_row()]
+        } else {
+            rows_for_gateway(&membership, &row)
+        };
+        for rows in split_rows(rows) {
+            let datagram = Datagram::Heartbeats(rows);
+            membership
+                .send(row.address, Some(&row.region), &datagram)
+                .await;
+        }
+        let interval = if in_region {
+            REGION_INTERVAL
+        } else {
+            REMOTE_INTERVAL
+        };
+        let pause = membership.jittered(interval);
+        with_timeout(&*membership.clock, pause, beat).await;
+    }
+}
+
+/// Returns the rows of the own data centre if this entry speaks for it and the other one takes
+/// them for its region.
+fn rows_for_gateway(
+    membership: &Membership,
+    peer: &EntryRow,
+) -> Vec<EntryRow> {
+    let now = membership.clock.now();
+    membership.own_row();
+    let entries = membership.entries.borrow();
+    let key = entries.own().data_centre.as_str();
+    let gateways = entries.ranked(now, &peer.region, key);
+    let mut gateways = gateways.iter().take(GATEWAYS);
+    let is_gateway = gateways.any(|g| g.name == peer.name);
+    if is_gateway && entries.is_speaker(now) {
+        entries.data_centre_rows(now)
+    } else {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/src/process/membership/rendezvous.rs
@@ -0,0 +1,33 @@
+//! Rendezvous hashing (Thaler and Ravishankar, 1998): every process that knows the same candidates
+//! ranks them alike, and the loss of one moves only what it held.
+
+/// Returns a candidate's weight for a key; the candidate with the highest weight comes first.
+pub(crate) fn rendezvous_weight(
+    key: &str,
+    candidate: &str,
+) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(candidate.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Sorts candidates for a key, the first choice first.
+pub(crate) fn rendezvous_sort<F, T>(
+    key: &str,
+    candidates: &mut [T],
+    name: F,
+) where
+    F: Fn(&T) -> &str,
+{
+    candidates.sort_by_cached_key(|c| {
+        let name = name(c);
+        (
+            std::cmp::Reverse(rendezvous_weight(key, name)),
+            name.to_owned(),
+        )
+    });
+}
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -17,6 +17,20 @@
     pub malformed_datagrams: IntCounter,
     /// Announcements heard.
     pub announcements: IntCounter,
+    /// Bytes that crossed the link between regions, by purpose.
+    pub link_bytes: IntCounterVec,
+    /// Bytes of membership datagrams with their UDP and IP headers, by direction.
+    pub membership_bytes: IntCounterVec,
+    /// Membership datagrams, by direction.
+    pub membership_datagrams: IntCounterVec,
+    /// Upstreams that are known as live.
+    pub live_upstreams: IntGauge,
+    /// Upstreams that this entry watches for the others.
+    pub watched_upstreams: IntGauge,
+    /// Entries that are known as live.
+    pub live_entries: IntGauge,
+    /// Upstreams that were found dead.
+    pub upstreams_lost: IntCounter,
     /// The document version in force.
     pub document_version: IntGauge,
     /// Slots in use.
@@ -60,6 +74,44 @@
                 "limpetquay_announcements_total",
                 "Announcements heard.",
             ),
+            link_bytes: counter_vec(
+                &registry,
+                "limpetquay_link_bytes_total",
+                "Bytes that crossed the link between regions, by purpose.",
+                &["purpose"],
+            ),
+            membership_bytes: counter_vec(
+                &registry,
+                "limpetquay_membership_bytes_total",
+                "Bytes of membership datagrams with UDP and IP headers, by direction.",
+                &["direction"],
+            ),
+            membership_datagrams: counter_vec(
+                &registry,
+                "limpetquay_membership_datagrams_total",
+                "Membership datagrams, by direction.",
+                &["direction"],
+            ),
+            live_upstreams: gauge(
+                &registry,
+                "limpetquay_live_upstreams",
+                "Upstreams that are known as live.",
+            ),
+            watched_upstreams: gauge(
+                &registry,
+                "limpetquay_watched_upstreams",
+                "Upstreams that this entry watches for the others.",
+            ),
+            live_entries: gauge(
+                &registry,
+                "limpetquay_live_entries",
+                "Entries that are known as live.",
+            ),
+            upstreams_lost: counter(
+                &registry,
+                "limpetquay_upstreams_lost_total",
+                "Upstreams that were found dead.",
+            ),
             document_version: gauge(
                 &registry,
                 "limpetquay_document_version",
--- a/src/process/settings/entry_settings.rs
+++ b/src/process/settings/entry_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an entry.
 
 use {
-    super::place::{read_address, read_drain_timeout, read_name},
+    super::place::{read_address, read_drain_timeout, read_name, read_optional_list},
     crate::{
         prelude::*,
         version::{Faults, IniFile, KeyHash},
@@ -30,6 +30,9 @@
     pub http: SocketAddr,
     /// Where it hears announcements.
     pub announcements: SocketAddr,
+    /// Addresses behind which other entries hear announcements; one that a balancer spreads is
+    /// enough, and with the log none is needed.
+    pub seeds: Vec<SocketAddr>,
     /// Where the platform's log is.
     pub log: SocketAddr,
     /// How long a graceful shutdown waits for work in progress.
@@ -61,6 +64,8 @@
         let http = read_address(file, section, "http");
         let announcements = read_address(file, section, "announcements");
         let log = read_address(file, section, "log");
+        let expected = "addresses such as 10.0.0.5:7001, 10.0.0.6:7001";
+        let seeds = read_optional_list(file, section, "seeds", expected);
         let drain_timeout = read_drain_timeout(file, section);
         let bootstrap = Bootstrap::read(file);
         if http.is_some() && http == announcements {
@@ -76,6 +81,7 @@
             data_centre: data_centre?,
             http: http?,
             announcements: announcements?,
+            seeds,
             log: log?,
             drain_timeout,
             bootstrap,
--- a/src/process/settings/guard_settings.rs
+++ b/src/process/settings/guard_settings.rs
@@ -23,7 +23,7 @@
     pub listen: SocketAddr,
     /// Where its upstream takes requests and tasks.
     pub worker: SocketAddr,
-    /// Where entries hear announcements.
+    /// Addresses behind which entries hear announcements; one that a balancer spreads is enough.
     pub entries: Vec<SocketAddr>,
     /// The most requests that the upstream runs at once.
     pub slots: u32,
--- a/src/process/settings/place.rs
+++ b/src/process/settings/place.rs
@@ -48,6 +48,22 @@
     })
 }
 
+/// Reads a comma-separated list of values that may be left out.
+pub(super) fn read_optional_list<T>(
+    file: &IniFile,
+    section: &IniSection,
+    key: &str,
+    expected: &str,
+) -> Vec<T>
+where
+    T: FromStr,
+{
+    let values = file.optional(section, key, expected, |v| {
+        v.split(',').map(|item| item.trim().parse().ok()).collect()
+    });
+    values.unwrap_or_default()
+}
+
 /// Reads a whole number within limits.
 pub(super) fn read_count(
     file: &IniFile,
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -1,7 +1,7 @@
 //! The fold of the log: the same records in the same order give every reader the same state.
 
 use {
-    super::{DocumentRecord, JobEntry, JobRecord, Record, RecordBody, RecordKey},
+    super::{DocumentRecord, EntryRegistry, JobEntry, JobRecord, Record, RecordBody, RecordKey},
     crate::{
         prelude::*,
         process::platform::{LogRecord, Offset},
@@ -18,6 +18,7 @@
     accepted_keys: BTreeMap<RecordKey, VersionNumber>,
     seen: BTreeSet<RecordKey>,
     jobs: BTreeMap<JobId, JobEntry>,
+    entries: EntryRegistry,
 }
 
 impl Fold {
@@ -65,6 +66,11 @@
         self.jobs.values()
     }
 
+    /// Returns the registered entries.
+    pub fn entries(&self) -> &EntryRegistry {
+        &self.entries
+    }
+
     /// Tells whether a job was cancelled.
     pub fn is_cancelled(
         &self,
@@ -101,6 +107,7 @@
         match record.body {
             RecordBody::Document(document) => self.apply_document(record.key, document),
             RecordBody::Job(job) => self.apply_job(job),
+            RecordBody::Entry(entry) => self.entries.apply(entry, log_record.appended_ms),
         }
     }
 
--- a/src/process/state/mod.rs
+++ b/src/process/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state that all processes agree on, folded from the platform's log.
 
+mod entry_registry;
 mod fold;
 mod job_state;
 mod record;
@@ -10,6 +11,7 @@
 mod state;
 
 pub use {
+    entry_registry::{EntryRecord, EntryRegistry},
     fold::Fold,
     job_state::{JobEntry, JobStatus},
     record::{DocumentRecord, JobEnd, JobRecord, Record, RecordBody, RecordKey},
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,6 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
+    super::EntryRecord,
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -33,6 +34,8 @@
     Document(DocumentRecord),
     /// Something happened to a job.
     Job(JobRecord),
+    /// An entry registered.
+    Entry(EntryRecord),
 }
 
 /// A submitted document. It is accepted when it follows the version in force where it stands.
--- /dev/null
+++ b/tests/membership/fleet.rs
@@ -0,0 +1,318 @@
+//! Entries and guards over the network in virtual time, and the truth about them.
+
+use {
+    crate::network::Network,
+    event_listener::Event,
+    limpetquay::{
+        prelude::*,
+        process::{
+            clock::VirtualClock,
+            membership::{
+                Announcement, Announcer, AnnouncerParts, EntryRow, EntryTable, MemberTable,
+                Membership, MembershipParts, PublicationVersion, ServingState,
+            },
+            metrics::Metrics,
+        },
+    },
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, BTreeSet},
+    },
+};
+
+/// The low bits of an incarnation, which follow the time of day.
+const INCARNATION_BITS: u32 = 16;
+
+/// One data centre of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub region: &'static str,
+    pub data_centre: &'static str,
+}
+
+/// One entry.
+pub struct FleetEntry {
+    pub address: SocketAddr,
+    pub place: Place,
+    pub table: Rc<RefCell<EntryTable>>,
+    pub members: Rc<RefCell<MemberTable>>,
+    pub membership: Rc<Membership>,
+}
+
+/// One guard.
+pub struct FleetGuard {
+    pub address: SocketAddr,
+    pub announcer: Rc<Announcer>,
+    pub announcement: Rc<RefCell<Announcement>>,
+    pub changed: Rc<Event>,
+}
+
+/// What is true of one upstream.
+pub type Truth = BTreeMap<String, (u64, ServingState)>;
+
+/// Entries and guards.
+pub struct Fleet {
+    pub clock: Rc<VirtualClock>,
+    pub network: Rc<Network>,
+    pub entries: BTreeMap<String, FleetEntry>,
+    pub guards: BTreeMap<String, FleetGuard>,
+    pub seeds: Vec<SocketAddr>,
+    next_port: Cell<u16>,
+    seed: u64,
+}
+
+impl Fleet {
+    pub fn new(
+        clock: Rc<VirtualClock>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            network: Network::new(clock.clone(), seed),
+            clock,
+            entries: BTreeMap::new(),
+            guards: BTreeMap::new(),
+            seeds: Vec::new(),
+            next_port: Cell::new(1),
+            seed,
+        }
+    }
+
+    /// Returns an address that no host has had.
+    pub fn fresh_address(&self) -> SocketAddr {
+        let port = self.next_port.get();
+        self.next_port.set(port + 1);
+        SocketAddr::from(([10, 0, 0, 1], port))
+    }
+
+    /// Starts entries and guards in each place.
+    pub fn populate(
+        &mut self,
+        places: &[Place],
+        entries: u32,
+        guards: u32,
+    ) {
+        for place in places {
+            for i in 0..entries {
+                let name = format!("e-{}-{i}", place.data_centre);
+                let address = self.fresh_address();
+                self.seeds.push(address);
+                self.start_entry(&name, *place, address);
+            }
+        }
+        for place in places {
+            for i in 0..guards {
+                let name = format!("{}-w{i}", place.data_centre);
+                let address = self.fresh_address();
+                self.start_guard(&name, *place, address);
+            }
+        }
+    }
+
+    /// Starts an entry; it is told of the first seed only.
+    pub fn start_entry(
+        &mut self,
+        name: &str,
+        place: Place,
+        address: SocketAddr,
+    ) {
+        let own = EntryRow {
+            name: name.into(),
+            region: place.region.into(),
+            data_centre: place.data_centre.into(),
+            address,
+            incarnation: self.clock.wall().0 << INCARNATION_BITS,
+            heartbeat: 0,
+            serving: ServingState::Serving,
+            published: PublicationVersion::default(),
+        };
+        let seeds = self.seeds.iter().take(1).copied().collect();
+        let table = Rc::new(RefCell::new(EntryTable::new(own, seeds)));
+        let members: Rc<RefCell<MemberTable>> = Rc::default();
+        let membership = Membership::start(MembershipParts {
+            clock: self.clock.clone(),
+            link: self.network.bind(address, &place.region.into()),
+            metrics: Rc::new(Metrics::default()),
+            entries: table.clone(),
+            members: members.clone(),
+            seed: self.seed + u64::from(address.port()),
+        });
+        let entry = FleetEntry {
+            address,
+            place,
+            table,
+            members,
+            membership,
+        };
+        self.entries.insert(name.to_owned(), entry);
+    }
+
+    /// Starts a guard; it is told of the seeds.
+    pub fn start_guard(
+        &mut self,
+        name: &str,
+        place: Place,
+        address: SocketAddr,
+    ) {
+        let announcement = Announcement {
+            upstream: name.into(),
+            incarnation: self.clock.wall().0 << INCARNATION_BITS,
+            sequence: 0,
+            guard_address: address,
+            region: place.region.into(),
+            data_centre: place.data_centre.into(),
+            rack: "rack-1".into(),
+            serving: ServingState::Serving,
+            slots: 8,
+            slots_in_use: 0,
+            accelerators: AcceleratorSet::first(8),
+            accelerators_free: AcceleratorSet::first(8),
+            version: VersionNumber::default(),
+        };
+        let announcement = Rc::new(RefCell::new(announcement));
+        let changed = Rc::new(Event::new());
+        let described = announcement.clone();
+        let describe = move || {
+            let mut announcement = described.borrow_mut();
+            announcement.sequence += 1;
+            announcement.clone()
+        };
+        let announcer = Announcer::start(AnnouncerParts {
+            clock: self.clock.clone(),
+            link: self.network.bind(address, &place.region.into()),
+            seeds: self.seeds.clone(),
+            changed: changed.clone(),
+            describe: Box::new(describe),
+            seed: self.seed + u64::from(address.port()),
+        });
+        let guard = FleetGuard {
+            address,
+            announcer,
+            announcement,
+            changed,
+        };
+        self.guards.insert(name.to_owned(), guard);
+    }
+
+    /// Ends an entry without a word.
+    pub fn kill_entry(
+        &mut self,
+        name: &str,
+    ) -> Option<FleetEntry> {
+        let entry = self.entries.remove(name)?;
+        entry.membership.kill();
+        self.network.unbind(entry.address);
+        Some(entry)
+    }
+
+    /// Ends a guard without a word.
+    pub fn kill_guard(
+        &mut self,
+        name: &str,
+    ) -> Option<FleetGuard> {
+        let guard = self.guards.remove(name)?;
+        guard.announcer.kill();
+        self.network.unbind(guard.address);
+        Some(guard)
+    }
+
+    /// Changes what a guard announces.
+    pub fn change_guard<F>(
+        &self,
+        name: &str,
+        change: F,
+    ) where
+        F: FnOnce(&mut Announcement),
+    {
+        if let Some(guard) = self.guards.get(name) {
+            change(&mut guard.announcement.borrow_mut());
+            guard.changed.notify(usize::MAX);
+        }
+    }
+
+    pub async fn wait(
+        &self,
+        span: Duration,
+    ) {
+        self.clock.sleep(span).await;
+    }
+
+    /// Waits until a condition holds, `limit` at most; returns the time that it took.
+    pub async fn wait_until<F>(
+        &self,
+        limit: Duration,
+        condition: F,
+    ) -> Option<Duration>
+    where
+        F: Fn(&Self) -> bool,
+    {
+        let start = self.clock.now();
+        while !condition(self) {
+            if self.clock.now().since(start) >= limit {
+                return None;
+            }
+            self.wait(Duration::from_millis(10)).await;
+        }
+        Some(self.clock.now().since(start))
+    }
+
+    /// Returns what is true.
+    pub fn truth(&self) -> Truth {
+        let guards = self.guards.iter();
+        let truth = guards.map(|(name, g)| {
+            let announcement = g.announcement.borrow();
+            let state = (announcement.incarnation, announcement.serving);
+            (name.clone(), state)
+        });
+        truth.collect()
+    }
+
+    /// Returns what an entry knows.
+    pub fn known(
+        &self,
+        entry: &str,
+    ) -> Truth {
+        let live = self.entries[entry].members.borrow().live(self.clock.now());
+        let known = live
+            .iter()
+            .map(|a| (a.upstream.to_string(), (a.incarnation, a.serving)));
+        known.collect()
+    }
+
+    /// Returns the entries that an entry knows as live.
+    pub fn known_entries(
+        &self,
+        entry: &str,
+    ) -> BTreeSet<String> {
+        let live = self.entries[entry].table.borrow().live(self.clock.now());
+        live.iter().map(|r| r.name.to_string()).collect()
+    }
+
+    /// Tells whether every entry knows all upstreams and all entries as they are.
+    pub fn is_settled(&self) -> bool {
+        let truth = self.truth();
+        let names: BTreeSet<String> = self.entries.keys().cloned().collect();
+        let mut entries = self.entries.keys();
+        entries.all(|e| self.known(e) == truth && self.known_entries(e) == names)
+    }
+
+    /// Tells in a few words where an entry's knowledge differs from the truth.
+    pub fn differences(&self) -> Vec<String> {
+        let truth = self.truth();
+        let names: BTreeSet<String> = self.entries.keys().cloned().collect();
+        let mut differences = Vec::new();
+        for entry in self.entries.keys() {
+            let known = self.known(entry);
+            for name in truth.keys().chain(known.keys()).collect::<BTreeSet<_>>() {
+                if truth.get(name) != known.get(name) {
+                    let (should, is) = (truth.get(name), known.get(name));
+                    differences.push(format!("{entry}: {name} is {should:?}, known {is:?}"));
+                }
+            }
+            let known = self.known_entries(entry);
+            if known != names {
+                differences.push(format!("{entry}: knows entries {known:?}"));
+            }
+        }
+        differences
+    }
+}
