--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -18,7 +18,7 @@
             platform::HttpLog,
             settings::EntrySettings,
             shutdown::Shutdown,
-            state::State,
+            state::{HttpPeers, SnapshotPolicy, State},
             task_group::TaskGroup,
         },
         request::{EntryApi, IdSource, LeastWaitRouting, PackPlacement},
@@ -132,8 +132,11 @@
     let metrics = Rc::new(Metrics::default());
     let ids = IdSource::random();
     let client = HttpClient::new(clock.clone());
-    let log = Rc::new(HttpLog::new(client, settings.log));
-    let state = State::new(log, clock.clone(), settings.name.clone(), ids.epoch());
+    let log = Rc::new(HttpLog::new(client.clone(), settings.log));
+    let mut state = State::new(log, clock.clone(), settings.name.clone(), ids.epoch());
+    if let Some(peers) = &settings.peers {
+        state = state.with_peers(Rc::new(HttpPeers::new(client, peers.clone())));
+    }
     let own = EntryRow {
         name: settings.name.clone(),
         region: settings.region.clone(),
@@ -166,9 +169,18 @@
     let tasks = TaskGroup::default();
     let state = entry.state.clone();
     tasks.spawn(async move { state.follow_log().await });
+    tasks.spawn(keep_snapshots(entry.clone()));
     tasks.spawn(run_jobs(entry.clone()));
     tasks.spawn(push_documents(entry.clone()));
     tasks.spawn(register(entry.clone()));
     tasks.spawn(follow_registry(entry.clone()));
     tasks
 }
+
+async fn keep_snapshots(entry: Rc<Entry>) {
+    let policy = SnapshotPolicy {
+        retention: entry.settings.log_retention,
+    };
+    let live_entries = || entry.live_entries();
+    entry.state.keep_snapshots(policy, live_entries).await;
+}
--- a/src/process/membership/watcher.rs
+++ b/src/process/membership/watcher.rs
@@ -40,6 +40,7 @@
     pub(super) row: EntryRow,
     role: Cell<WatcherRole>,
     known: Cell<bool>,
+    whole: RefCell<Option<Announcement>>,
     load_spacing: Cell<Duration>,
     acked: Cell<Millis>,
     acked_sequence: Cell<u64>,
@@ -59,6 +60,7 @@
             row,
             role: Cell::new(role),
             known: Cell::new(false),
+            whole: RefCell::default(),
             load_spacing: Cell::new(FIRST_LOAD_SPACING),
             acked: Cell::new(announcer.clock.now()),
             acked_sequence: Cell::new(0),
@@ -104,7 +106,9 @@
             .set(self.acked_sequence.get().max(sequence));
         self.load_spacing.set(load_spacing);
         self.acknowledged.notify(usize::MAX);
-        self.known.set(known);
+        let whole = self.whole.borrow().as_ref().map(|w| w.sequence);
+        let has_whole = whole.is_some_and(|w| w <= sequence);
+        self.known.set(known && has_whole);
         if !known {
             self.poke();
         }
@@ -127,6 +131,21 @@
         now.since(self.acked.get()) >= limit
     }
 
+    /// Tells whether the entry needs the whole announcement, and notes that it gets it.
+    fn needs_whole(
+        &self,
+        announcement: &Announcement,
+    ) -> bool {
+        let mut whole = self.whole.borrow_mut();
+        let same = |w: &Announcement| !w.differs_beyond_pulse(announcement);
+        let needed = !self.known.get() || !whole.as_ref().is_some_and(same);
+        if needed {
+            self.known.set(false);
+            *whole = Some(announcement.clone());
+        }
+        needed
+    }
+
     /// Ends announcing to the entry.
     pub(super) fn end(&self) {
         self.task.cancel();
@@ -170,15 +189,15 @@
     let announcement = announcer.describe();
     let role = watcher.role.get();
     let candidates = announcer.digest();
-    let datagram = if watcher.known.get() {
-        Datagram::Pulse(Announce {
-            content: announcement.pulse(),
+    let datagram = if watcher.needs_whole(&announcement) {
+        Datagram::Announce(Announce {
+            content: announcement.clone(),
             role,
             candidates,
         })
     } else {
-        Datagram::Announce(Announce {
-            content: announcement.clone(),
+        Datagram::Pulse(Announce {
+            content: announcement.pulse(),
             role,
             candidates,
         })
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,9 +3,11 @@
 pub mod bench;
 pub mod cli;
 pub mod clock;
+pub mod decision_report;
 pub mod entry;
 pub mod guard;
 pub mod link;
+pub mod load;
 pub mod local;
 pub mod logging;
 pub mod membership;
--- a/src/process/state/entry_registry.rs
+++ b/src/process/state/entry_registry.rs
@@ -1,6 +1,7 @@
 //! The entries that have registered on the log.
 
 use {
+    super::{RecordCx, RecordOutcome},
     crate::prelude::*,
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
@@ -25,36 +26,36 @@
 }
 
 /// One registration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 struct Registration {
     record: EntryRecord,
     appended_ms: u64,
 }
 
 /// The registrations, the latest start of each entry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct EntryRegistry {
     entries: BTreeMap<EntryName, Registration>,
 }
 
 impl EntryRegistry {
-    /// Takes a registration over unless a later start is known; `appended_ms` is when the log took
-    /// it.
-    pub(super) fn apply(
+    /// Takes a registration over unless a later start is known.
+    pub fn apply(
         &mut self,
+        cx: &RecordCx,
         record: EntryRecord,
-        appended_ms: u64,
-    ) {
+    ) -> RecordOutcome {
         let known = self.entries.get(&record.name);
         if known.is_some_and(|k| k.record.incarnation > record.incarnation) {
-            return;
+            return RecordOutcome::Stale;
         }
         let registration = Registration {
             record,
-            appended_ms,
+            appended_ms: cx.appended_ms,
         };
         self.entries
             .insert(registration.record.name.clone(), registration);
+        RecordOutcome::Applied
     }
 
     /// Returns the entries whose registration still counts at a time of day.
--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -166,6 +166,8 @@
             slots_in_use: 0,
             accelerators: AcceleratorSet::first(8),
             accelerators_free: AcceleratorSet::first(8),
+            evictable: AcceleratorSet::empty(),
+            guaranteed: Vec::new(),
             version: VersionNumber::default(),
         };
         let announcement = Rc::new(RefCell::new(announcement));
