Replace single entries and guards of a local system, and kill them at once

Cause: nothing showed that replacing every entry and guard under load loses no request, and a killed role left its connections and calls running.

Change: connections, calls and jobs run in task groups that end with their server. LocalSystem stops, kills and replaces single entries and guards.

--- a/src/connection/http/server.rs
+++ b/src/connection/http/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{HttpHandler, HttpReply, HttpRequest, Problem},
-    crate::prelude::*,
+    crate::{prelude::*, process::task_group::TaskGroup},
     compio::net::{TcpListener, TcpStream},
     cyper_core::{CompioTimer, HyperStream},
     futures_util::{
@@ -37,6 +37,7 @@
     listener: TcpListener,
     handler: Rc<dyn HttpHandler>,
     open: Rc<Cell<usize>>,
+    connections: TaskGroup,
 }
 
 /// Counts one open connection while it lives.
@@ -68,6 +69,7 @@
             listener: TcpListener::bind(address).await?,
             handler,
             open: Rc::default(),
+            connections: TaskGroup::default(),
         })
     }
 
@@ -79,7 +81,8 @@
         self.listener.local_addr()
     }
 
-    /// Accepts connections until `stop` is done, then lets the requests in progress finish.
+    /// Accepts connections until `stop` is done, then lets the requests in progress finish. When
+    /// this is dropped, all connections end at once.
     pub async fn run<F>(
         self,
         stop: F,
@@ -111,11 +114,10 @@
     ) {
         let handler = self.handler.clone();
         let open = OpenConnection::new(&self.open);
-        compio::runtime::spawn(async move {
+        self.connections.spawn(async move {
             let _open = open;
             serve_connection(stream, handler, stop).await;
-        })
-        .detach();
+        });
     }
 }
 
--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{FrameError, GuardReply, GuardRequest, peer_link::Numbered, read_frame, write_frame},
-    crate::{prelude::*, process::metrics::Metrics},
+    crate::{
+        prelude::*,
+        process::{metrics::Metrics, task_group::TaskGroup},
+    },
     compio::net::{TcpListener, TcpStream},
     futures_channel::mpsc,
     futures_util::{
@@ -13,7 +16,7 @@
     std::io,
 };
 
-/// The longest pause after a failed accept, so that running out of descriptors does not spin.
+/// The pause after a failed accept, so that running out of descriptors does not spin.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
 /// What answers the calls.
@@ -30,6 +33,7 @@
     listener: TcpListener,
     handler: Rc<dyn PeerHandler>,
     metrics: Rc<Metrics>,
+    tasks: Rc<TaskGroup>,
 }
 
 impl PeerServer {
@@ -46,6 +50,7 @@
             listener: TcpListener::bind(address).await?,
             handler,
             metrics,
+            tasks: Rc::default(),
         })
     }
 
@@ -57,7 +62,7 @@
         self.listener.local_addr()
     }
 
-    /// Accepts connections for ever.
+    /// Accepts connections for ever. When this is dropped, all connections and calls end at once.
     pub async fn run(self) {
         loop {
             match self.listener.accept().await {
@@ -65,7 +70,9 @@
                     let _ = stream.set_nodelay(true);
                     let handler = self.handler.clone();
                     let metrics = self.metrics.clone();
-                    compio::runtime::spawn(serve_peer(stream, handler, metrics)).detach();
+                    let calls = self.tasks.clone();
+                    self.tasks
+                        .spawn(serve_peer(stream, handler, metrics, calls));
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "accepting a peer failed");
@@ -76,15 +83,22 @@
     }
 }
 
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.tasks.cancel();
+    }
+}
+
 /// Serves one connection: reads calls, does each in a task of its own, writes the replies.
 async fn serve_peer(
     stream: TcpStream,
     handler: Rc<dyn PeerHandler>,
     metrics: Rc<Metrics>,
+    calls: Rc<TaskGroup>,
 ) {
     let (mut read_half, mut write_half) = stream.into_split();
     let (tx, rx) = mpsc::unbounded();
-    let reading = read_calls(&mut read_half, handler, tx);
+    let reading = read_calls(&mut read_half, handler, tx, &calls);
     let writing = write_replies(&mut write_half, rx);
     pin_mut!(reading, writing);
     let result = match select(reading, writing).await {
@@ -102,15 +116,15 @@
     stream: &mut TcpStream,
     handler: Rc<dyn PeerHandler>,
     tx: mpsc::UnboundedSender<Numbered<GuardReply>>,
+    calls: &TaskGroup,
 ) -> Result<(), FrameError> {
     loop {
         let (number, req): Numbered<GuardRequest> = read_frame(stream).await?;
         let handling = handler.clone().handle(req);
         let tx = tx.clone();
-        compio::runtime::spawn(async move {
+        calls.spawn(async move {
             let _ = tx.unbounded_send((number, handling.await));
-        })
-        .detach();
+        });
     }
 }
 
--- a/src/process/entry/owned_jobs.rs
+++ b/src/process/entry/owned_jobs.rs
@@ -2,12 +2,18 @@
 
 use {
     super::Entry,
-    crate::{prelude::*, process::state::JobEntry, request::run_job},
+    crate::{
+        prelude::*,
+        process::{state::JobEntry, task_group::TaskGroup},
+        request::run_job,
+    },
     std::collections::BTreeSet,
 };
 
-/// Starts a task for each open job that this start of the entry owns, for ever.
+/// Starts a task for each open job that this start of the entry owns, for ever. The tasks end with
+/// this one.
 pub async fn run_jobs(entry: Rc<Entry>) {
+    let tasks = TaskGroup::default();
     let mut running = BTreeSet::new();
     loop {
         let changed = entry.state.change();
@@ -17,7 +23,7 @@
         for job in owned {
             if !running.contains(&(job.spec.id, job.ownership)) {
                 let spec = (*job.spec).clone();
-                compio::runtime::spawn(run_job(entry.clone(), spec, job.ownership)).detach();
+                tasks.spawn(run_job(entry.clone(), spec, job.ownership));
             }
         }
         running = now_owned;
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -69,7 +69,7 @@
         let stop = shutdown.clone();
         let server = spawn(server.run(async move { stop.wait().await }));
         Ok(Self {
-            tasks: start_tasks(&entry),
+            tasks: start_tasks(&entry, &membership),
             entry,
             membership,
             http_address,
@@ -165,13 +165,16 @@
     }
 }
 
-fn start_tasks(entry: &Rc<Entry>) -> TaskGroup {
+fn start_tasks(
+    entry: &Rc<Entry>,
+    membership: &Rc<Membership>,
+) -> TaskGroup {
     let tasks = TaskGroup::default();
     let state = entry.state.clone();
     tasks.spawn(async move { state.follow_log().await });
     tasks.spawn(keep_snapshots(entry.clone()));
     tasks.spawn(run_jobs(entry.clone()));
-    tasks.spawn(push_documents(entry.clone()));
+    tasks.spawn(push_documents(entry.clone(), membership.clone()));
     tasks.spawn(register(entry.clone()));
     tasks.spawn(follow_registry(entry.clone()));
     tasks
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -37,13 +37,15 @@
 
 /// A whole system: a stand-in log, stand-in upstreams, guards and entries.
 pub struct LocalSystem {
-    clock: Rc<dyn Clock>,
-    entries: Vec<RunningEntry>,
-    guards: Vec<RunningGuard>,
-    upstreams: Vec<Rc<StandInUpstream>>,
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) entries: Vec<RunningEntry>,
+    pub(super) guards: Vec<RunningGuard>,
+    pub(super) upstreams: Vec<Rc<StandInUpstream>>,
     platform: Rc<Shutdown>,
-    peers: PeerSettings,
+    pub(super) peers: PeerSettings,
     log: Rc<StandInLog>,
+    log_address: SocketAddr,
+    pub(super) guard_settings: Vec<GuardSettings>,
 }
 
 impl LocalSystem {
@@ -66,11 +68,13 @@
                 key: format!("{:032x}", rand::random::<u128>()).into(),
             },
             log: Rc::new(StandInLog::new(clock.clone())),
+            log_address: ANY_PORT,
+            guard_settings: Vec::new(),
             clock,
         };
-        let log = system.serve(system.log.clone()).await?;
+        system.log_address = system.serve(system.log.clone()).await?;
         for data_centre in &settings.data_centres {
-            system.start_entries(data_centre, log).await?;
+            system.start_entries(data_centre).await?;
         }
         for data_centre in &settings.data_centres {
             system.start_workers(data_centre, settings).await?;
@@ -143,7 +147,6 @@
     async fn start_entries(
         &mut self,
         data_centre: &LocalDataCentre,
-        log: SocketAddr,
     ) -> Result<(), LocalError> {
         for i in 1..=data_centre.entries {
             let settings = EntrySettings {
@@ -153,20 +156,28 @@
                 http: ANY_PORT,
                 announcements: ANY_PORT,
                 seeds: self.seeds(),
-                log,
+                log: self.log_address,
                 drain_timeout: DRAIN_TIMEOUT,
                 bootstrap: None,
                 peers: Some(self.peers.clone()),
                 log_retention: LOG_RETENTION,
             };
-            let entry = RunningEntry::start(settings, self.clock.clone()).await?;
-            let address = entry.http_address();
-            self.peers.addresses.borrow_mut().push(address);
-            self.entries.push(entry);
+            self.start_entry(settings).await?;
         }
         Ok(())
     }
 
+    pub(super) async fn start_entry(
+        &mut self,
+        settings: EntrySettings,
+    ) -> Result<(), LocalError> {
+        let entry = RunningEntry::start(settings, self.clock.clone()).await?;
+        let address = entry.http_address();
+        self.peers.addresses.borrow_mut().push(address);
+        self.entries.push(entry);
+        Ok(())
+    }
+
     async fn start_workers(
         &mut self,
         data_centre: &LocalDataCentre,
@@ -192,14 +203,15 @@
                 accelerators: workers.accelerators,
                 drain_timeout: DRAIN_TIMEOUT,
             };
-            self.guards
-                .push(RunningGuard::start(settings, self.clock.clone()).await?);
+            self.guard_settings.push(settings.clone());
+            let guard = RunningGuard::start(settings, self.clock.clone()).await?;
+            self.guards.push(guard);
         }
         Ok(())
     }
 
     /// Returns where the entries hear announcements.
-    fn seeds(&self) -> Vec<SocketAddr> {
+    pub(super) fn seeds(&self) -> Vec<SocketAddr> {
         let entries = self.entries.iter();
         entries.map(RunningEntry::announcement_address).collect()
     }
--- a/src/process/local/mod.rs
+++ b/src/process/local/mod.rs
@@ -4,6 +4,7 @@
 mod example_keys;
 mod local_error;
 mod local_system;
+mod replacement;
 
 pub use {
     demonstration::demonstrate, example_keys::example_key, local_error::LocalError,
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -133,6 +133,24 @@
         }
     }
 
+    /// Tells whether this entry watches an upstream for the others.
+    pub fn is_watching(
+        &self,
+        upstream: &UpstreamName,
+    ) -> bool {
+        self.watches.borrow().contains_key(upstream)
+    }
+
+    /// Tells whether an upstream announces itself to this entry.
+    pub fn hears(
+        &self,
+        upstream: &UpstreamName,
+    ) -> bool {
+        let now = self.clock.now();
+        let members = self.members.borrow();
+        members.heard_directly(now, upstream).is_some()
+    }
+
     /// Counts a heartbeat and returns the own row as it is now.
     pub(super) fn own_row(&self) -> EntryRow {
         let mut entries = self.entries.borrow_mut();
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -5,4 +5,5 @@
 mod fleet;
 mod network;
 mod regions;
+mod replacement;
 mod upstreams;
