--- a/src/process/state/mod.rs
+++ b/src/process/state/mod.rs
@@ -3,6 +3,7 @@
 mod audit_fold;
 mod document_fold;
 mod drain_fold;
+mod entry_registry;
 mod fold;
 mod job_fold;
 mod job_state;
@@ -30,6 +31,7 @@
     audit_fold::{AuditEntry, AuditFold},
     document_fold::{AcceptedVersion, DocumentFold},
     drain_fold::{DrainFold, DrainMark},
+    entry_registry::{EntryRecord, EntryRegistry},
     fold::Fold,
     job_fold::JobFold,
     job_state::{JobEntry, JobStatus},
