--- a/src/process/cli/load_command.rs
+++ b/src/process/cli/load_command.rs
@@ -1,7 +1,7 @@
 //! `limpetquay load`.
 
 use {
-    super::{CliError, Command, role_commands::run_role},
+    super::{CliError, Command, role::run_async},
     crate::{
         prelude::*,
         process::load::{LoadPlan, LoadPlanError, run_load},
@@ -36,7 +36,7 @@
     }
 
     fn summary(&self) -> &'static str {
-        "send a bounded load of requests to entries on this machine"
+        "send a bounded load to entries on this machine"
     }
 
     fn add_options(
@@ -71,7 +71,7 @@
     ) -> Result<(), CliError> {
         let plan = read_plan(matches)?;
         plan.check()?;
-        run_role(async move |clock| {
+        run_async(async move |clock| {
             let report = run_load(plan, clock).await?;
             print!("{}", report.table().render());
             Ok(())
--- a/src/process/cli/local_command.rs
+++ b/src/process/cli/local_command.rs
@@ -1,9 +1,7 @@
 //! `limpetquay local`.
 
 use {
-    super::{
-        CliError, Command, command::read_file, role_commands::run_role, signals::wait_for_stop,
-    },
+    super::{CliError, Command, command::read_file, role::run_async, signals::wait_for_stop},
     crate::{
         prelude::*,
         process::{
@@ -23,7 +21,7 @@
     }
 
     fn summary(&self) -> &'static str {
-        "run a whole system in one process, with a short demonstration"
+        "run a whole system in one process and show it at work"
     }
 
     fn add_options(
@@ -56,7 +54,7 @@
         };
         Document::parse(&path, &text)?;
         let serve = matches.opt_present("serve");
-        run_role(async move |clock| {
+        run_async(async move |clock| {
             let system = LocalSystem::start(&settings, &text, clock).await?;
             system.print_addresses();
             if serve {
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -8,8 +8,14 @@
 mod key_hash_command;
 mod load_command;
 mod local_command;
-mod role_commands;
+mod role;
+mod roles;
 mod run;
 mod signals;
 
-pub use {check_command::check_text, cli_error::CliError, command::Command, run::run};
+pub use {
+    check_command::check_text,
+    cli_error::CliError,
+    command::Command,
+    run::{help_pages, run},
+};
--- /dev/null
+++ b/src/process/cli/role.rs
@@ -0,0 +1,93 @@
+//! The border of a role that runs until a signal.
+
+use {
+    super::{
+        CliError, Command,
+        command::{read_file, required_option},
+    },
+    crate::{
+        prelude::*,
+        process::{clock::SystemClock, logging},
+        version::Faults,
+    },
+    compio::runtime::Runtime,
+    getopts::{Matches, Options},
+    std::marker::PhantomData,
+};
+
+/// The log level of a role when the environment does not set one.
+const LOG_LEVEL: &str = "info";
+
+/// A role that has a settings file and runs until a signal.
+pub(super) trait Role {
+    /// The settings of the role.
+    type Settings;
+
+    /// The words that call the role.
+    const NAME: &'static str;
+
+    /// One line that says what the role does.
+    const SUMMARY: &'static str;
+
+    /// Parses and checks the settings file.
+    fn parse(
+        name: &str,
+        text: &str,
+    ) -> Result<Self::Settings, Faults>;
+
+    /// Runs the role until a signal, and then until its work in progress is done.
+    async fn serve(
+        settings: Self::Settings,
+        clock: Rc<dyn Clock>,
+    ) -> Result<(), CliError>;
+}
+
+/// The command that runs a role.
+pub(super) struct RoleCommand<R>(PhantomData<R>);
+
+impl<R> RoleCommand<R> {
+    /// Creates the command.
+    pub(super) fn new() -> Self {
+        Self(PhantomData)
+    }
+}
+
+impl<R> Command for RoleCommand<R>
+where
+    R: Role,
+{
+    fn name(&self) -> &'static str {
+        R::NAME
+    }
+
+    fn summary(&self) -> &'static str {
+        R::SUMMARY
+    }
+
+    fn add_options(
+        &self,
+        opts: &mut Options,
+    ) {
+        opts.optopt("c", "settings", "the settings file", "FILE");
+    }
+
+    fn run(
+        &self,
+        matches: &Matches,
+    ) -> Result<(), CliError> {
+        let path = required_option(matches, "c")?;
+        let text = read_file(&path)?;
+        let settings = R::parse(&path, &text)?;
+        run_async(async move |clock| R::serve(settings, clock).await)
+    }
+}
+
+/// Runs a command's future on a new runtime.
+pub(super) fn run_async<F>(command: F) -> Result<(), CliError>
+where
+    F: AsyncFnOnce(Rc<dyn Clock>) -> Result<(), CliError>,
+{
+    logging::start(LOG_LEVEL);
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+    Runtime::new()?.block_on(command(clock))
+}
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -9,7 +9,8 @@
         key_hash_command::KeyHashCommand,
         load_command::LoadCommand,
         local_command::LocalCommand,
-        role_commands::{EntryCommand, GuardCommand, StandInLogCommand, StandInUpstreamCommand},
+        role::RoleCommand,
+        roles::{EntryRole, GuardRole, StandInLogRole, StandInUpstreamRole},
     },
     getopts::Options,
     std::process::ExitCode,
@@ -28,16 +29,16 @@
 
 fn commands() -> Vec<Box<dyn Command>> {
     vec![
-        Box::new(EntryCommand),
-        Box::new(GuardCommand),
+        Box::new(RoleCommand::<EntryRole>::new()),
+        Box::new(RoleCommand::<GuardRole>::new()),
         Box::new(LocalCommand),
         Box::new(CheckCommand),
         Box::new(KeyHashCommand),
         Box::new(LoadCommand),
         Box::new(DecisionsCommand),
         Box::new(BenchCommand),
-        Box::new(StandInLogCommand),
-        Box::new(StandInUpstreamCommand),
+        Box::new(RoleCommand::<StandInLogRole>::new()),
+        Box::new(RoleCommand::<StandInUpstreamRole>::new()),
     ]
 }
 
@@ -73,21 +74,12 @@
     command: &dyn Command,
     args: &[String],
 ) -> Result<(), CliError> {
-    let mut opts = Options::new();
-    command.add_options(&mut opts);
-    opts.optflag("h", "help", "print this help and exit");
-    opts.optflag("V", "version", "print the version and exit");
+    let opts = options_of(command);
     let matches = opts
         .parse(args)
         .map_err(|e| CliError::Usage(e.to_string()))?;
     if matches.opt_present("help") {
-        let brief = format!(
-            "{}\n\nUsage: limpetquay {} [options] {}",
-            command.summary(),
-            command.name(),
-            command.arguments(),
-        );
-        print!("{}", opts.usage(&brief));
+        print!("{}", help_of(command, &opts));
         return Ok(());
     }
     if matches.opt_present("version") {
@@ -97,9 +89,37 @@
     command.run(&matches)
 }
 
+fn options_of(command: &dyn Command) -> Options {
+    let mut opts = Options::new();
+    command.add_options(&mut opts);
+    opts.optflag("h", "help", "print this help and exit");
+    opts.optflag("V", "version", "print the version and exit");
+    opts
+}
+
+fn help_of(
+    command: &dyn Command,
+    opts: &Options,
+) -> String {
+    let arguments = format!("{} [options] {}", command.name(), command.arguments());
+    let brief = format!(
+        "{}\n\nUsage: limpetquay {}",
+        command.summary(),
+        arguments.trim_end()
+    );
+    opts.usage(&brief)
+}
+
+/// Returns the general help and then the help of each command.
+pub fn help_pages() -> Vec<String> {
+    let commands = commands();
+    let pages = commands.iter().map(|c| help_of(&**c, &options_of(&**c)));
+    std::iter::once(usage()).chain(pages).collect()
+}
+
 fn usage() -> String {
     let mut text = String::from(
-        "A scheduler for multi-accelerator jobs and requests under client account guarantees.\n\n\
+        "A scheduler for multi-accelerator jobs under client account guarantees.\n\n\
          Usage: limpetquay COMMAND [options]\n\nCommands:\n",
     );
     for command in commands() {
