--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,8 +3,12 @@
 pub mod bench;
 pub mod cli;
 pub mod clock;
+pub mod decision_report;
 pub mod entry;
 pub mod guard;
+pub mod job_queue;
+pub mod link;
+pub mod load;
 pub mod local;
 pub mod logging;
 pub mod membership;
@@ -14,3 +18,4 @@
 pub mod shutdown;
 pub mod stand_in;
 pub mod state;
+pub mod task_group;
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,8 +6,8 @@
 
 use {
     super::{
-        AuditFold, DocumentFold, DrainFold, JobEntry, JobFold, Record, RecordBody, RecordCx,
-        RecordKey, RecordOutcome, SnapshotFold, WriterFold,
+        AuditFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold, Record, RecordBody,
+        RecordCx, RecordKey, RecordOutcome, SnapshotFold, WriterFold,
     },
     crate::{
         prelude::*,
@@ -26,6 +26,7 @@
     jobs: JobFold,
     drains: DrainFold,
     audit: AuditFold,
+    entries: EntryRegistry,
 }
 
 impl Fold {
@@ -90,6 +91,11 @@
         self.jobs.iter()
     }
 
+    /// Returns the registered entries.
+    pub fn entries(&self) -> &EntryRegistry {
+        &self.entries
+    }
+
     /// Tells whether a job was cancelled.
     pub fn is_cancelled(
         &self,
@@ -172,6 +178,7 @@
             RecordBody::Job(job) => self.jobs.apply(cx, job),
             RecordBody::Drain(drain) => self.drains.apply(cx, drain),
             RecordBody::Audit(audit) => self.audit.apply(cx, audit),
+            RecordBody::Entry(entry) => self.entries.apply(cx, entry),
             RecordBody::Snapshot(part) => self.snapshots.apply(cx, &part),
         }
     }
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,7 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
-    super::SnapshotRecord,
+    super::{EntryRecord, SnapshotRecord},
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -38,6 +38,8 @@
     Drain(DrainRecord),
     /// An operator changed something.
     Audit(AuditRecord),
+    /// An entry registered.
+    Entry(EntryRecord),
     /// A part of the whole state, written again so that the log keeps it.
     Snapshot(SnapshotRecord),
 }
