Give jobs their turn from one queue and agree on layouts through the log

Cause: each job polled for a place on its own, and guards were never told which accelerators are guaranteed to whom. Change: one task of an entry takes the queue's turns when a job comes, goes or ends and when membership changes; a job's task waits for its grant. Layouts are proposed by the live entry with the lowest name, agreed on the log and pushed to guards whose announcements differ. Owners record where jobs run and what they claim, so that other entries count it. A gang that is asked to give way is evicted by its lead guard.

--- a/src/connection/peer/gang_message.rs
+++ b/src/connection/peer/gang_message.rs
@@ -41,6 +41,13 @@
         /// The gang.
         gang: GangId,
     },
+    /// Evict the gang, so that work that cannot wait has its place: sent to the lead guard by the
+    /// gang's owner.
+    #[from(skip)]
+    GiveWay {
+        /// The gang.
+        gang: GangId,
+    },
     /// Tell how the gang stands, waiting for a change: sent to the lead guard.
     #[from(skip)]
     Watch {
@@ -304,7 +311,10 @@
             Self::Commit(call) => call.gang.job,
             Self::Start(call) => call.gang.job,
             Self::Beat(beat) => beat.gang.job,
-            Self::Stop { gang } | Self::Watch { gang, .. } | Self::Release { gang, .. } => gang.job,
+            Self::Stop { gang }
+            | Self::GiveWay { gang }
+            | Self::Watch { gang, .. }
+            | Self::Release { gang, .. } => gang.job,
             Self::Inspect { job, .. } => *job,
         }
     }
--- a/src/process/bench/placement/replay.rs
+++ b/src/process/bench/placement/replay.rs
@@ -9,7 +9,10 @@
     crate::{
         connection::GuaranteedShare,
         prelude::*,
-        process::job_queue::{JobQueue, JobStart, RunningJob, TurnCx, WaitingJob},
+        process::{
+            entry::ShareIndex,
+            job_queue::{JobQueue, JobStart, RunningJob, TurnCx, WaitingJob},
+        },
         request::{FleetView, Room, ShapeMix},
         version::{Guarantee, Layout, lay_out},
     },
@@ -80,7 +83,7 @@
     strategy: &'a Strategy,
     workload: &'a Workload,
     mix: Rc<ShapeMix>,
-    guaranteed: Vec<Vec<GuaranteedShare>>,
+    shares: ShareIndex,
     queue: JobQueue,
     now: Millis,
     events: BTreeMap<EventTime, Event>,
@@ -107,7 +110,7 @@
         let layout = lay_out(&guarantees, &deployment.fleet, &Layout::default());
         let mut replay = Self {
             mix: Rc::new(ShapeMix::of(&document)),
-            guaranteed: shares_by_worker(deployment, &layout),
+            shares: ShareIndex::of(&layout),
             document,
             deployment,
             strategy,
@@ -376,10 +379,9 @@
         let mut rooms: Vec<Room> = fleet
             .workers()
             .iter()
-            .zip(&self.guaranteed)
-            .map(|(worker, guaranteed)| Room {
+            .map(|worker| Room {
                 idle: worker.accelerators,
-                guaranteed: guaranteed.clone(),
+                guaranteed: self.shares.on(&worker.upstream).to_vec(),
                 ..Room::default()
             })
             .collect();
@@ -425,20 +427,3 @@
         &self.workload.jobs[id.0 as usize - 1]
     }
 }
-
-/// Returns what accounts are guaranteed on each worker.
-fn shares_by_worker(
-    deployment: &Deployment,
-    layout: &Layout,
-) -> Vec<Vec<GuaranteedShare>> {
-    let workers = deployment.fleet.workers().iter();
-    let shares = workers.map(|worker| {
-        let accounts = layout.accounts_on(&worker.upstream).into_iter();
-        let shares = accounts.map(|account| GuaranteedShare {
-            accelerators: layout.guaranteed_on(&worker.upstream, &account),
-            account,
-        });
-        shares.collect()
-    });
-    shares.collect()
-}
--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -1,12 +1,13 @@
 //! The entry.
 
 use {
-    super::{Dialer, InFlightLimits},
+    super::{Dialer, FleetMemory, InFlightLimits},
     crate::{
         connection::GuardPeer,
         prelude::*,
         process::{
-            membership::MemberTable, metrics::Metrics, settings::EntrySettings, state::State,
+            job_queue::JobTurns, membership::MemberTable, metrics::Metrics,
+            settings::EntrySettings, state::State,
         },
         request::{IdSource, PlacementPolicy, RoutingPolicy},
     },
@@ -25,12 +26,16 @@
     pub state: Rc<State>,
     /// The known upstreams.
     pub members: RefCell<MemberTable>,
+    /// The upstreams that were heard, also those that are silent now.
+    pub fleet: RefCell<FleetMemory>,
     /// The links to guards.
     pub dialer: Rc<dyn Dialer>,
     /// The choice of upstreams for requests.
     pub routing: Box<dyn RoutingPolicy>,
     /// The choice of workers for gangs.
     pub placement: Box<dyn PlacementPolicy>,
+    /// The turns of its jobs.
+    pub turns: Rc<JobTurns>,
     /// The source of identities.
     pub ids: IdSource,
     /// The requests in progress.
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -6,16 +6,26 @@
     reason = "a file bears the name of its main type"
 )]
 mod entry;
+mod fleet_memory;
 mod in_flight;
+mod layout_proposal;
+mod layout_push;
 mod owned_jobs;
+mod placement_records;
 mod running_entry;
+mod share_index;
 mod tasks;
 
 pub use {
     dialer::{Dialer, LinkDialer},
     entry::Entry,
+    fleet_memory::FleetMemory,
     in_flight::{InFlight, InFlightLimits},
+    layout_proposal::propose_layouts,
+    layout_push::push_layouts,
     owned_jobs::run_jobs,
+    placement_records::keep_placements,
     running_entry::RunningEntry,
+    share_index::ShareIndex,
     tasks::push_documents,
 };
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -1,7 +1,10 @@
 //! An entry with its sockets and tasks.
 
 use {
-    super::{Entry, InFlightLimits, LinkDialer, push_documents, run_jobs},
+    super::{
+        Entry, InFlightLimits, LinkDialer, keep_placements, propose_layouts, push_documents,
+        push_layouts, run_jobs,
+    },
     crate::{
         connection::{HttpClient, HttpServer},
         prelude::*,
@@ -14,7 +17,7 @@
             shutdown::Shutdown,
             state::{HttpPeers, SnapshotPolicy, State},
         },
-        request::{EntryApi, IdSource, LeastWaitRouting, PackPlacement},
+        request::{EntryApi, IdSource, LeastWaitRouting, WeighedPlacement},
     },
     compio::runtime::{JoinHandle, spawn},
     std::{cell::Cell, io},
@@ -61,8 +64,10 @@
             metrics,
             state: Rc::new(state),
             members: RefCell::default(),
+            fleet: RefCell::default(),
             routing: Box::new(LeastWaitRouting),
-            placement: Box::new(PackPlacement),
+            placement: Box::new(WeighedPlacement),
+            turns: Rc::default(),
             ids,
             in_flight: InFlightLimits::default(),
             draining: Cell::new(false),
@@ -120,6 +125,11 @@
     let hearing = entry.clone();
     spawn(async move { listener.run(&hearing.members).await }).detach();
     spawn(run_jobs(entry.clone())).detach();
+    spawn(propose_layouts(entry.clone())).detach();
+    spawn(push_layouts(entry.clone())).detach();
+    spawn(keep_placements(entry.clone())).detach();
+    let turns = entry.clone();
+    spawn(async move { turns.turns.run(&turns).await }).detach();
     spawn(push_documents(entry.clone())).detach();
 }
 
--- a/src/process/guard/gang/gang_keeper.rs
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -4,7 +4,8 @@
     super::{Fences, LedGang, Piece, Stage, bounds::TASK_LEASE},
     crate::{
         connection::{
-            GangId, GangRequest, GuaranteedShare, GuardReply, GuardRequest, LinkError, StopCause,
+            GangId, GangReply, GangRequest, GuaranteedShare, GuardReply, GuardRequest, LinkError,
+            StopCause,
         },
         prelude::*,
         process::{entry::Dialer, guard::AcceleratorBook, metrics::Metrics, platform::Worker},
@@ -116,6 +117,10 @@
             GangRequest::Start(call) => self.start(call).await,
             GangRequest::Beat(beat) => self.beat(&beat),
             GangRequest::Stop { gang } => self.stop(gang, StopCause::WithGang).await,
+            GangRequest::GiveWay { gang } => {
+                self.stop_piece(gang, StopCause::Evicted);
+                Ok(GangReply::Done)
+            }
             GangRequest::Watch {
                 gang,
                 known,
--- a/src/process/job_queue/explanation.rs
+++ b/src/process/job_queue/explanation.rs
@@ -70,6 +70,16 @@
     Running,
 }
 
+impl WaitReason {
+    /// Tells whether another reason differs in its figures at most.
+    pub fn is_like(
+        &self,
+        other: &Self,
+    ) -> bool {
+        std::mem::discriminant(self) == std::mem::discriminant(other)
+    }
+}
+
 /// Why a job waits, or where it runs.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Explanation {
@@ -86,6 +96,11 @@
 }
 
 impl Explanation {
+    /// Tells whether the job has no place.
+    pub fn is_waiting(&self) -> bool {
+        self.waits_for != WaitReason::Running
+    }
+
     /// Returns the explanation of a job at a position, without workers.
     pub(super) fn waiting(
         waits_for: WaitReason,
--- a/src/process/job_queue/job_queue.rs
+++ b/src/process/job_queue/job_queue.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Claim, Ejections, Estimates, Explanation, QueueRules, RunningJob, Usage, WaitReason,
-        WaitingJob,
+        Claim, Ejections, Estimates, Explanation, HeldOn, QueueRules, RunningJob, Usage,
+        WaitReason, WaitingJob,
     },
     crate::{
         prelude::*,
@@ -37,6 +37,15 @@
     pub decision: PlacementDecision,
 }
 
+/// A job that waits for another reason than before.
+#[derive(Clone, Debug)]
+pub struct JobWait {
+    /// The job.
+    pub job: JobId,
+    /// Why it waits.
+    pub explanation: Explanation,
+}
+
 /// What one turn of the queue decided.
 #[derive(Clone, Debug, Default)]
 pub struct TurnOutcome {
@@ -44,6 +53,8 @@
     pub starts: Vec<JobStart>,
     /// The jobs that are asked to give their place to one that cannot wait.
     pub give_way: Vec<JobId>,
+    /// The jobs that wait for another reason than before.
+    pub waits: Vec<JobWait>,
 }
 
 /// Decides which job starts when. It holds the jobs that one entry owns, and learns from them.
@@ -82,6 +93,23 @@
         }
     }
 
+    /// Takes a job that runs already into the account.
+    pub fn adopt(
+        &mut self,
+        job: RunningJob,
+    ) {
+        self.running.insert(job.id, job);
+    }
+
+    /// Returns what a job is expected to hold.
+    pub fn held_by(
+        &self,
+        job: JobId,
+    ) -> Vec<HeldOn> {
+        let running = self.running.get(&job);
+        running.map(|r| r.held.clone()).unwrap_or_default()
+    }
+
     /// Puts a job that had a place back into the queue, with the wait that it had and the run time
     /// that its last checkpoint holds.
     pub fn requeue(
--- a/src/process/job_queue/mod.rs
+++ b/src/process/job_queue/mod.rs
@@ -3,6 +3,7 @@
 mod claim;
 mod ejections;
 mod estimates;
+mod expected_holds;
 mod explanation;
 pub mod fitness;
 #[expect(
@@ -10,6 +11,7 @@
     reason = "a file bears the name of its main type"
 )]
 mod job_queue;
+mod job_turns;
 mod queue_rules;
 mod queued_job;
 mod turn;
@@ -20,7 +22,8 @@
     ejections::Ejections,
     estimates::{Estimate, Estimates},
     explanation::{Explanation, WaitReason},
-    job_queue::{JobQueue, JobStart, TurnCx, TurnOutcome},
+    job_queue::{JobQueue, JobStart, JobWait, TurnCx, TurnOutcome},
+    job_turns::{JobTurn, JobTurns},
     queue_rules::{Backfill, QueueRules, Rank, RankCx, WeighedRules, class_rank},
     queued_job::{HeldOn, RunningJob, WaitingJob},
     usage::{AccountUsage, Usage},
--- a/src/process/job_queue/queued_job.rs
+++ b/src/process/job_queue/queued_job.rs
@@ -1,6 +1,9 @@
 //! Jobs in the queue and out of it.
 
-use crate::{prelude::*, version::JobKind};
+use {
+    crate::{prelude::*, version::JobKind},
+    serde::{Deserialize, Serialize},
+};
 
 /// A job that waits for its turn.
 #[derive(Clone, Debug)]
@@ -18,7 +21,7 @@
 }
 
 /// The accelerators that a running job holds on one worker.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeldOn {
     /// The worker.
     pub upstream: UpstreamName,
--- a/src/process/job_queue/turn.rs
+++ b/src/process/job_queue/turn.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Backfill, Claim, Estimate, Explanation, HeldOn, JobQueue, JobStart, Rank, RankCx,
+        Backfill, Claim, Estimate, Explanation, HeldOn, JobQueue, JobStart, JobWait, Rank, RankCx,
         RunningJob, TurnCx, TurnOutcome, WaitReason, WaitingJob,
         claim::claim_earliest,
         fitness::{self, FleetFit},
@@ -96,12 +96,29 @@
             };
             let explanation = self.look_at(&job, i + 1, queued);
             if let Some(explanation) = explanation {
-                self.queue.explanations.insert(id, explanation);
+                self.note_wait(id, explanation);
             }
         }
         self.outcome
     }
 
+    /// Keeps why a job waits.
+    fn note_wait(
+        &mut self,
+        job: JobId,
+        explanation: Explanation,
+    ) {
+        let before = self.queue.explanations.get(&job);
+        let same = before.is_some_and(|b| b.waits_for.is_like(&explanation.waits_for));
+        if !same {
+            self.outcome.waits.push(JobWait {
+                job,
+                explanation: explanation.clone(),
+            });
+        }
+        self.queue.explanations.insert(job, explanation);
+    }
+
     /// Returns the waiting jobs in the order of the rules.
     fn order(&self) -> Vec<JobId> {
         let waiting = self.queue.waiting.values();
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -107,6 +107,18 @@
         }
     }
 
+    /// Tells whether this is the announcement of a worker, unchanged.
+    pub fn is_worker(
+        &self,
+        worker: &FleetWorker,
+    ) -> bool {
+        self.upstream == worker.upstream
+            && self.accelerators == worker.accelerators
+            && self.rack == worker.rack
+            && self.data_centre == worker.data_centre
+            && self.region == worker.region
+    }
+
     /// Returns what is to be had on the worker; nothing unless it is serving.
     pub fn room(&self) -> Room {
         if self.serving != ServingState::Serving {
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,8 +6,8 @@
 
 use {
     super::{
-        AuditFold, DocumentFold, DrainFold, JobEntry, JobFold, Record, RecordBody, RecordCx,
-        RecordKey, RecordOutcome, SnapshotFold, WriterFold,
+        AuditFold, DocumentFold, DrainFold, JobEntry, JobFold, LayoutFold, PlacementFold, Record,
+        RecordBody, RecordCx, RecordKey, RecordOutcome, SnapshotFold, WriterFold,
     },
     crate::{
         prelude::*,
@@ -24,6 +24,8 @@
     snapshots: SnapshotFold,
     documents: DocumentFold,
     jobs: JobFold,
+    layouts: LayoutFold,
+    placements: PlacementFold,
     drains: DrainFold,
     audit: AuditFold,
 }
@@ -49,6 +51,16 @@
         &self.documents
     }
 
+    /// Returns the layout of guarantees.
+    pub fn layouts(&self) -> &LayoutFold {
+        &self.layouts
+    }
+
+    /// Returns where jobs run.
+    pub fn placements(&self) -> &PlacementFold {
+        &self.placements
+    }
+
     /// Returns the drained upstreams.
     pub fn drains(&self) -> &DrainFold {
         &self.drains
@@ -169,7 +181,12 @@
     ) -> RecordOutcome {
         match body {
             RecordBody::Document(document) => self.documents.apply(cx, document),
-            RecordBody::Job(job) => self.jobs.apply(cx, job),
+            RecordBody::Job(job) => {
+                self.placements.note_job(&job);
+                self.jobs.apply(cx, job)
+            }
+            RecordBody::Layout(layout) => self.layouts.apply(cx, layout),
+            RecordBody::Placement(placement) => self.placements.apply(cx, placement),
             RecordBody::Drain(drain) => self.drains.apply(cx, drain),
             RecordBody::Audit(audit) => self.audit.apply(cx, audit),
             RecordBody::Snapshot(part) => self.snapshots.apply(cx, &part),
--- a/src/process/state/mod.rs
+++ b/src/process/state/mod.rs
@@ -6,9 +6,11 @@
 mod fold;
 mod job_fold;
 mod job_state;
+mod layout_fold;
 mod log_view;
 mod outbox;
 mod pace;
+mod placement_fold;
 mod record;
 mod record_cx;
 mod snapshot_fold;
@@ -33,7 +35,9 @@
     fold::Fold,
     job_fold::JobFold,
     job_state::{JobEntry, JobStatus},
+    layout_fold::{LayoutFold, LayoutRecord},
     log_view::{LogCondition, LogView},
+    placement_fold::{ClaimMark, PlaceMark, PlacementFold, PlacementRecord},
     record::{
         AuditRecord, DocumentRecord, DrainRecord, JobEnd, JobRecord, Record, RecordBody, RecordKey,
     },
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,7 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
-    super::SnapshotRecord,
+    super::{LayoutRecord, PlacementRecord, SnapshotRecord},
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -40,6 +40,10 @@
     Audit(AuditRecord),
     /// A part of the whole state, written again so that the log keeps it.
     Snapshot(SnapshotRecord),
+    /// An entry proposes a layout of guarantees.
+    Layout(LayoutRecord),
+    /// The owner of jobs tells of their places.
+    Placement(PlacementRecord),
 }
 
 /// The start or end of the drain of an upstream.
--- a/src/process/state/urgency.rs
+++ b/src/process/state/urgency.rs
@@ -19,8 +19,9 @@
         match self {
             Self::Document(_)
             | Self::Drain(_)
+            | Self::Layout(_)
             | Self::Job(JobRecord::Cancelled { .. } | JobRecord::Owner { .. }) => Urgency::Urgent,
-            Self::Snapshot(_) => Urgency::Background,
+            Self::Snapshot(_) | Self::Placement(_) => Urgency::Background,
             _ => Urgency::Normal,
         }
     }
--- a/src/request/job/gang/follow.rs
+++ b/src/request/job/gang/follow.rs
@@ -45,7 +45,7 @@
         &self,
         run: &JobRun,
     ) -> Followed {
-        let watching = self.watch(&run.entry);
+        let watching = self.watch_and_give_way(run);
         let interrupted = run.interrupted();
         pin_mut!(watching, interrupted);
         match select(watching, interrupted).await {
@@ -55,6 +55,36 @@
         }
     }
 
+    /// Watches the gang, and has it give its place when the queue asks for that.
+    async fn watch_and_give_way(
+        &self,
+        run: &JobRun,
+    ) -> Option<GangEnd> {
+        let watching = self.watch(&run.entry);
+        let giving_way = self.give_way(run);
+        pin_mut!(watching, giving_way);
+        match select(watching, giving_way).await {
+            Either::Left((end, _)) => end,
+            Either::Right((_, watching)) => watching.await,
+        }
+    }
+
+    /// Waits until the queue asks the job to give way, and has the lead guard evict the gang.
+    async fn give_way(
+        &self,
+        run: &JobRun,
+    ) {
+        run.turn.asked_to_give_way().await;
+        loop {
+            let req = GangRequest::GiveWay { gang: self.gang };
+            let reply = Self::call(&run.entry, self.lead(), req, WATCH_MARGIN).await;
+            if reply.is_ok() {
+                return;
+            }
+            run.entry.clock.sleep(WATCH_RETRY).await;
+        }
+    }
+
     /// Asks the lead guard until the gang has ended; `None` when the lead guard is lost.
     async fn watch(
         &self,
--- a/src/request/job/gang/job_run.rs
+++ b/src/request/job/gang/job_run.rs
@@ -3,11 +3,12 @@
 use {
     super::{Followed, PlacedGang, Start},
     crate::{
-        connection::GangEnd,
+        connection::{GangEnd, Refusal},
         prelude::*,
         process::{
             clock::with_timeout,
             entry::Entry,
+            job_queue::JobTurn,
             platform::Term,
             state::{JobEnd, JobRecord, RecordBody},
         },
@@ -46,9 +47,13 @@
     /// The starts in a row that failed before a task ran.
     misses: u32,
     /// The progress that the next start begins from, in milliseconds of run time.
-    progress_ms: u64,
+    pub(super) progress_ms: u64,
     /// The committed gang.
     pub(super) placed: Option<PlacedGang>,
+    /// The job's place in the queue.
+    pub(super) turn: JobTurn,
+    /// Since when the job has waited.
+    pub(super) waiting_since: Millis,
 }
 
 /// Runs a job to its end under one ownership and records how it ended. Stops without a record
@@ -59,6 +64,8 @@
     ownership: u32,
 ) {
     let mut run = JobRun {
+        turn: entry.turns.enter(spec.id),
+        waiting_since: entry.clock.now(),
         entry,
         spec,
         ownership,
@@ -68,7 +75,9 @@
         progress_ms: 0,
         placed: None,
     };
-    let Some(end) = run.drive().await else {
+    let end = run.drive().await;
+    run.turn.leave();
+    let Some(end) = end else {
         return;
     };
     run.record_end(end).await;
@@ -83,6 +92,7 @@
     async fn drive(&mut self) -> Option<JobEnd> {
         if self.ownership > 1 {
             self.placed = self.adopt().await;
+            self.note_adopted();
         }
         loop {
             match self.interrupt() {
@@ -108,7 +118,7 @@
     }
 
     /// Returns the job's kind under the document in force.
-    fn kind(&self) -> Option<JobKind> {
+    pub(super) fn kind(&self) -> Option<JobKind> {
         self.entry
             .document()
             .job_kinds
@@ -133,18 +143,25 @@
             term,
         };
         self.placed = start.run(self, self.progress_ms).await;
+        if self.placed.is_none() {
+            self.turn.put_back(Duration::from_millis(self.progress_ms));
+        }
     }
 
     /// Follows the committed gang to its end; returns the job's end when that brings it.
     async fn follow_placed(&mut self) -> Option<JobEnd> {
         let followed = self.placed.as_ref()?.follow(self).await;
         let end = match followed {
-            Followed::Ended(GangEnd::Finished(result)) => return Some(JobEnd::Finished(result)),
+            Followed::Ended(GangEnd::Finished(result)) => {
+                self.turn.finished(self.entry.clock.now());
+                return Some(JobEnd::Finished(result));
+            }
             Followed::Ended(end) => self.note_end(end),
             Followed::Lost => self.note_failure("the lead guard was lost".to_owned()),
             Followed::Interrupted => return None,
         };
         self.release_placed().await;
+        self.turn.put_back(Duration::from_millis(self.progress_ms));
         end
     }
 
@@ -156,14 +173,25 @@
         tracing::info!(job = %self.spec.id, start = self.start, ?end, "a start has ended");
         match end {
             GangEnd::Evicted { progress_ms } => self.note_progress(progress_ms),
-            GangEnd::Failed { reason, .. } => return self.note_failure(reason),
+            GangEnd::Failed { reason, piece } => {
+                self.note_failed_piece(piece);
+                return self.note_failure(reason);
+            }
             GangEnd::Lost {
-                progress_ms, cause, ..
+                progress_ms,
+                cause,
+                piece,
             } => {
+                self.note_failed_piece(piece);
                 self.note_progress(progress_ms);
                 return self.note_failure(format!("a member was lost: {cause}"));
             }
-            GangEnd::NotStarted { .. } => self.misses += 1,
+            GangEnd::NotStarted { refusal, piece } => {
+                if refusal == Refusal::Worker {
+                    self.note_failed_piece(piece);
+                }
+                self.misses += 1;
+            }
             GangEnd::Finished(_) | GangEnd::Released => {}
         }
         None
--- a/src/request/job/gang/place.rs
+++ b/src/request/job/gang/place.rs
@@ -1,36 +1,38 @@
-//! Chooses the workers of one start of a gang.
+//! Waits for the job's turn and for workers.
 
 use {
-    super::Start,
+    super::{JobRun, Start},
     crate::{
         prelude::*,
-        request::job::{FleetView, PlacementAsk, PlacementDecision, ShapeMix},
-        version::Fleet,
+        process::job_queue::{HeldOn, RunningJob, WaitingJob},
+        request::job::PlacementDecision,
+    },
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
     },
 };
 
 impl Start<'_> {
-    /// Has the placement policy choose, and logs its decision.
-    pub(super) fn place(&self) -> PlacementDecision {
-        let document = self.entry.document();
-        let ask = PlacementAsk {
+    /// Waits until the queue gives the job workers, and logs the decision; `None` when the job's
+    /// task is interrupted first.
+    pub(super) async fn place(
+        &self,
+        run: &JobRun,
+        progress_ms: u64,
+    ) -> Option<PlacementDecision> {
+        let placing = run.turn.place(WaitingJob {
+            id: self.spec.id,
             account: self.spec.account.clone(),
-            gang: self.kind.gang,
-            class: self.kind.class,
-            evictable: self.kind.is_evictable(),
-            waited: 0.0,
-            may_hold: false,
-            completion_weight: document.completion_weight,
-            fragmentation_weight: document.fragmentation_weight,
-            mix: Rc::new(ShapeMix::of(&document)),
-        };
-        let upstreams = self.entry.members.borrow().live(self.entry.clock.now());
-        let workers = upstreams.iter().map(|u| u.fleet_worker()).collect();
-        let view = FleetView {
-            fleet: Rc::new(Fleet::new(workers)),
-            rooms: upstreams.iter().map(|u| u.room()).collect(),
+            kind: Rc::new(self.kind.clone()),
+            since: run.waiting_since,
+            progress: Duration::from_millis(progress_ms),
+        });
+        let interrupted = run.interrupted();
+        pin_mut!(placing, interrupted);
+        let Either::Left((decision, _)) = select(placing, interrupted).await else {
+            return None;
         };
-        let decision = self.entry.placement.place(&ask, &view);
         let members: Vec<&str> = decision.members.iter().map(UpstreamName::as_str).collect();
         tracing::info!(
             target: "decision",
@@ -41,8 +43,51 @@
             kind = %self.kind.name,
             gang = %self.kind.gang,
             chosen = %members.join(","),
+            fragmentation_rise = decision.fragmentation_rise,
             passed_over = %serde_json::to_string(&decision.passed_over).unwrap_or_default(),
         );
-        decision
+        Some(decision)
+    }
+}
+
+impl JobRun {
+    /// Tells the queue of a gang that an earlier owner started.
+    pub(super) fn note_adopted(&self) {
+        let (Some(placed), Some(kind)) = (&self.placed, self.kind()) else {
+            return;
+        };
+        let live = self.entry.members.borrow().live(self.entry.clock.now());
+        let guards = placed.pieces.iter();
+        let workers = guards.filter_map(|p| live.iter().find(|u| u.guard_address == p.guard));
+        let held = workers.map(|u| HeldOn {
+            upstream: u.upstream.clone(),
+            accelerators: AcceleratorSet::empty(),
+        });
+        self.turn.adopt(RunningJob {
+            id: self.spec.id,
+            account: self.spec.account.clone(),
+            kind: Rc::new(kind),
+            held: held.collect(),
+            started: self.entry.clock.now(),
+            waited_since: self.waiting_since,
+            progress: Duration::from_millis(self.progress_ms),
+            gives_way: false,
+        });
+    }
+
+    /// Tells the queue that the job failed on the worker of one piece.
+    pub(super) fn note_failed_piece(
+        &self,
+        piece: u32,
+    ) {
+        let placed = self.placed.as_ref();
+        let Some(piece) = placed.and_then(|p| p.pieces.get(piece as usize)) else {
+            return;
+        };
+        let now = self.entry.clock.now();
+        let live = self.entry.members.borrow().live(now);
+        if let Some(worker) = live.iter().find(|u| u.guard_address == piece.guard) {
+            self.turn.failed_on(now, &worker.upstream);
+        }
     }
 }
--- a/src/request/job/gang/start.rs
+++ b/src/request/job/gang/start.rs
@@ -42,12 +42,10 @@
         run: &JobRun,
         progress_ms: u64,
     ) -> Option<PlacedGang> {
-        let decision = self.place();
-        if decision.members.is_empty() {
-            return None;
-        }
+        let decision = self.place(run, progress_ms).await?;
         let placed = self.address(&decision.members)?;
         let whole = self.reserve_all(&placed, progress_ms).await;
+        run.turn.reserved(self.entry.clock.now());
         if run.interrupt() == Some(Interrupt::Superseded) {
             return None;
         }
