--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: takes callers' requests and jobs.
 
 mod dialer;
+mod document_push;
 #[expect(
     clippy::module_inception,
     reason = "a file bears the name of its main type"
@@ -12,12 +13,13 @@
 mod layout_push;
 mod owned_jobs;
 mod placement_records;
+mod registration;
 mod running_entry;
 mod share_index;
-mod tasks;
 
 pub use {
     dialer::{Dialer, LinkDialer},
+    document_push::push_documents,
     entry::Entry,
     fleet_memory::FleetMemory,
     in_flight::{InFlight, InFlightLimits},
@@ -25,7 +27,7 @@
     layout_push::push_layouts,
     owned_jobs::run_jobs,
     placement_records::keep_placements,
+    registration::{follow_registry, register},
     running_entry::RunningEntry,
     share_index::ShareIndex,
-    tasks::push_documents,
 };
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,8 +6,9 @@
 
 use {
     super::{
-        AuditFold, DocumentFold, DrainFold, JobEntry, JobFold, LayoutFold, PlacementFold, Record,
-        RecordBody, RecordCx, RecordKey, RecordOutcome, SnapshotFold, WriterFold,
+        AuditFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold, LayoutFold,
+        PlacementFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome, SnapshotFold,
+        WriterFold,
     },
     crate::{
         prelude::*,
@@ -28,6 +29,7 @@
     placements: PlacementFold,
     drains: DrainFold,
     audit: AuditFold,
+    entries: EntryRegistry,
 }
 
 impl Fold {
@@ -102,6 +104,11 @@
         self.jobs.iter()
     }
 
+    /// Returns the registered entries.
+    pub fn entries(&self) -> &EntryRegistry {
+        &self.entries
+    }
+
     /// Tells whether a job was cancelled.
     pub fn is_cancelled(
         &self,
@@ -189,6 +196,7 @@
             RecordBody::Placement(placement) => self.placements.apply(cx, placement),
             RecordBody::Drain(drain) => self.drains.apply(cx, drain),
             RecordBody::Audit(audit) => self.audit.apply(cx, audit),
+            RecordBody::Entry(entry) => self.entries.apply(cx, entry),
             RecordBody::Snapshot(part) => self.snapshots.apply(cx, &part),
         }
     }
