--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,8 +6,9 @@
 
 use {
     super::{
-        AuditFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold, Record, RecordBody,
-        RecordCx, RecordKey, RecordOutcome, SnapshotFold, WriterFold,
+        AuditFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold, LayoutFold,
+        PlacementFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome, SnapshotFold,
+        WriterFold,
     },
     crate::{
         prelude::*,
@@ -24,6 +25,8 @@
     snapshots: SnapshotFold,
     documents: DocumentFold,
     jobs: JobFold,
+    layouts: LayoutFold,
+    placements: PlacementFold,
     drains: DrainFold,
     audit: AuditFold,
     entries: EntryRegistry,
@@ -50,6 +53,16 @@
         &self.documents
     }
 
+    /// Returns the layout of guarantees.
+    pub fn layouts(&self) -> &LayoutFold {
+        &self.layouts
+    }
+
+    /// Returns where jobs run.
+    pub fn placements(&self) -> &PlacementFold {
+        &self.placements
+    }
+
     /// Returns the drained upstreams.
     pub fn drains(&self) -> &DrainFold {
         &self.drains
@@ -175,7 +188,12 @@
     ) -> RecordOutcome {
         match body {
             RecordBody::Document(document) => self.documents.apply(cx, document),
-            RecordBody::Job(job) => self.jobs.apply(cx, job),
+            RecordBody::Job(job) => {
+                self.placements.note_job(&job);
+                self.jobs.apply(cx, job)
+            }
+            RecordBody::Layout(layout) => self.layouts.apply(cx, layout),
+            RecordBody::Placement(placement) => self.placements.apply(cx, placement),
             RecordBody::Drain(drain) => self.drains.apply(cx, drain),
             RecordBody::Audit(audit) => self.audit.apply(cx, audit),
             RecordBody::Entry(entry) => self.entries.apply(cx, entry),
