Let entries that joined at the same time learn of each other

Cause: with one balancer address as the only seed, two entries that joined at the same time through different ones never heard of each other; the tests entries_find_each_other and a_restarted_guard_replaces_itself went red when their seeds were replaced by a balancer.

Change: each entry tells one entry of its region, chosen at random, of all live ones: every second after a join and every five seconds otherwise. Tests reach entries through a balancer only. The replacement test sends longer requests to more callers.

Seen: with the readiness lead set to zero, or the guard's wait for its requests taken out, the replacement test goes red; the short requests of before did not show the latter.

--- a/src/process/membership/contact_task.rs
+++ b/src/process/membership/contact_task.rs
@@ -1,29 +1,27 @@
-//! Looks for entries that are not heard.
+//! Looks for entries that are not heard, and helps others to find each other.
 
 use {
-    super::{Datagram, Membership},
+    super::{Datagram, EntryRow, Membership, datagram::split_rows},
     crate::prelude::*,
 };
 
-/// The pause between tries while no other entry is known.
+/// The pause between tries while no other entry is known or one has joined lately.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The pause between tries when others are known.
+/// The pause between tries when nothing changes.
 const RETRY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Sends a heartbeat to one address after the other behind which an entry may be, for ever.
+/// How long an entry that has joined may still not know all others.
+const NEWCOMER_SPAN: Duration = Duration::from_secs(10);
+
+/// Tries one address after the other behind which an entry may be, and tells one entry after the
+/// other of all that are known, for ever.
 pub(super) async fn run_contacts(membership: Rc<Membership>) {
     loop {
-        let now = membership.clock.now();
-        let contacts = membership.entries.borrow().contacts(now);
-        if !contacts.is_empty() {
-            let contact = contacts[membership.random_below(contacts.len())];
-            let datagram = Datagram::Heartbeats(vec![membership.own_row()]);
-            membership.send(contact, None, &datagram).await;
-        }
-        keep_house(&membership, now);
-        let alone = membership.entries.borrow().live_peers(now).is_empty();
-        let interval = if alone {
+        try_contact(&membership).await;
+        tell_all(&membership).await;
+        keep_house(&membership);
+        let interval = if is_forming(&membership) {
             SEARCH_INTERVAL
         } else {
             RETRY_INTERVAL
@@ -33,11 +31,49 @@
     }
 }
 
+/// Sends a heartbeat to an address behind which an entry may be that is not heard.
+async fn try_contact(membership: &Membership) {
+    let now = membership.clock.now();
+    let contacts = membership.entries.borrow().contacts(now);
+    if !contacts.is_empty() {
+        let contact = contacts[membership.random_below(contacts.len())];
+        let datagram = Datagram::Heartbeats(vec![membership.own_row()]);
+        membership.send(contact, None, &datagram).await;
+    }
+}
+
+/// Tells an entry of the own region of all live entries, since two that joined at the same time
+/// may have missed each other.
+async fn tell_all(membership: &Membership) {
+    let now = membership.clock.now();
+    let peers = membership.entries.borrow().live_peers(now);
+    let own = membership.account.own_region();
+    let near: Vec<&Rc<EntryRow>> = peers.iter().filter(|p| p.region == *own).collect();
+    if near.is_empty() {
+        return;
+    }
+    let to = near[membership.random_below(near.len())];
+    let others = peers.iter().filter(|p| p.name != to.name);
+    let rows: Vec<EntryRow> = others.map(|p| (**p).clone()).collect();
+    for rows in split_rows(rows) {
+        let datagram = Datagram::Heartbeats(rows);
+        membership
+            .send(to.address, Some(&to.region), &datagram)
+            .await;
+    }
+}
+
+/// Tells whether entries may not all know each other yet.
+fn is_forming(membership: &Membership) -> bool {
+    let now = membership.clock.now();
+    let alone = membership.entries.borrow().live_peers(now).is_empty();
+    let joined = membership.joined.get();
+    alone || joined.is_some_and(|at| now.since(at) < NEWCOMER_SPAN)
+}
+
 /// Forgets what is no longer needed and shows what is known.
-fn keep_house(
-    membership: &Membership,
-    now: Millis,
-) {
+fn keep_house(membership: &Membership) {
+    let now = membership.clock.now();
     let mut entries = membership.entries.borrow_mut();
     entries.forget_silent(now);
     let live = entries.live(now).len();
--- a/src/process/membership/hear_entries.rs
+++ b/src/process/membership/hear_entries.rs
@@ -31,6 +31,7 @@
         }
         hear_entry(membership, &row).await;
         if heard == HeardEntry::Joined {
+            membership.joined.set(Some(now));
             start_peer(membership, &row.name);
             if from == row.address {
                 introduce(membership, &row).await;
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -16,7 +16,7 @@
     },
     event_listener::Event,
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::collections::BTreeMap,
+    std::{cell::Cell, collections::BTreeMap},
 };
 
 /// The bytes of the UDP and IP headers of a datagram.
@@ -67,6 +67,7 @@
     pub(super) watches: RefCell<BTreeMap<UpstreamName, Rc<Watch>>>,
     pub(super) peers: RefCell<BTreeMap<EntryName, TaskGroup>>,
     pub(super) link_budget: ByteBudget,
+    pub(super) joined: Cell<Option<Millis>>,
     rng: RefCell<StdRng>,
     tasks: TaskGroup,
 }
@@ -88,6 +89,7 @@
             watches: RefCell::default(),
             peers: RefCell::default(),
             link_budget: ByteBudget::new(LINK_BYTES_PER_SECOND, LINK_BURST_BYTES),
+            joined: Cell::new(None),
             rng: RefCell::new(StdRng::seed_from_u64(parts.seed)),
             tasks: TaskGroup::default(),
         });
--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -1,7 +1,7 @@
 //! Entries and guards over the network in virtual time, and the truth about them.
 
 use {
-    crate::network::Network,
+    crate::network::{Network, balancer},
     event_listener::Event,
     limpetquay::{
         prelude::*,
@@ -56,7 +56,6 @@
     pub network: Rc<Network>,
     pub entries: BTreeMap<String, FleetEntry>,
     pub guards: BTreeMap<String, FleetGuard>,
-    pub seeds: Vec<SocketAddr>,
     next_port: Cell<u16>,
     seed: u64,
 }
@@ -71,7 +70,6 @@
             clock,
             entries: BTreeMap::new(),
             guards: BTreeMap::new(),
-            seeds: Vec::new(),
             next_port: Cell::new(1),
             seed,
         }
@@ -95,7 +93,6 @@
             for i in 0..entries {
                 let name = format!("e-{}-{i}", place.data_centre);
                 let address = self.fresh_address();
-                self.seeds.push(address);
                 self.start_entry(&name, *place, address);
             }
         }
@@ -108,7 +105,7 @@
         }
     }
 
-    /// Starts an entry; it is told of the first seed only.
+    /// Starts an entry; it is told of the balancer only.
     pub fn start_entry(
         &mut self,
         name: &str,
@@ -125,8 +122,8 @@
             serving: ServingState::Serving,
             published: PublicationVersion::default(),
         };
-        let seeds = self.seeds.iter().take(1).copied().collect();
-        let table = Rc::new(RefCell::new(EntryTable::new(own, seeds)));
+        self.network.put_behind_balancer(address);
+        let table = Rc::new(RefCell::new(EntryTable::new(own, vec![balancer()])));
         let members: Rc<RefCell<MemberTable>> = Rc::default();
         let membership = Membership::start(MembershipParts {
             clock: self.clock.clone(),
@@ -146,7 +143,7 @@
         self.entries.insert(name.to_owned(), entry);
     }
 
-    /// Starts a guard; it is told of the seeds.
+    /// Starts a guard; it is told of the balancer only.
     pub fn start_guard(
         &mut self,
         name: &str,
@@ -181,7 +178,7 @@
         let announcer = Announcer::start(AnnouncerParts {
             clock: self.clock.clone(),
             link: self.network.bind(address, &place.region.into()),
-            seeds: self.seeds.clone(),
+            seeds: vec![balancer()],
             changed: changed.clone(),
             describe: Box::new(describe),
             seed: self.seed + u64::from(address.port()),
--- a/tests/membership/network.rs
+++ b/tests/membership/network.rs
@@ -32,6 +32,11 @@
     arrived: Event,
 }
 
+/// Where the balancer before the entries is reached.
+pub fn balancer() -> SocketAddr {
+    SocketAddr::from(([10, 9, 9, 9], 9))
+}
+
 /// The network.
 pub struct Network {
     clock: Rc<dyn Clock>,
@@ -39,6 +44,7 @@
     paused: RefCell<BTreeMap<SocketAddr, Vec<(SocketAddr, Received)>>>,
     regions: RefCell<BTreeMap<SocketAddr, Region>>,
     broken: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
+    behind_balancer: RefCell<BTreeSet<SocketAddr>>,
     weather: Cell<Weather>,
     cut: Cell<bool>,
     link_bytes: Cell<u64>,
@@ -64,6 +70,7 @@
             paused: RefCell::default(),
             regions: RefCell::default(),
             broken: RefCell::default(),
+            behind_balancer: RefCell::default(),
             weather: Cell::default(),
             cut: Cell::new(false),
             link_bytes: Cell::new(0),
@@ -93,6 +100,7 @@
         address: SocketAddr,
     ) {
         self.inboxes.borrow_mut().remove(&address);
+        self.behind_balancer.borrow_mut().remove(&address);
         self.paused.borrow_mut().remove(&address);
     }
 
@@ -120,6 +128,19 @@
         self.broken.borrow_mut().extend([(a, b), (b, a)]);
     }
 
+    /// Mends all broken ways.
+    pub fn mend_ways(&self) {
+        self.broken.borrow_mut().clear();
+    }
+
+    /// Has the balancer pass datagrams on to a host, among others.
+    pub fn put_behind_balancer(
+        &self,
+        address: SocketAddr,
+    ) {
+        self.behind_balancer.borrow_mut().insert(address);
+    }
+
     /// Holds back all that a host sends or should hear.
     pub fn pause(
         &self,
@@ -158,6 +179,9 @@
         to: SocketAddr,
         content: Vec<u8>,
     ) {
+        let Some(to) = self.behind(to) else {
+            return;
+        };
         self.count(from, to, content.len() as u64 + 28);
         if self.is_lost(from, to) {
             return;
@@ -173,6 +197,20 @@
         }
     }
 
+    /// Returns the host that an address stands for.
+    fn behind(
+        &self,
+        address: SocketAddr,
+    ) -> Option<SocketAddr> {
+        if address != balancer() {
+            return Some(address);
+        }
+        let hosts = self.behind_balancer.borrow();
+        let count = hosts.len();
+        let chosen = (count > 0).then(|| self.rng.borrow_mut().random_range(0..count));
+        chosen.and_then(|i| hosts.iter().nth(i).copied())
+    }
+
     fn count(
         &self,
         from: SocketAddr,
--- a/tests/membership/replacement.rs
+++ b/tests/membership/replacement.rs
@@ -20,7 +20,7 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// The callers that send one request after the other.
-const CALLERS: usize = 8;
+const CALLERS: usize = 16;
 
 /// What stands behind the balancer.
 type Targets = Rc<RefCell<Vec<(SocketAddr, Rc<Entry>)>>>;
@@ -50,7 +50,7 @@
                 continue;
             };
             let url = format!("http://{target}/v1/requests/crash-analysis");
-            let body = Bytes::from_static(b"run_ms=30");
+            let body = Bytes::from_static(b"run_ms=400");
             let called = client.call(Method::POST, &url, &headers, body, TIMEOUT);
             let result = match called.await {
                 Ok(answer) => answer.status.to_string(),
--- a/tests/membership/upstreams.rs
+++ b/tests/membership/upstreams.rs
@@ -100,8 +100,7 @@
                 killed.extend(fleet.kill_entry(name));
             }
             for (name, old) in names.iter().zip(killed) {
-                let is_seed = old.address == fleet.seeds[0];
-                let address = if moved && !is_seed {
+                let address = if moved {
                     fleet.fresh_address()
                 } else {
                     old.address
