Fuzz membership against the truth in virtual time

Cause: the tests so far cause one fault each.

Change: courses of up to 30 steps kill, pause, drain, restart and move guards and entries, give addresses to other upstreams, cut the link, break ways, and lose, double and delay datagrams; an oracle looks every 250 ms and compares all tables with the truth at the end. LIMPETQUAY_FUZZ_CASES and LIMPETQUAY_FUZZ_SEED make longer runs.

--- /dev/null
+++ b/tests/membership/course.rs
@@ -0,0 +1,481 @@
+//! One course of faults, and the oracle that looks on.
+
+use {
+    crate::{
+        entries::PLACES,
+        fleet::{Fleet, Place},
+        network::Weather,
+    },
+    limpetquay::{
+        prelude::*,
+        process::{clock::VirtualClock, membership::ServingState},
+    },
+    proptest::prelude::*,
+    std::collections::BTreeMap,
+};
+
+/// The upstreams of each place.
+const GUARDS: usize = 2;
+
+/// The entries of each place.
+const ENTRIES: usize = 2;
+
+/// How long after the last fault a leaving upstream may still be known.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+
+/// How long after its death an upstream may still be known.
+const DEATH_BOUND: Duration = Duration::from_secs(6);
+
+/// How long after faults of the network or of entries the bounds hold again.
+const CALM_AFTER: Duration = Duration::from_secs(25);
+
+/// How long after the end of all faults every table equals the truth.
+const QUIET: Duration = Duration::from_secs(30);
+
+/// How often the oracle looks.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// One step of a course. Numbers choose among what there is.
+#[derive(Clone, Debug)]
+pub enum Op {
+    Wait(u64),
+    KillGuard(usize),
+    LeaveGuard(usize),
+    StartGuard(usize),
+    /// Another upstream takes the address of a dead one.
+    SwapIdentity(usize),
+    Drain(usize, bool),
+    Load(usize, u32),
+    KillEntry(usize),
+    LeaveEntry(usize),
+    StartEntry(usize, bool),
+    Cut(bool),
+    PauseGuard(usize, u64),
+    PauseEntry(usize, u64),
+    BreakWay(usize, usize),
+    Weather(u32, u32, u64),
+}
+
+/// Returns a strategy for courses of up to `steps` steps.
+pub fn ops(steps: usize) -> impl Strategy<Value = Vec<Op>> {
+    let pick = 0..usize::MAX;
+    let op = prop_oneof![
+        6 => (100..9000u64).prop_map(Op::Wait),
+        3 => pick.clone().prop_map(Op::KillGuard),
+        2 => pick.clone().prop_map(Op::LeaveGuard),
+        4 => pick.clone().prop_map(Op::StartGuard),
+        1 => pick.clone().prop_map(Op::SwapIdentity),
+        2 => (pick.clone(), any::<bool>()).prop_map(|(g, on)| Op::Drain(g, on)),
+        2 => (pick.clone(), 0..9u32).prop_map(|(g, n)| Op::Load(g, n)),
+        1 => pick.clone().prop_map(Op::KillEntry),
+        1 => pick.clone().prop_map(Op::LeaveEntry),
+        2 => (pick.clone(), any::<bool>()).prop_map(|(e, moved)| Op::StartEntry(e, moved)),
+        1 => any::<bool>().prop_map(Op::Cut),
+        1 => (pick.clone(), 500..15_000u64).prop_map(|(g, ms)| Op::PauseGuard(g, ms)),
+        1 => (pick.clone(), 500..15_000u64).prop_map(|(e, ms)| Op::PauseEntry(e, ms)),
+        1 => (pick.clone(), pick).prop_map(|(g, e)| Op::BreakWay(g, e)),
+        1 => (0..16u32, 0..10u32, 0..200u64).prop_map(|(l, d, ms)| Op::Weather(l, d, ms)),
+    ];
+    prop::collection::vec(op, 1..=steps)
+}
+
+/// How an upstream ended.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    incarnation: u64,
+    at: Millis,
+    bound: Duration,
+}
+
+/// A course under way.
+pub struct Course {
+    fleet: Fleet,
+    ended: BTreeMap<String, Ended>,
+    /// When the last fault of the network or of an entry was.
+    disturbed: Millis,
+    /// The latest start of each upstream that each start of an entry has known as live.
+    seen: BTreeMap<(String, u64, String), u64>,
+    is_calm: bool,
+}
+
+impl Course {
+    pub fn new(
+        clock: Rc<VirtualClock>,
+        seed: u64,
+    ) -> Self {
+        let mut fleet = Fleet::new(clock, seed);
+        fleet.populate(&PLACES, ENTRIES as u32, GUARDS as u32);
+        Self {
+            fleet,
+            ended: BTreeMap::new(),
+            disturbed: Millis::default(),
+            seen: BTreeMap::new(),
+            is_calm: true,
+        }
+    }
+
+    /// Takes the steps, lets all faults end, and compares every table with the truth.
+    pub async fn run(
+        mut self,
+        ops: Vec<Op>,
+    ) -> Result<(), String> {
+        self.wait(Duration::from_secs(12)).await?;
+        for op in ops {
+            self.step(op).await?;
+        }
+        self.calm();
+        self.wait(QUIET).await?;
+        if self.fleet.is_settled() {
+            return Ok(());
+        }
+        Err(format!("not settled: {:#?}", self.fleet.differences()))
+    }
+
+    /// Lets time pass while the oracle looks.
+    async fn wait(
+        &mut self,
+        span: Duration,
+    ) -> Result<(), String> {
+        let until = self.now() + Millis::from(span);
+        while self.now() < until {
+            let left = until.since(self.now());
+            self.fleet.wait(left.min(LOOK)).await;
+            self.look()?;
+        }
+        Ok(())
+    }
+
+    async fn step(
+        &mut self,
+        op: Op,
+    ) -> Result<(), String> {
+        match op {
+            Op::Wait(ms) => self.wait(Duration::from_millis(ms)).await?,
+            Op::KillGuard(i) => self.kill_guard(i),
+            Op::LeaveGuard(i) => self.leave_guard(i).await,
+            Op::StartGuard(i) => self.start_guard(i),
+            Op::SwapIdentity(i) => self.swap_identity(i),
+            Op::Drain(i, on) => self.drain(i, on),
+            Op::Load(i, slots) => self.load(i, slots),
+            Op::KillEntry(i) => self.kill_entry(i),
+            Op::LeaveEntry(i) => self.leave_entry(i).await,
+            Op::StartEntry(i, moved) => self.start_entry(i, moved),
+            Op::Cut(cut) => {
+                self.fleet.network.set_cut(cut);
+                self.disturb(!cut);
+            }
+            Op::PauseGuard(i, ms) => {
+                let address = nth(&self.fleet.guards, i).map(|(_, g)| g.address);
+                self.pause(address, ms).await?;
+            }
+            Op::PauseEntry(i, ms) => {
+                let address = nth(&self.fleet.entries, i).map(|(_, e)| e.address);
+                self.pause(address, ms).await?;
+            }
+            Op::BreakWay(guard, entry) => self.break_way(guard, entry),
+            Op::Weather(loss, doubled, delay_ms) => {
+                let weather = Weather {
+                    loss,
+                    doubled,
+                    delay_ms,
+                };
+                self.fleet.network.set_weather(weather);
+                self.disturb(loss == 0 && delay_ms < 50);
+            }
+        }
+        Ok(())
+    }
+
+    fn now(&self) -> Millis {
+        self.fleet.clock.now()
+    }
+
+    /// Notes a fault; `calm` tells whether it is over already.
+    fn disturb(
+        &mut self,
+        calm: bool,
+    ) {
+        self.disturbed = self.now();
+        self.is_calm &= calm;
+    }
+
+    /// Ends all faults.
+    fn calm(&mut self) {
+        self.fleet.network.set_cut(false);
+        self.fleet.network.set_weather(Weather::default());
+        self.fleet.network.mend_ways();
+        self.is_calm = true;
+        self.disturbed = self.now();
+    }
+
+    fn place_of(i: usize) -> Place {
+        PLACES[i % PLACES.len()]
+    }
+
+    fn guard_name(i: usize) -> String {
+        let number = i / PLACES.len() % GUARDS;
+        format!("{}-w{number}", Self::place_of(i).data_centre)
+    }
+
+    fn entry_name(i: usize) -> String {
+        let number = i / PLACES.len() % ENTRIES;
+        format!("e-{}-{number}", Self::place_of(i).data_centre)
+    }
+
+    fn kill_guard(
+        &mut self,
+        i: usize,
+    ) {
+        let name = nth(&self.fleet.guards, i).map(|(name, _)| name);
+        if let Some(name) = name {
+            let guard = self.fleet.kill_guard(&name).expect("a guard");
+            let incarnation = guard.announcement.borrow().incarnation;
+            self.note_end(name, incarnation, DEATH_BOUND);
+        }
+    }
+
+    async fn leave_guard(
+        &mut self,
+        i: usize,
+    ) {
+        let name = nth(&self.fleet.guards, i).map(|(name, _)| name);
+        if let Some(name) = name {
+            let guard = self.fleet.guards.remove(&name).expect("a guard");
+            let incarnation = guard.announcement.borrow().incarnation;
+            self.note_end(name, incarnation, LEAVE_BOUND);
+            guard.announcer.leave().await;
+            self.fleet.network.unbind(guard.address);
+        }
+    }
+
+    fn note_end(
+        &mut self,
+        name: String,
+        incarnation: u64,
+        bound: Duration,
+    ) {
+        let at = self.now();
+        let ended = Ended {
+            incarnation,
+            at,
+            bound,
+        };
+        self.ended.insert(name, ended);
+    }
+
+    fn start_guard(
+        &mut self,
+        i: usize,
+    ) {
+        let name = Self::guard_name(i);
+        if !self.fleet.guards.contains_key(&name) {
+            let address = self.fleet.fresh_address();
+            self.fleet.start_guard(&name, Self::place_of(i), address);
+        }
+    }
+
+    fn swap_identity(
+        &mut self,
+        i: usize,
+    ) {
+        let other = format!("{}-x", Self::place_of(i).data_centre);
+        let victim = nth(&self.fleet.guards, i).map(|(name, _)| name);
+        let Some(victim) = victim.filter(|_| !self.fleet.guards.contains_key(&other)) else {
+            return;
+        };
+        let guard = self.fleet.kill_guard(&victim).expect("a guard");
+        let incarnation = guard.announcement.borrow().incarnation;
+        self.note_end(victim, incarnation, DEATH_BOUND);
+        self.fleet
+            .start_guard(&other, Self::place_of(i), guard.address);
+    }
+
+    fn drain(
+        &mut self,
+        i: usize,
+        on: bool,
+    ) {
+        let name = nth(&self.fleet.guards, i).map(|(name, _)| name);
+        let serving = if on {
+            ServingState::Draining
+        } else {
+            ServingState::Serving
+        };
+        if let Some(name) = name {
+            self.fleet.change_guard(&name, |a| a.serving = serving);
+        }
+    }
+
+    fn load(
+        &mut self,
+        i: usize,
+        slots: u32,
+    ) {
+        let name = nth(&self.fleet.guards, i).map(|(name, _)| name);
+        if let Some(name) = name {
+            self.fleet.change_guard(&name, |a| a.slots_in_use = slots);
+        }
+    }
+
+    fn kill_entry(
+        &mut self,
+        i: usize,
+    ) {
+        let name = nth(&self.fleet.entries, i).map(|(name, _)| name);
+        if let Some(name) = name.filter(|_| self.fleet.entries.len() > 1) {
+            self.fleet.kill_entry(&name);
+            self.disturb(true);
+        }
+    }
+
+    async fn leave_entry(
+        &mut self,
+        i: usize,
+    ) {
+        let name = nth(&self.fleet.entries, i).map(|(name, _)| name);
+        if let Some(name) = name.filter(|_| self.fleet.entries.len() > 1) {
+            let entry = self.fleet.entries.remove(&name).expect("an entry");
+            entry.membership.leave().await;
+            self.fleet.network.unbind(entry.address);
+            self.disturb(true);
+        }
+    }
+
+    fn start_entry(
+        &mut self,
+        i: usize,
+        moved: bool,
+    ) {
+        let name = Self::entry_name(i);
+        if moved && self.fleet.entries.len() > 1 {
+            self.fleet.kill_entry(&name);
+        }
+        if !self.fleet.entries.contains_key(&name) {
+            let address = self.fleet.fresh_address();
+            self.fleet.start_entry(&name, Self::place_of(i), address);
+            self.disturb(true);
+        }
+    }
+
+    async fn pause(
+        &mut self,
+        address: Option<SocketAddr>,
+        ms: u64,
+    ) -> Result<(), String> {
+        let Some(address) = address else {
+            return Ok(());
+        };
+        let was_calm = std::mem::replace(&mut self.is_calm, false);
+        self.fleet.network.pause(address);
+        self.wait(Duration::from_millis(ms)).await?;
+        self.fleet.network.resume(address);
+        self.is_calm = was_calm;
+        self.disturb(true);
+        Ok(())
+    }
+
+    fn break_way(
+        &mut self,
+        guard: usize,
+        entry: usize,
+    ) {
+        let guard = nth(&self.fleet.guards, guard).map(|(_, g)| g.address);
+        let entry = nth(&self.fleet.entries, entry).map(|(_, e)| e.address);
+        if let (Some(guard), Some(entry)) = (guard, entry) {
+            self.fleet.network.break_way(guard, entry);
+            self.disturb(false);
+        }
+    }
+
+    /// Looks for what must never be.
+    fn look(&mut self) -> Result<(), String> {
+        let entries: Vec<String> = self.fleet.entries.keys().cloned().collect();
+        for entry in entries {
+            let known = self.fleet.known(&entry);
+            let start = self.fleet.entries[&entry].table.borrow().own().incarnation;
+            for (upstream, (incarnation, _)) in &known {
+                self.look_for_older_start(&entry, start, upstream, *incarnation)?;
+                self.look_for_ended(&entry, upstream, *incarnation)?;
+            }
+            self.look_for_empty_table(&entry, known.len())?;
+        }
+        Ok(())
+    }
+
+    fn look_for_older_start(
+        &mut self,
+        entry: &str,
+        start: u64,
+        upstream: &str,
+        incarnation: u64,
+    ) -> Result<(), String> {
+        let key = (entry.to_owned(), start, upstream.to_owned());
+        let newest = self.seen.entry(key).or_insert(incarnation);
+        if incarnation < *newest {
+            return Err(format!("{entry} went back to an older start of {upstream}"));
+        }
+        *newest = incarnation;
+        Ok(())
+    }
+
+    fn look_for_ended(
+        &self,
+        entry: &str,
+        upstream: &str,
+        incarnation: u64,
+    ) -> Result<(), String> {
+        let ended = self.ended.get(upstream);
+        let Some(ended) = ended.filter(|e| e.incarnation == incarnation) else {
+            return Ok(());
+        };
+        if self.is_bound_over(ended) {
+            let span = self.now().since(ended.at);
+            return Err(format!("{entry} knows {upstream} {span:?} after its end"));
+        }
+        Ok(())
+    }
+
+    /// Tells whether an ended upstream has to be gone: its bound is over, and neither the network
+    /// nor an entry has failed since shortly before its end.
+    fn is_bound_over(
+        &self,
+        ended: &Ended,
+    ) -> bool {
+        let calm_at_end = ended.at.since(self.disturbed) >= CALM_AFTER;
+        let bound = if calm_at_end && self.disturbed < ended.at {
+            ended.bound
+        } else {
+            CALM_AFTER
+        };
+        let since = self.now().since(ended.at.max(self.disturbed));
+        self.is_calm && since > bound
+    }
+
+    /// An entry that has been there for a while in a calm network knows some upstream.
+    fn look_for_empty_table(
+        &self,
+        entry: &str,
+        known: usize,
+    ) -> Result<(), String> {
+        let quiet = self.now().since(self.disturbed) > CALM_AFTER;
+        let grown = |incarnation: u64| {
+            let started = Millis(incarnation >> 16);
+            self.fleet.clock.wall().since(started) > Duration::from_secs(5)
+        };
+        let guards = self.fleet.guards.values();
+        let mut starts = guards.map(|g| g.announcement.borrow().incarnation);
+        if self.is_calm && quiet && known == 0 && starts.any(grown) {
+            return Err(format!("{entry} knows no upstream"));
+        }
+        Ok(())
+    }
+}
+
+/// Returns the member of a map that a number chooses.
+fn nth<T>(
+    map: &BTreeMap<String, T>,
+    i: usize,
+) -> Option<(String, &T)> {
+    let member = map.iter().nth(i % map.len().max(1));
+    member.map(|(name, value)| (name.clone(), value))
+}
--- /dev/null
+++ b/tests/membership/fuzz.rs
@@ -0,0 +1,65 @@
+//! Random courses of faults against a simple oracle.
+//!
+//! `LIMPETQUAY_FUZZ_CASES` and `LIMPETQUAY_FUZZ_SEED` make longer runs with other seeds.
+
+use {
+    crate::course::{Course, Op, ops},
+    limpetquay::process::clock::VirtualClock,
+    proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
+    std::env,
+};
+
+/// The courses of a run in CI.
+const CASES: u32 = 24;
+
+/// The steps of a course.
+const STEPS: usize = 30;
+
+fn from_environment(
+    name: &str,
+    default: u64,
+) -> u64 {
+    let value = env::var(name).ok().and_then(|v| v.parse().ok());
+    value.unwrap_or(default)
+}
+
+fn seeded(
+    seed: u64,
+    cases: u32,
+) -> TestRunner {
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// Runs a course and returns the first thing that the oracle found wrong.
+pub fn run_course(
+    seed: u64,
+    ops: Vec<Op>,
+) -> Result<(), String> {
+    let clock = VirtualClock::new();
+    let cx = clock.clone();
+    clock.block_on(async move { Course::new(cx, seed).run(ops).await })
+}
+
+/// Tables, watchers and summaries hold against the oracle under random faults.
+#[test]
+fn tables_follow_the_truth() {
+    let cases = from_environment("LIMPETQUAY_FUZZ_CASES", u64::from(CASES));
+    let seed = from_environment("LIMPETQUAY_FUZZ_SEED", 1);
+    let mut runner = seeded(seed, cases as u32);
+    let strategy = (proptest::num::u64::ANY, ops(STEPS));
+    let result = runner.run(&strategy, |(seed, ops)| {
+        run_course(seed, ops).map_err(TestCaseError::fail)
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -1,8 +1,10 @@
 //! Which entries and upstreams are known where, over a network that loses, doubles, delays and
 //! cuts.
 
+mod course;
 mod entries;
 mod fleet;
+mod fuzz;
 mod network;
 mod regions;
 mod replacement;
