--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -1,11 +1,12 @@
 //! The entry.
 
 use {
-    super::{Dialer, InFlightLimits},
+    super::{Dialer, FleetMemory, InFlightLimits},
     crate::{
         connection::GuardPeer,
         prelude::*,
         process::{
+            job_queue::JobTurns,
             link::{CountedPeer, LinkAccount},
             membership::{EntryTable, MemberTable},
             metrics::Metrics,
@@ -33,12 +34,16 @@
     pub entries: Rc<RefCell<EntryTable>>,
     /// The count of what crosses the link between regions.
     pub link: LinkAccount,
+    /// The upstreams that were heard, also those that are silent now.
+    pub fleet: RefCell<FleetMemory>,
     /// The links to guards.
     pub dialer: Rc<dyn Dialer>,
     /// The choice of upstreams for requests.
     pub routing: Box<dyn RoutingPolicy>,
     /// The choice of workers for gangs.
     pub placement: Box<dyn PlacementPolicy>,
+    /// The turns of its jobs.
+    pub turns: Rc<JobTurns>,
     /// The source of identities.
     pub ids: IdSource,
     /// The requests in progress.
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -7,17 +7,27 @@
     reason = "a file bears the name of its main type"
 )]
 mod entry;
+mod fleet_memory;
 mod in_flight;
+mod layout_proposal;
+mod layout_push;
 mod owned_jobs;
+mod placement_records;
 mod registration;
 mod running_entry;
+mod share_index;
 
 pub use {
     dialer::{Dialer, LinkDialer},
     document_push::push_documents,
     entry::Entry,
+    fleet_memory::FleetMemory,
     in_flight::{InFlight, InFlightLimits},
+    layout_proposal::propose_layouts,
+    layout_push::push_layouts,
     owned_jobs::run_jobs,
+    placement_records::keep_placements,
     registration::{follow_registry, register},
     running_entry::RunningEntry,
+    share_index::ShareIndex,
 };
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,7 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
-    super::{EntryRecord, SnapshotRecord},
+    super::{EntryRecord, LayoutRecord, PlacementRecord, SnapshotRecord},
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -42,6 +42,10 @@
     Entry(EntryRecord),
     /// A part of the whole state, written again so that the log keeps it.
     Snapshot(SnapshotRecord),
+    /// An entry proposes a layout of guarantees.
+    Layout(LayoutRecord),
+    /// The owner of jobs tells of their places.
+    Placement(PlacementRecord),
 }
 
 /// The start or end of the drain of an upstream.
