Take jobs over from owners that are gone, and keep drained upstreams drained

Cause: a job whose owner died stayed with it for ever, and a drain ended with the guard's process. Drains are records, and entries tell them to guards that serve in spite of them.

--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod dialer;
 mod document_push;
+mod drain_push;
 #[expect(
     clippy::module_inception,
     reason = "a file bears the name of its main type"
@@ -12,22 +13,27 @@
 mod layout_proposal;
 mod layout_push;
 mod owned_jobs;
+mod owner_watch;
 mod placement_records;
 mod registration;
 mod running_entry;
 mod share_index;
+mod takeover;
 
 pub use {
     dialer::{Dialer, LinkDialer},
     document_push::push_documents,
+    drain_push::{push_drains, tell_drain},
     entry::Entry,
     fleet_memory::FleetMemory,
     in_flight::{InFlight, InFlightLimits},
     layout_proposal::propose_layouts,
     layout_push::push_layouts,
     owned_jobs::run_jobs,
+    owner_watch::{Owner, OwnerWatch},
     placement_records::keep_placements,
     registration::{follow_registry, register},
     running_entry::RunningEntry,
     share_index::ShareIndex,
+    takeover::take_over_jobs,
 };
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Entry, InFlightLimits, LinkDialer, follow_registry, keep_placements, propose_layouts,
-        push_documents, push_layouts, register, run_jobs,
+        push_documents, push_drains, push_layouts, register, run_jobs, take_over_jobs,
     },
     crate::{
         connection::{HttpClient, HttpServer},
@@ -177,6 +177,8 @@
     tasks.spawn(async move { state.follow_log().await });
     tasks.spawn(keep_snapshots(entry.clone()));
     tasks.spawn(run_jobs(entry.clone()));
+    tasks.spawn(take_over_jobs(entry.clone()));
+    tasks.spawn(push_drains(entry.clone()));
     tasks.spawn(propose_layouts(entry.clone()));
     tasks.spawn(push_layouts(entry.clone()));
     tasks.spawn(keep_placements(entry.clone()));
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -39,3 +39,5 @@
     membership::{Membership, MembershipParts},
     publisher::Behind,
 };
+
+pub(crate) use rendezvous::rendezvous_rank;
--- a/src/process/membership/rendezvous.rs
+++ b/src/process/membership/rendezvous.rs
@@ -1,6 +1,8 @@
 //! Rendezvous hashing (Thaler and Ravishankar, 1998): every process that knows the same candidates
 //! ranks them alike, and the loss of one moves only what it held.
 
+use crate::prelude::*;
+
 /// Returns a candidate's weight for a key; the candidate with the highest weight comes first.
 pub(crate) fn rendezvous_weight(
     key: &str,
@@ -31,3 +33,14 @@
         )
     });
 }
+
+/// Returns an entry's place among the live entries for a key; the first choice has place 0.
+pub(crate) fn rendezvous_rank(
+    key: &str,
+    entry: &EntryName,
+    live: &[EntryName],
+) -> u32 {
+    let own = rendezvous_weight(key, entry.as_str());
+    let better = |e: &&EntryName| rendezvous_weight(key, e.as_str()) > own;
+    live.iter().filter(better).count() as u32
+}
--- a/src/process/state/snapshot_keeper.rs
+++ b/src/process/state/snapshot_keeper.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{LogCondition, RecordBody, SnapshotRecord, State},
-    crate::{prelude::*, process::platform::Offset},
+    crate::{
+        prelude::*,
+        process::{membership::rendezvous_rank, platform::Offset},
+    },
     futures_util::future::join_all,
 };
 
@@ -52,7 +55,8 @@
             }
             let known = due_since.filter(|(of, _)| *of == basis);
             let (_, since) = *due_since.insert(known.unwrap_or((basis, self.clock.now())));
-            let rank = rank_of(&self.writer, &live_entries(), basis);
+            let key = format!("snapshot {basis}");
+            let rank = rendezvous_rank(&key, &self.writer, &live_entries());
             if self.clock.now().since(since) >= RANK_DELAY * rank {
                 self.write_snapshot().await;
             }
@@ -105,17 +109,3 @@
         latest.map(|l| l.upto).unwrap_or_default()
     }
 }
-
-/// Returns an entry's place in an order of the live entries that is different for each snapshot.
-fn rank_of(
-    entry: &EntryName,
-    live: &[EntryName],
-    basis: Offset,
-) -> u32 {
-    let weight = |name: &EntryName| {
-        let text = format!("{name}/{basis}");
-        *blake3::hash(text.as_bytes()).as_bytes()
-    };
-    let own = weight(entry);
-    live.iter().filter(|e| weight(e) < own).count() as u32
-}
