Admit requests through a fair queue and run each at most once

Cause: requests polled every 20 ms for a free slot, accounts and classes were not told apart, a lost reply of an idempotent request could end as not run, and nothing held a caller's own retry with the same key apart from a new request. Change: an admission module (queue by class and share, token buckets, retry budgets, loads since the last announcement, ejection with trial and panic rule); routing by sampled expected time; claims of idempotency keys on the log; the guard remembers recent requests, measures lateness of frames and refuses what is past its deadline; answers and bodies are bounded by their kind; the client follows no redirects and uses no proxy.

--- a/src/connection/http/client.rs
+++ b/src/connection/http/client.rs
@@ -8,10 +8,15 @@
             platform::{LogError, WorkerError},
         },
     },
+    bytes::BytesMut,
     derive_more::{Display, Error},
+    futures_util::StreamExt,
     hyper::Method,
 };
 
+/// The largest answer of a client that is not told otherwise, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
 /// Why an HTTP call brought no answer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum HttpClientError {
@@ -21,6 +26,9 @@
     /// The call may have had its effect, but its answer is lost or cut.
     #[display("answer lost: {_0}")]
     AnswerLost(#[error(not(source))] String),
+    /// The answer is larger than allowed.
+    #[display("the answer is larger than {_0} bytes")]
+    TooLarge(#[error(not(source))] u64),
     /// No answer came in time.
     #[display("timed out")]
     TimedOut,
@@ -31,7 +39,7 @@
     pub fn as_log_error(&self) -> LogError {
         match self {
             Self::NotConnected(_) => LogError::Unavailable,
-            Self::AnswerLost(_) | Self::TimedOut => LogError::AnswerLost,
+            Self::AnswerLost(_) | Self::TooLarge(_) | Self::TimedOut => LogError::AnswerLost,
         }
     }
 
@@ -39,6 +47,7 @@
     pub fn as_worker_error(&self) -> WorkerError {
         match self {
             Self::NotConnected(_) => WorkerError::NotReached,
+            Self::TooLarge(_) => WorkerError::AnswerTooLarge,
             Self::AnswerLost(_) | Self::TimedOut => WorkerError::AnswerLost(self.to_string()),
         }
     }
@@ -60,16 +69,34 @@
 pub struct HttpClient {
     client: cyper::Client,
     clock: Rc<dyn Clock>,
+    max_answer: u64,
 }
 
 impl HttpClient {
-    /// Creates a client.
+    /// Creates a client that follows no redirects and uses no proxy.
     ///
     /// # Panics
     /// When the HTTP library cannot set up its client, which happens only outside a runtime.
     pub fn new(clock: Rc<dyn Clock>) -> Self {
-        let client = cyper::Client::new().expect("the client needs a running runtime");
-        Self { client, clock }
+        let builder = cyper::Client::builder();
+        let builder = builder.redirect(cyper::redirect::Policy::none()).no_proxy();
+        let client = builder.build().expect("the client needs a running runtime");
+        Self {
+            client,
+            clock,
+            max_answer: MAX_ANSWER_BYTES,
+        }
+    }
+
+    /// Returns a client over the same connections that takes larger or smaller answers, in bytes.
+    pub fn with_max_answer(
+        &self,
+        max_answer: u64,
+    ) -> Self {
+        Self {
+            max_answer,
+            ..self.clone()
+        }
     }
 
     /// Sends a GET request.
@@ -131,14 +158,29 @@
         let status = resp.status().as_u16();
         let request_id = resp.headers().get("x-request-id");
         let request_id = request_id.and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let body = resp.bytes().await;
-        let body = body.map_err(|e| HttpClientError::AnswerLost(e.to_string()))?;
+        let body = self.read_body(resp).await?;
         Ok(HttpAnswer {
             status,
             request_id,
             body,
         })
     }
+
+    /// Reads a whole body, up to the largest allowed.
+    async fn read_body(
+        &self,
+        mut resp: cyper::Response,
+    ) -> Result<Bytes, HttpClientError> {
+        let mut body = BytesMut::new();
+        while let Some(part) = resp.next().await {
+            let part = part.map_err(|e| HttpClientError::AnswerLost(e.to_string()))?;
+            if (body.len() + part.len()) as u64 > self.max_answer {
+                return Err(HttpClientError::TooLarge(self.max_answer));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    }
 }
 
 /// Turns an error from before the sending.
--- a/src/connection/peer/frame.rs
+++ b/src/connection/peer/frame.rs
@@ -1,6 +1,7 @@
 //! Frames: one version byte, four bytes of length in little endian, then a postcard message.
 
 use {
+    crate::version::MAX_PAYLOAD_BYTES,
     compio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     derive_more::{Display, Error, From},
     serde::{Serialize, de::DeserializeOwned},
@@ -10,8 +11,11 @@
 /// The version of the protocol.
 const PROTOCOL_VERSION: u8 = 1;
 
+/// The largest part of a frame besides the body that it carries, in bytes.
+const MAX_ENVELOPE_BYTES: usize = 64 << 10;
+
 /// The largest frame content, in bytes.
-const MAX_FRAME_BYTES: usize = 4 << 20;
+const MAX_FRAME_BYTES: usize = MAX_PAYLOAD_BYTES as usize + MAX_ENVELOPE_BYTES;
 
 /// The length of a frame's header, in bytes.
 const HEADER_BYTES: usize = 5;
--- a/src/connection/peer/message.rs
+++ b/src/connection/peer/message.rs
@@ -65,6 +65,10 @@
 pub struct RunGrant {
     /// The request's identity.
     pub id: RequestId,
+    /// The number of the attempt, counted from 1.
+    pub attempt: u32,
+    /// Whether running the request twice has the same effect as running it once.
+    pub idempotent: bool,
     /// The account that sends it.
     pub account: AccountName,
     /// The request's kind.
@@ -73,6 +77,10 @@
     pub body: Bytes,
     /// The longest time that it may take, in milliseconds.
     pub timeout_ms: u64,
+    /// The largest answer, in bytes.
+    pub max_answer: u64,
+    /// When the entry sent it, in milliseconds by the entry's time of day.
+    pub sent_ms: u64,
 }
 
 /// A reservation for one member of a gang.
@@ -139,6 +147,9 @@
     /// A newer term of the job is known, or the reservation has lapsed.
     #[display("fenced by a newer term")]
     Fenced,
+    /// The request came after its deadline.
+    #[display("past the deadline")]
+    Late,
     /// The worker did not take the call.
     #[display("the worker refused")]
     Worker,
--- a/src/connection/peer/peer_link.rs
+++ b/src/connection/peer/peer_link.rs
@@ -101,7 +101,7 @@
     let pending = Pending::default();
     let (mut read_half, mut write_half) = stream.into_split();
     let writing = write_calls(&mut write_half, first, &pending, metrics, rx);
-    let reading = read_replies(&mut read_half, &pending);
+    let reading = read_replies(&mut read_half, &pending, metrics);
     pin_mut!(writing, reading);
     let result = match select(writing, reading).await {
         Either::Left((result, _)) | Either::Right((result, _)) => result,
@@ -138,13 +138,15 @@
 async fn read_replies(
     stream: &mut TcpStream,
     pending: &Pending,
+    metrics: &Metrics,
 ) -> Result<(), FrameError> {
     loop {
         let (number, reply): Numbered<GuardReply> = read_frame(stream).await?;
         let waiting = pending.borrow_mut().remove(&number);
-        match waiting {
-            Some(waiting) => drop(waiting.send(Ok(reply))),
-            None => tracing::warn!(number, "a reply matches no call; dropped"),
+        let is_taken = waiting.is_some_and(|tx| tx.send(Ok(reply)).is_ok());
+        if !is_taken {
+            metrics.late_replies.inc();
+            tracing::debug!(number, "a reply that nobody waits for was dropped");
         }
     }
 }
--- /dev/null
+++ b/src/process/admission/standing.rs
@@ -0,0 +1,116 @@
+//! How well an upstream does, and when it is ejected.
+
+use crate::{prelude::*, request::Health};
+
+/// The weight of a new sample in the means.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// The fewest samples before an upstream can be ejected.
+const MIN_SAMPLES: u32 = 5;
+
+/// The share of failures above which an upstream is ejected.
+const EJECT_FAILURES: f64 = 0.5;
+
+/// How many times the failures of its peers an ejected upstream has at least.
+const PEER_FACTOR: f64 = 2.0;
+
+/// The first ejection; each further one in a row lasts twice as long.
+const FIRST_EJECTION: Duration = Duration::from_secs(2);
+
+/// The longest ejection.
+const MAX_EJECTION: Duration = Duration::from_secs(60);
+
+/// The slowness above which no more is counted.
+const MAX_SLOWNESS: f64 = 50.0;
+
+/// How long it takes until an upstream's slowness counts for half, without new samples.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// What an entry has seen of one upstream's answers.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    samples: u32,
+    failures: f64,
+    slowness: f64,
+    seen: Millis,
+    ejected_until: Option<Millis>,
+    ejections: u32,
+}
+
+impl Standing {
+    /// Returns the mean share of failures; `None` without samples.
+    pub fn failures(&self) -> Option<f64> {
+        (self.samples > 0).then_some(self.failures)
+    }
+
+    /// Returns how many times longer than its peers the upstream takes; fades without samples, so
+    /// that it is tried again.
+    pub fn slowness(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        if self.slowness <= 1.0 {
+            return 1.0;
+        }
+        let idle = now.since(self.seen).as_secs_f64();
+        let fading = 0.5_f64.powf(idle / SLOWNESS_HALF_LIFE.as_secs_f64());
+        1.0 + (self.slowness - 1.0) * fading
+    }
+
+    /// Returns how the upstream is doing.
+    pub fn health(
+        &self,
+        now: Millis,
+    ) -> Health {
+        match self.ejected_until {
+            None => Health::Healthy,
+            Some(until) if now < until => Health::Ejected,
+            Some(_) => Health::Trial,
+        }
+    }
+
+    /// Takes an answer into account that took `ratio` times its kind's mean. It ends a trial.
+    pub fn record_answer(
+        &mut self,
+        now: Millis,
+        ratio: f64,
+    ) {
+        let slowness = self.slowness(now);
+        let ratio = ratio.min(MAX_SLOWNESS);
+        self.slowness = slowness + SAMPLE_WEIGHT * (ratio - slowness);
+        self.seen = now;
+        self.failures -= SAMPLE_WEIGHT * self.failures;
+        self.samples = self.samples.saturating_add(1);
+        if self.health(now) == Health::Trial {
+            *self = Self {
+                slowness: self.slowness,
+                seen: now,
+                ..Self::default()
+            };
+        }
+    }
+
+    /// Takes a failure into account; returns whether the upstream was ejected by it. `peers` is
+    /// the mean share of failures of its peers.
+    pub fn record_failure(
+        &mut self,
+        now: Millis,
+        peers: f64,
+    ) -> bool {
+        self.failures += SAMPLE_WEIGHT * (1.0 - self.failures);
+        self.samples = self.samples.saturating_add(1);
+        self.seen = now;
+        let fails_trial = self.health(now) == Health::Trial;
+        let fails_often = self.ejected_until.is_none()
+            && self.samples >= MIN_SAMPLES
+            && self.failures >= EJECT_FAILURES
+            && self.failures >= PEER_FACTOR * peers;
+        if !(fails_trial || fails_often) {
+            return false;
+        }
+        let span = FIRST_EJECTION * 2_u32.pow(self.ejections.min(5));
+        self.ejections += 1;
+        self.ejected_until = Some(now + Millis::from(span.min(MAX_EJECTION)));
+        true
+    }
+}
--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -1,12 +1,13 @@
 //! The entry.
 
 use {
-    super::{Dialer, InFlightLimits},
+    super::{ClaimEnds, Dialer},
     crate::{
         connection::GuardPeer,
         prelude::*,
         process::{
-            membership::MemberTable, metrics::Metrics, settings::EntrySettings, state::State,
+            admission::Admission, membership::MemberTable, metrics::Metrics,
+            settings::EntrySettings, state::State,
         },
         request::{IdSource, PlacementPolicy, RoutingPolicy},
     },
@@ -33,8 +34,10 @@
     pub placement: Box<dyn PlacementPolicy>,
     /// The source of identities.
     pub ids: IdSource,
-    /// The requests in progress.
-    pub in_flight: InFlightLimits,
+    /// The queue, limits and loads of requests.
+    pub admission: Rc<Admission>,
+    /// The ends of claimed requests that are not yet on the log.
+    pub claim_ends: ClaimEnds,
     /// Whether the entry takes no new work.
     pub draining: Cell<bool>,
 }
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -1,13 +1,19 @@
 //! An entry with its sockets and tasks.
 
 use {
-    super::{Entry, InFlightLimits, LinkDialer, push_documents, run_jobs},
+    super::{ClaimEnds, Entry, LinkDialer, push_documents, run_claim_ends, run_jobs},
     crate::{
         connection::{HttpClient, HttpServer},
         prelude::*,
         process::{
-            clock::with_timeout, membership::MemberListener, metrics::Metrics, platform::HttpLog,
-            settings::EntrySettings, shutdown::Shutdown, state::State,
+            admission::{Admission, run_dispatch},
+            clock::with_timeout,
+            membership::MemberListener,
+            metrics::Metrics,
+            platform::HttpLog,
+            settings::EntrySettings,
+            shutdown::Shutdown,
+            state::State,
         },
         request::{EntryApi, IdSource, LeastWaitRouting, PackPlacement},
     },
@@ -49,14 +55,15 @@
         let entry = Rc::new(Entry {
             settings,
             dialer: Rc::new(LinkDialer::new(clock.clone(), metrics.clone())),
-            clock,
             metrics,
             state: Rc::new(state),
             members: RefCell::default(),
-            routing: Box::new(LeastWaitRouting),
+            routing: Box::new(LeastWaitRouting::new(rand::random())),
             placement: Box::new(PackPlacement),
             ids,
-            in_flight: InFlightLimits::default(),
+            admission: Admission::new(clock.clone(), rand::random()),
+            claim_ends: ClaimEnds::default(),
+            clock,
             draining: Cell::new(false),
         });
         let server = HttpServer::bind(http, Rc::new(EntryApi::new(entry.clone()))).await?;
@@ -111,5 +118,7 @@
     let hearing = entry.clone();
     spawn(async move { listener.run(&hearing.members).await }).detach();
     spawn(run_jobs(entry.clone())).detach();
+    spawn(run_dispatch(entry.clone())).detach();
+    spawn(run_claim_ends(entry.clone())).detach();
     spawn(push_documents(entry.clone())).detach();
 }
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -1,14 +1,14 @@
 //! The guard.
 
 use {
-    super::{AcceleratorBook, SlotBook},
+    super::{AcceleratorBook, RequestRunner, SlotBook},
     crate::{
-        connection::{GuardReply, GuardRequest, PeerHandler, Refusal, ReserveCall, RunGrant},
+        connection::{GuardReply, GuardRequest, PeerHandler, Refusal, ReserveCall},
         prelude::*,
         process::{
             membership::{Announcement, ServingState},
             metrics::Metrics,
-            platform::{RunCall, TaskId, TaskStart, TaskState, Worker, WorkerError},
+            platform::{TaskId, TaskStart, TaskState, Worker},
             settings::GuardSettings,
         },
     },
@@ -26,6 +26,7 @@
     metrics: Rc<Metrics>,
     worker: Rc<dyn Worker>,
     slots: Rc<SlotBook>,
+    requests: RequestRunner,
     accelerators: RefCell<AcceleratorBook>,
     version: Cell<VersionNumber>,
     document: RefCell<Rc<Document>>,
@@ -46,8 +47,16 @@
     ) -> Self {
         let changed = Rc::new(Event::new());
         let all = AcceleratorSet::first(settings.accelerators);
+        let slots = Rc::new(SlotBook::new(settings.slots, changed.clone()));
+        let requests = RequestRunner::new(
+            clock.clone(),
+            metrics.clone(),
+            worker.clone(),
+            slots.clone(),
+        );
         Self {
-            slots: Rc::new(SlotBook::new(settings.slots, changed.clone())),
+            slots,
+            requests,
             accelerators: RefCell::new(AcceleratorBook::new(all)),
             settings,
             clock,
@@ -127,43 +136,6 @@
         }
     }
 
-    async fn run(
-        &self,
-        grant: RunGrant,
-    ) -> GuardReply {
-        let slot = match self.slots.take() {
-            Ok(slot) => slot,
-            Err(refusal) => return GuardReply::Refused(refusal),
-        };
-        self.metrics
-            .slots_in_use
-            .set(i64::from(self.slots.in_use()));
-        let call = RunCall {
-            id: grant.id,
-            kind: grant.kind,
-            body: grant.body,
-            timeout_ms: grant.timeout_ms,
-        };
-        let result = self.worker.run(call).await;
-        drop(slot);
-        self.metrics
-            .slots_in_use
-            .set(i64::from(self.slots.in_use()));
-        match result {
-            Ok(answer) => GuardReply::Answer {
-                id: answer.id,
-                status: answer.status,
-                body: answer.body,
-            },
-            Err(WorkerError::NotReached | WorkerError::Refused(_)) => {
-                GuardReply::Refused(Refusal::Worker)
-            }
-            Err(e @ WorkerError::AnswerLost(_)) => GuardReply::Unknown {
-                reason: e.to_string(),
-            },
-        }
-    }
-
     fn reserve(
         &self,
         call: &ReserveCall,
@@ -272,7 +244,7 @@
         req: GuardRequest,
     ) -> GuardReply {
         match req {
-            GuardRequest::Run(grant) => self.run(grant).await,
+            GuardRequest::Run(grant) => self.requests.run(grant).await,
             GuardRequest::Reserve(call) => self.reserve(&call),
             GuardRequest::Commit(task) => self.commit(task).await,
             GuardRequest::Release { id } => self.release(id).await,
--- a/src/process/guard/mod.rs
+++ b/src/process/guard/mod.rs
@@ -6,12 +6,18 @@
     reason = "a file bears the name of its main type"
 )]
 mod guard;
+mod lateness;
+mod recent_requests;
+mod run_requests;
 mod running_guard;
 mod slot_book;
 
 pub use {
     accelerator_book::{AcceleratorBook, Holding},
     guard::Guard,
+    lateness::Lateness,
+    recent_requests::{Admittance, RecentRequests, RecentState},
+    run_requests::RequestRunner,
     running_guard::RunningGuard,
     slot_book::{Slot, SlotBook},
 };
--- a/src/process/membership/member_table.rs
+++ b/src/process/membership/member_table.rs
@@ -3,6 +3,7 @@
 use {
     super::{Announcement, ServingState},
     crate::prelude::*,
+    event_listener::Event,
     std::collections::BTreeMap,
 };
 
@@ -20,6 +21,7 @@
 #[derive(Debug, Default)]
 pub struct MemberTable {
     members: BTreeMap<UpstreamName, Member>,
+    changed: Rc<Event>,
 }
 
 impl MemberTable {
@@ -37,6 +39,7 @@
         if stale {
             return;
         }
+        self.changed.notify(usize::MAX);
         if announcement.serving == ServingState::Leaving {
             self.members.remove(&announcement.upstream);
             return;
@@ -49,6 +52,11 @@
             .insert(member.announcement.upstream.clone(), member);
     }
 
+    /// Returns what is notified at each announcement.
+    pub fn changed(&self) -> Rc<Event> {
+        self.changed.clone()
+    }
+
     /// Returns the upstreams whose lease stands, by name.
     pub fn live(
         &self,
@@ -66,16 +74,4 @@
     ) -> Option<Rc<Announcement>> {
         self.members.get(upstream).map(|m| m.announcement.clone())
     }
-
-    /// Counts slots that this entry has just taken or given back, until the next announcement.
-    pub fn adjust_slots(
-        &mut self,
-        upstream: &UpstreamName,
-        delta: i32,
-    ) {
-        if let Some(member) = self.members.get_mut(upstream) {
-            let announcement = Rc::make_mut(&mut member.announcement);
-            announcement.slots_in_use = announcement.slots_in_use.saturating_add_signed(delta);
-        }
-    }
 }
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -7,6 +7,16 @@
     registry: Registry,
     /// Requests by outcome.
     pub requests: IntCounterVec,
+    /// Requests that were not run, by reason.
+    pub not_run: IntCounterVec,
+    /// Retries after a failure.
+    pub retries: IntCounter,
+    /// Answers that named another request and were dropped.
+    pub crossed_answers: IntCounter,
+    /// Replies that nobody waited for any more and were dropped.
+    pub late_replies: IntCounter,
+    /// Frames of requests that were seen before.
+    pub doubled_requests: IntCounter,
     /// Bytes that were sent to guards.
     pub peer_bytes_sent: IntCounter,
     /// Failed tries to connect to a guard.
@@ -35,6 +45,32 @@
                 "Requests by outcome.",
                 &["outcome"],
             ),
+            not_run: counter_vec(
+                &registry,
+                "limpetquay_requests_not_run_total",
+                "Requests that were not run, by reason.",
+                &["reason"],
+            ),
+            retries: counter(
+                &registry,
+                "limpetquay_request_retries_total",
+                "Retries of requests after a failure.",
+            ),
+            crossed_answers: counter(
+                &registry,
+                "limpetquay_crossed_answers_total",
+                "Answers that named another request and were dropped.",
+            ),
+            late_replies: counter(
+                &registry,
+                "limpetquay_late_replies_total",
+                "Replies that nobody waited for any more and were dropped.",
+            ),
+            doubled_requests: counter(
+                &registry,
+                "limpetquay_doubled_requests_total",
+                "Frames of requests that were seen before.",
+            ),
             peer_bytes_sent: counter(
                 &registry,
                 "limpetquay_peer_sent_bytes_total",
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one process.
 
+pub mod admission;
 pub mod bench;
 pub mod cli;
 pub mod clock;
--- a/src/process/platform/http_worker.rs
+++ b/src/process/platform/http_worker.rs
@@ -38,7 +38,8 @@
         let id = call.id.to_string();
         let timeout = Duration::from_millis(call.timeout_ms);
         let headers = [(REQUEST_ID_HEADER, id.as_str())];
-        let answer = self.client.post(&url, &headers, call.body, timeout).await;
+        let client = self.client.with_max_answer(call.max_answer);
+        let answer = client.post(&url, &headers, call.body, timeout).await;
         let answer = answer.map_err(|e| e.as_worker_error())?;
         if answer.status == 503 {
             return Err(WorkerError::Refused(
--- a/src/process/platform/worker.rs
+++ b/src/process/platform/worker.rs
@@ -90,6 +90,8 @@
     pub body: Bytes,
     /// The longest time the upstream may take, in milliseconds.
     pub timeout_ms: u64,
+    /// The largest answer, in bytes.
+    pub max_answer: u64,
 }
 
 /// The upstream's answer to one request.
@@ -112,6 +114,9 @@
     /// The worker refused the call, so it had no effect.
     #[display("the worker refused: {_0}")]
     Refused(#[error(not(source))] String),
+    /// The call took effect, but its answer is larger than allowed.
+    #[display("the worker's answer is too large")]
+    AnswerTooLarge,
     /// The answer was lost or did not match, so the call may have had its effect.
     #[display("the worker's answer was lost: {_0}")]
     AnswerLost(#[error(not(source))] String),
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,7 +6,8 @@
 
 use {
     super::{
-        DocumentFold, JobEntry, JobFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome,
+        ClaimFold, DocumentFold, JobEntry, JobFold, Record, RecordBody, RecordCx, RecordKey,
+        RecordOutcome,
     },
     crate::{
         prelude::*,
@@ -23,6 +24,7 @@
     seen: BTreeSet<RecordKey>,
     documents: DocumentFold,
     jobs: JobFold,
+    claims: ClaimFold,
 }
 
 impl Fold {
@@ -54,6 +56,11 @@
         self.seen.contains(&key)
     }
 
+    /// Returns the claims of idempotency keys.
+    pub fn claims(&self) -> &ClaimFold {
+        &self.claims
+    }
+
     /// Returns a job.
     pub fn job(
         &self,
@@ -127,6 +134,7 @@
         match body {
             RecordBody::Document(document) => self.documents.apply(cx, document),
             RecordBody::Job(job) => self.jobs.apply(cx, job),
+            RecordBody::Claim(claim) => self.claims.apply(cx, claim),
         }
     }
 }
--- a/src/process/state/mod.rs
+++ b/src/process/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state that all processes agree on, folded from the platform's log.
 
+mod claim_fold;
 mod document_fold;
 mod fold;
 mod job_fold;
@@ -13,6 +14,7 @@
 mod state;
 
 pub use {
+    claim_fold::{Claim, ClaimEnd, ClaimEntry, ClaimFold, ClaimRecord},
     document_fold::{AcceptedVersion, DocumentFold},
     fold::Fold,
     job_fold::JobFold,
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,6 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
+    super::ClaimRecord,
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -33,6 +34,8 @@
     Document(DocumentRecord),
     /// Something happened to a job.
     Job(JobRecord),
+    /// Something happened to a request with an idempotency key.
+    Claim(ClaimRecord),
 }
 
 /// A submitted document. It is accepted when it follows the version in force where it stands.
--- /dev/null
+++ b/src/request/call/fingerprint.rs
@@ -0,0 +1,26 @@
+//! The identity of a request's content.
+
+use {
+    crate::prelude::*,
+    serde::{Deserialize, Serialize},
+};
+
+/// The BLAKE3 hash of an account's request: the same account, kind and body give the same one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    /// Returns the fingerprint of an account's request.
+    pub fn of(
+        account: &AccountName,
+        kind: &KindName,
+        body: &[u8],
+    ) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [account.as_str().as_bytes(), kind.as_str().as_bytes()] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(*hasher.update(body).finalize().as_bytes())
+    }
+}
--- a/src/request/call/mod.rs
+++ b/src/request/call/mod.rs
@@ -1,9 +1,12 @@
 //! One caller's request, from its admission to its outcome.
 
+mod claimed;
+mod fingerprint;
 mod outcome;
 mod run;
 
 pub use {
-    outcome::{NotRun, Outcome},
+    fingerprint::Fingerprint,
+    outcome::{KeyConflict, NotRun, Outcome},
     run::{CallerRequest, run_request},
 };
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -8,11 +8,14 @@
 
 pub use {
     api::EntryApi,
-    call::{CallerRequest, NotRun, Outcome, run_request},
+    call::{CallerRequest, Fingerprint, KeyConflict, NotRun, Outcome, run_request},
     id::{IdSource, JobId, RequestId},
     job::{
         JobError, JobSpec, JobSubmission, PackPlacement, PassedOver, PlacementAsk,
         PlacementDecision, PlacementPolicy, WorkerView, run_job, submit_job,
     },
-    routing::{LeastWaitRouting, RoutingAsk, RoutingDecision, RoutingPolicy},
+    routing::{
+        Health, LeastConnectionsRouting, LeastWaitRouting, LoadSource, RandomRouting,
+        RoundRobinRouting, RoutingAsk, RoutingDecision, RoutingPolicy, UpstreamLoad,
+    },
 };
--- /dev/null
+++ b/src/request/routing/baselines.rs
@@ -0,0 +1,92 @@
+//! Simple routing policies that measurements compare with.
+
+use {
+    super::{LoadSource, RoutingAsk, RoutingDecision, RoutingPolicy, eligible::reason_against},
+    crate::{prelude::*, process::membership::Announcement},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::cell::Cell,
+};
+
+/// Chooses an eligible upstream at random, wherever it is.
+#[derive(Debug)]
+pub struct RandomRouting {
+    rng: RefCell<StdRng>,
+}
+
+impl RandomRouting {
+    /// Creates the policy; the same seed gives the same draws.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+        }
+    }
+}
+
+/// Chooses the eligible upstreams in turn, wherever they are.
+#[derive(Debug, Default)]
+pub struct RoundRobinRouting {
+    next: Cell<usize>,
+}
+
+/// Chooses the eligible upstream with the fewest slots in use, wherever it is.
+#[derive(Debug, Default)]
+pub struct LeastConnectionsRouting;
+
+fn eligible<'a>(
+    ask: &RoutingAsk,
+    upstreams: &'a [Rc<Announcement>],
+    loads: &dyn LoadSource,
+) -> Vec<&'a Rc<Announcement>> {
+    let can = |u: &&Rc<Announcement>| reason_against(ask, u, &loads.load_of(u)).is_none();
+    upstreams.iter().filter(can).collect()
+}
+
+fn decide(chosen: Option<&Rc<Announcement>>) -> RoutingDecision {
+    RoutingDecision {
+        chosen: chosen.map(|u| u.upstream.clone()),
+        passed_over: Vec::new(),
+    }
+}
+
+impl RoutingPolicy for RandomRouting {
+    fn choose(
+        &self,
+        ask: &RoutingAsk,
+        upstreams: &[Rc<Announcement>],
+        loads: &dyn LoadSource,
+    ) -> RoutingDecision {
+        let eligible = eligible(ask, upstreams, loads);
+        if eligible.is_empty() {
+            return RoutingDecision::default();
+        }
+        let index = self.rng.borrow_mut().random_range(0..eligible.len());
+        decide(eligible.get(index).copied())
+    }
+}
+
+impl RoutingPolicy for RoundRobinRouting {
+    fn choose(
+        &self,
+        ask: &RoutingAsk,
+        upstreams: &[Rc<Announcement>],
+        loads: &dyn LoadSource,
+    ) -> RoutingDecision {
+        let eligible = eligible(ask, upstreams, loads);
+        let turn = self.next.get();
+        self.next.set(turn.wrapping_add(1));
+        decide(eligible.get(turn % eligible.len().max(1)).copied())
+    }
+}
+
+impl RoutingPolicy for LeastConnectionsRouting {
+    fn choose(
+        &self,
+        ask: &RoutingAsk,
+        upstreams: &[Rc<Announcement>],
+        loads: &dyn LoadSource,
+    ) -> RoutingDecision {
+        let eligible = eligible(ask, upstreams, loads);
+        let in_use = |u: &&&Rc<Announcement>| loads.load_of(u).in_use;
+        decide(eligible.iter().min_by_key(in_use).copied())
+    }
+}
--- a/src/request/routing/least_wait.rs
+++ b/src/request/routing/least_wait.rs
@@ -1,102 +1,202 @@
 //! The routing policy of least expected wait.
 
 use {
-    super::{RoutingAsk, RoutingDecision, RoutingPolicy},
-    crate::{
-        prelude::*,
-        process::membership::{Announcement, ServingState},
-        request::PassedOver,
+    super::{
+        LoadSource, RoutingAsk, RoutingDecision, RoutingPolicy, UpstreamLoad,
+        eligible::{reason_against, will_serve},
     },
+    crate::{prelude::*, process::membership::Announcement},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
 };
 
-/// The wait that a request is expected to have at an upstream without a free slot, for each
-/// request that it runs, in milliseconds.
-const BUSY_WAIT_MS: f64 = 50.0;
-
-/// The added time of leaving the data centre, in milliseconds.
+/// The added time of leaving the data centre, both ways, in milliseconds.
 const DATA_CENTRE_MS: f64 = 2.0;
 
 /// The added time of leaving the region, both ways, in milliseconds.
 const REGION_MS: f64 = 40.0;
 
-/// Chooses the upstream with the least expected wait: free slots first, the own data centre
-/// before the own region, and another region only when the wait saved is worth its bytes.
-#[derive(Debug, Default)]
-pub struct LeastWaitRouting;
+/// How many upstreams of each distance are drawn before all are looked at.
+const DRAWS: usize = 3;
+
+/// How far an upstream is from the entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Distance {
+    DataCentre,
+    Region,
+    Elsewhere,
+}
+
+/// Draws a few upstreams at random and takes the one with the least expected time: the own data
+/// centre before the own region, and another region only when no slot is free in the own and the
+/// wait saved is worth the bytes. Drawing, after Mitzenmacher's power of two choices (2001), keeps
+/// entries with the same old announcements from all choosing the same upstream.
+#[derive(Debug)]
+pub struct LeastWaitRouting {
+    rng: RefCell<StdRng>,
+}
+
+impl LeastWaitRouting {
+    /// Creates the policy; the same seed gives the same draws.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// Draws from the upstreams at one distance, and looks at all when no drawn one is eligible.
+    fn choose_at(
+        &self,
+        ask: &RoutingAsk,
+        upstreams: &[&Rc<Announcement>],
+        loads: &dyn LoadSource,
+        decision: &mut RoutingDecision,
+    ) -> Option<Candidate> {
+        let drawn: Vec<&Rc<Announcement>> = self.draw(upstreams);
+        let best = least_cost(ask, &drawn, loads, decision);
+        best.or_else(|| least_cost(ask, upstreams, loads, &mut RoutingDecision::default()))
+    }
+
+    fn draw<'a>(
+        &self,
+        upstreams: &[&'a Rc<Announcement>],
+    ) -> Vec<&'a Rc<Announcement>> {
+        if upstreams.len() <= DRAWS {
+            return upstreams.to_vec();
+        }
+        let mut rng = self.rng.borrow_mut();
+        let draws = (0..DRAWS).map(|_| upstreams[rng.random_range(0..upstreams.len())]);
+        draws.collect()
+    }
+}
+
+/// An eligible upstream with its expected time, in milliseconds.
+struct Candidate {
+    upstream: UpstreamName,
+    cost_ms: f64,
+}
 
 impl RoutingPolicy for LeastWaitRouting {
     fn choose(
         &self,
         ask: &RoutingAsk,
         upstreams: &[Rc<Announcement>],
+        loads: &dyn LoadSource,
     ) -> RoutingDecision {
         let mut decision = RoutingDecision::default();
-        let mut best: Option<(f64, &UpstreamName)> = None;
-        for upstream in upstreams {
-            if let Some(reason) = reason_against(ask, upstream) {
-                decision.pass_over(&upstream.upstream, reason);
-                continue;
-            }
-            let cost = expected_cost_ms(ask, upstream);
-            match best {
-                Some((least, _)) if least <= cost => {
-                    decision.pass_over(&upstream.upstream, "longer expected wait");
-                }
-                _ => {
-                    if let Some((_, previous)) = best.replace((cost, &upstream.upstream)) {
-                        decision.pass_over(previous, "longer expected wait");
-                    }
-                }
+        let at = |distance| -> Vec<&Rc<Announcement>> {
+            let near = |u: &&Rc<Announcement>| distance_of(ask, u) == distance;
+            upstreams.iter().filter(near).collect()
+        };
+        let own = self.choose_at(ask, &at(Distance::DataCentre), loads, &mut decision);
+        let region = self.choose_at(ask, &at(Distance::Region), loads, &mut decision);
+        let mut best = cheaper(own, region, &mut decision);
+        if best.is_none() {
+            let elsewhere = at(Distance::Elsewhere);
+            if is_worth_the_link(ask) || !home_will_serve(ask, upstreams, loads) {
+                best = self.choose_at(ask, &elsewhere, loads, &mut decision);
+            } else if let Some(first) = elsewhere.first() {
+                decision.pass_over(&first.upstream, "wait saved is below the link's price");
             }
         }
-        decision.chosen = best.map(|(_, upstream)| upstream.clone());
+        decision.chosen = best.map(|c| c.upstream);
         decision
     }
 }
 
-impl RoutingDecision {
-    fn pass_over(
-        &mut self,
-        upstream: &UpstreamName,
-        reason: &'static str,
-    ) {
-        self.passed_over.push(PassedOver {
-            upstream: upstream.clone(),
-            reason,
-        });
+/// Returns the candidate with the lower cost and notes the other one.
+fn cheaper(
+    a: Option<Candidate>,
+    b: Option<Candidate>,
+    decision: &mut RoutingDecision,
+) -> Option<Candidate> {
+    let (Some(a), Some(b)) = (&a, &b) else {
+        return a.or(b);
+    };
+    let (best, other) = if a.cost_ms <= b.cost_ms {
+        (a, b)
+    } else {
+        (b, a)
+    };
+    decision.pass_over(&other.upstream, "longer expected time");
+    Some(Candidate {
+        upstream: best.upstream.clone(),
+        cost_ms: best.cost_ms,
+    })
+}
+
+/// Tells whether an upstream of the own region will take the request once a slot is free.
+fn home_will_serve(
+    ask: &RoutingAsk,
+    upstreams: &[Rc<Announcement>],
+    loads: &dyn LoadSource,
+) -> bool {
+    let mut home = upstreams.iter().filter(|u| u.region == ask.region);
+    home.any(|u| will_serve(ask, u, &loads.load_of(u)))
+}
+
+/// Tells whether the wait that all queued requests are spared is worth the way and the bytes.
+fn is_worth_the_link(ask: &RoutingAsk) -> bool {
+    let kib = ask.body_bytes as f64 / 1024.0;
+    ask.wait_saved_ms > REGION_MS + kib * ask.link_price_ms_per_kib
+}
+
+fn least_cost(
+    ask: &RoutingAsk,
+    upstreams: &[&Rc<Announcement>],
+    loads: &dyn LoadSource,
+    decision: &mut RoutingDecision,
+) -> Option<Candidate> {
+    let mut best: Option<Candidate> = None;
+    for upstream in upstreams {
+        let load = loads.load_of(upstream);
+        if let Some(reason) = reason_against(ask, upstream, &load) {
+            decision.pass_over(&upstream.upstream, reason);
+            continue;
+        }
+        let cost_ms = expected_cost_ms(ask, upstream, &load);
+        let candidate = Candidate {
+            upstream: upstream.upstream.clone(),
+            cost_ms,
+        };
+        best = match best.take() {
+            Some(least) if least.cost_ms <= cost_ms => {
+                decision.pass_over(&upstream.upstream, "longer expected time");
+                Some(least)
+            }
+            Some(previous) => {
+                decision.pass_over(&previous.upstream, "longer expected time");
+                Some(candidate)
+            }
+            None => Some(candidate),
+        };
     }
+    best
 }
 
-/// Tells why an upstream cannot take the request at all.
-fn reason_against(
+fn distance_of(
     ask: &RoutingAsk,
     upstream: &Announcement,
-) -> Option<&'static str> {
-    if upstream.serving != ServingState::Serving {
-        return Some("draining");
-    }
-    if ask.tried.contains(&upstream.upstream) {
-        return Some("refused this request");
-    }
-    if upstream.slots_in_use >= upstream.slots {
-        return Some("no free slot");
+) -> Distance {
+    if upstream.region != ask.region {
+        Distance::Elsewhere
+    } else if upstream.data_centre != ask.data_centre {
+        Distance::Region
+    } else {
+        Distance::DataCentre
     }
-    None
 }
 
-/// Returns the expected wait and the price of the way, in milliseconds.
+/// Returns the expected run time, longer the fuller and slower the upstream, and the way there.
 fn expected_cost_ms(
     ask: &RoutingAsk,
     upstream: &Announcement,
+    load: &UpstreamLoad,
 ) -> f64 {
-    let busy = f64::from(upstream.slots_in_use) / f64::from(upstream.slots.max(1));
-    let wait = busy * BUSY_WAIT_MS;
-    if upstream.region != ask.region {
-        let kib = ask.body_bytes as f64 / 1024.0;
-        return wait + REGION_MS + kib * ask.link_price_ms_per_kib;
-    }
-    if upstream.data_centre != ask.data_centre {
-        return wait + DATA_CENTRE_MS;
+    let busy = f64::from(load.in_use) / f64::from(upstream.slots.max(1));
+    let run_ms = ask.run_ms * load.slowness * (1.0 + busy);
+    match distance_of(ask, upstream) {
+        Distance::DataCentre => run_ms,
+        Distance::Region => run_ms + DATA_CENTRE_MS,
+        Distance::Elsewhere => run_ms + REGION_MS,
     }
-    wait
 }
--- a/src/request/routing/mod.rs
+++ b/src/request/routing/mod.rs
@@ -1,9 +1,12 @@
 //! The choice of an upstream for one request.
 
+mod baselines;
+mod eligible;
 mod least_wait;
 mod policy;
 
 pub use {
+    baselines::{LeastConnectionsRouting, RandomRouting, RoundRobinRouting},
     least_wait::LeastWaitRouting,
-    policy::{RoutingAsk, RoutingDecision, RoutingPolicy},
+    policy::{Health, LoadSource, RoutingAsk, RoutingDecision, RoutingPolicy, UpstreamLoad},
 };
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -26,6 +26,6 @@
     },
     operator::{Operator, Role},
     quantity::{parse_bool, parse_bytes, parse_duration},
-    request_kind::{Class, RequestKind},
+    request_kind::{Class, MAX_PAYLOAD_BYTES, RequestKind},
     shape::{Adjacency, Shape},
 };
--- a/src/version/request_kind.rs
+++ b/src/version/request_kind.rs
@@ -50,8 +50,15 @@
     pub max_body: u64,
     /// The largest answer, in bytes.
     pub max_answer: u64,
+    /// The most requests of the kind that may be at upstreams at once.
+    pub max_in_flight: Option<u32>,
+    /// The most requests of the kind that are accepted in a second.
+    pub max_rate_per_s: Option<u32>,
 }
 
+/// The largest body or answer of any kind, in bytes; it has to fit one frame to a guard.
+pub const MAX_PAYLOAD_BYTES: u64 = 4 << 20;
+
 impl RequestKind {
     /// Reads a `[request-kind NAME]` section; faults go to `file`.
     pub fn read(
@@ -61,8 +68,10 @@
         let class = read_class(file, section);
         let idempotent = file.required(section, "idempotent", "yes or no", parse_bool);
         let timeout = file.required(section, "timeout", "a duration such as 30s", parse_duration);
-        let body = file.required(section, "max_body", "a size such as 64KiB", parse_bytes);
-        let answer = file.required(section, "max_answer", "a size such as 1MiB", parse_bytes);
+        let body = read_size(file, section, "max_body");
+        let answer = read_size(file, section, "max_answer");
+        let in_flight = read_limit(file, section, "max_in_flight");
+        let rate = read_limit(file, section, "max_rate_per_s");
         Some(Self {
             name: section.name.as_str().into(),
             class: class?,
@@ -70,6 +79,8 @@
             timeout: timeout?,
             max_body: body?,
             max_answer: answer?,
+            max_in_flight: in_flight,
+            max_rate_per_s: rate,
         })
     }
 }
@@ -81,3 +92,25 @@
 ) -> Option<Class> {
     file.parsed(section, "class", "urgent, normal or deferrable")
 }
+
+/// Reads the largest size of a body or answer.
+fn read_size(
+    file: &IniFile,
+    section: &IniSection,
+    key: &str,
+) -> Option<u64> {
+    let expected = "a size up to 4MiB, such as 64KiB";
+    let parse = |v: &str| parse_bytes(v).filter(|size| *size <= MAX_PAYLOAD_BYTES);
+    file.required(section, key, expected, parse)
+}
+
+/// Reads a limit that a kind may have.
+fn read_limit(
+    file: &IniFile,
+    section: &IniSection,
+    key: &str,
+) -> Option<u32> {
+    file.optional(section, key, "a whole number, 1 or more", |v| {
+        v.parse().ok().filter(|limit| *limit > 0)
+    })
+}
