Fuzz requests against an oracle with lost, doubled, late and crossed frames

Cause: nothing showed that outcomes are true under faults. Change: tests/requests runs real entries, queue, claims and guards under virtual time over fakes of the log, workers and links. The virtual clock passes on a panic of its main future, which before hung the run. A first answer no longer counts against a guessed mean, and small differences of speed do not count in routing. Conclusion: outcomes are true under the faults that the fuzz draws.

--- a/src/process/admission/admission.rs
+++ b/src/process/admission/admission.rs
@@ -147,7 +147,8 @@
     ) {
         let took_ms = took.as_secs_f64() * 1000.0;
         let mut kinds = self.kinds.borrow_mut();
-        let ratio = (took_ms + 1.0) / (kinds.expected_ms(kind) + 1.0);
+        let mean_ms = kinds.mean_ms(kind).unwrap_or(took_ms);
+        let ratio = (took_ms + 1.0) / (mean_ms + 1.0);
         kinds.record(kind, took_ms);
         self.loads.borrow_mut().record_answer(now, upstream, ratio);
     }
--- a/src/process/admission/load_table.rs
+++ b/src/process/admission/load_table.rs
@@ -65,7 +65,7 @@
         };
         UpstreamLoad {
             in_use,
-            slowness: record.standing.slowness(now),
+            slowness: record.standing.routing_slowness(now),
             health,
         }
     }
--- a/src/process/admission/standing.rs
+++ b/src/process/admission/standing.rs
@@ -20,6 +20,9 @@
 /// The longest ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(60);
 
+/// The slowness up to which an upstream counts as fast as its peers.
+const TOLERATED_SLOWNESS: f64 = 1.5;
+
 /// The slowness above which no more is counted.
 const MAX_SLOWNESS: f64 = 50.0;
 
@@ -57,6 +60,19 @@
         1.0 + (self.slowness - 1.0) * fading
     }
 
+    /// Returns the slowness that counts in routing: small differences do not.
+    pub fn routing_slowness(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let slowness = self.slowness(now);
+        if slowness <= TOLERATED_SLOWNESS {
+            1.0
+        } else {
+            slowness
+        }
+    }
+
     /// Returns how the upstream is doing.
     pub fn health(
         &self,
--- a/src/process/clock/virtual_clock.rs
+++ b/src/process/clock/virtual_clock.rs
@@ -4,11 +4,12 @@
     super::{Clock, Millis},
     compio::runtime::{Runtime, spawn},
     futures_channel::oneshot,
-    futures_util::future::LocalBoxFuture,
+    futures_util::future::{FutureExt, LocalBoxFuture},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
         future::Future,
+        panic::{AssertUnwindSafe, resume_unwind},
         rc::Rc,
         time::Duration,
     },
@@ -42,7 +43,7 @@
     /// Runs a future and all tasks that it spawns until it is done, in virtual time.
     ///
     /// # Panics
-    /// When the future waits for something that neither a task nor the clock can bring.
+    /// When the future panics, or waits for something that neither a task nor the clock can bring.
     pub fn block_on<F>(
         &self,
         future: F,
@@ -55,14 +56,14 @@
             let output = Rc::new(RefCell::new(None));
             let slot = output.clone();
             spawn(async move {
-                let done = future.await;
+                let done = AssertUnwindSafe(future).catch_unwind().await;
                 *slot.borrow_mut() = Some(done);
             })
             .detach();
             loop {
                 run_until_idle(&runtime);
                 if let Some(done) = output.borrow_mut().take() {
-                    return done;
+                    return done.unwrap_or_else(|panic| resume_unwind(panic));
                 }
                 assert!(self.advance(), "every task waits and no sleeper is left");
             }
--- /dev/null
+++ b/tests/requests/fakes.rs
@@ -0,0 +1,265 @@
+//! A log and workers in memory, which fail as they are told.
+
+use {
+    event_listener::Event,
+    limpetquay::{
+        prelude::*,
+        process::{
+            clock::with_timeout,
+            platform::{
+                Batch, LogError, LogRecord, Offset, PlatformLog, RunAnswer, RunCall, TaskId,
+                TaskStart, TaskState, Worker, WorkerError,
+            },
+        },
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+    },
+};
+
+/// How the log answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogMode {
+    #[default]
+    Up,
+    /// It is not reached.
+    Down,
+    /// Appends take effect, but their answers are lost.
+    LosesAnswers,
+    /// Appends take effect seconds later, and their answers are lost.
+    Slow,
+}
+
+/// How long a slow append takes.
+const SLOW_APPEND: Duration = Duration::from_secs(4);
+
+/// The log of all entries.
+pub struct FakeLog {
+    pub clock: Rc<dyn Clock>,
+    pub mode: Cell<LogMode>,
+    records: RefCell<Vec<LogRecord>>,
+    appended: Event,
+}
+
+impl FakeLog {
+    pub fn new(clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            mode: Cell::default(),
+            records: RefCell::default(),
+            appended: Event::new(),
+        })
+    }
+
+    fn push(
+        &self,
+        batch: Vec<Bytes>,
+    ) -> Offset {
+        let mut records = self.records.borrow_mut();
+        let first = Offset(records.len() as u64);
+        for data in batch {
+            let offset = Offset(records.len() as u64);
+            let appended_ms = self.clock.wall().0;
+            records.push(LogRecord {
+                offset,
+                appended_ms,
+                data,
+            });
+        }
+        drop(records);
+        self.appended.notify(usize::MAX);
+        first
+    }
+}
+
+impl PlatformLog for FakeLog {
+    fn append(
+        &self,
+        batch: Vec<Bytes>,
+    ) -> LocalBoxFuture<'_, Result<Offset, LogError>> {
+        Box::pin(async move {
+            self.clock.sleep(Duration::from_millis(3)).await;
+            match self.mode.get() {
+                LogMode::Up => Ok(self.push(batch)),
+                LogMode::Down => Err(LogError::Unavailable),
+                LogMode::LosesAnswers => {
+                    self.push(batch);
+                    Err(LogError::AnswerLost)
+                }
+                LogMode::Slow => {
+                    self.clock.sleep(SLOW_APPEND).await;
+                    self.push(batch);
+                    Err(LogError::AnswerLost)
+                }
+            }
+        })
+    }
+
+    fn read(
+        &self,
+        from: Offset,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Batch, LogError>> {
+        Box::pin(async move {
+            self.clock.sleep(Duration::from_millis(1)).await;
+            let appended = self.appended.listen();
+            if from.0 as usize >= self.records.borrow().len() {
+                with_timeout(&*self.clock, wait, appended).await;
+            }
+            if self.mode.get() == LogMode::Down {
+                return Err(LogError::Unavailable);
+            }
+            let records = self.records.borrow();
+            Ok(Batch {
+                records: records.iter().skip(from.0 as usize).cloned().collect(),
+                first: Offset(0),
+                end: Offset(records.len() as u64),
+            })
+        })
+    }
+}
+
+/// How an upstream runs requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WorkerMode {
+    #[default]
+    Well,
+    /// It is not reached.
+    Away,
+    /// It runs requests and loses the answers.
+    LosesAnswers,
+    /// It answers with status 500.
+    Fails,
+    /// It takes ten times as long.
+    Slow,
+    /// Its answers name another request.
+    Crosses,
+}
+
+/// What the upstreams have run, by request.
+pub type Runs = Rc<RefCell<BTreeMap<RequestId, Vec<UpstreamName>>>>;
+
+/// One upstream.
+pub struct FakeWorker {
+    pub clock: Rc<dyn Clock>,
+    pub name: UpstreamName,
+    pub mode: Cell<WorkerMode>,
+    pub runs: Runs,
+    running: Cell<u32>,
+    pub most_running: Cell<u32>,
+}
+
+/// Counts a running request, also when its guard dies.
+struct Running<'a>(&'a FakeWorker);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+impl FakeWorker {
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        name: UpstreamName,
+        runs: Runs,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            name,
+            mode: Cell::default(),
+            runs,
+            running: Cell::new(0),
+            most_running: Cell::new(0),
+        })
+    }
+
+    fn start_run(
+        &self,
+        id: RequestId,
+    ) -> Running<'_> {
+        let mut runs = self.runs.borrow_mut();
+        runs.entry(id).or_default().push(self.name.clone());
+        self.running.set(self.running.get() + 1);
+        self.most_running
+            .set(self.most_running.get().max(self.running.get()));
+        Running(self)
+    }
+
+    async fn run_call(
+        &self,
+        call: RunCall,
+    ) -> Result<RunAnswer, WorkerError> {
+        let mode = self.mode.get();
+        if mode == WorkerMode::Away {
+            return Err(WorkerError::NotReached);
+        }
+        let _running = self.start_run(call.id);
+        let poison = call.body.starts_with(b"poison");
+        let run_ms = 5 + u64::from(call.body.last().copied().unwrap_or(0) % 50);
+        let factor = if mode == WorkerMode::Slow { 10 } else { 1 };
+        self.clock
+            .sleep(Duration::from_millis(run_ms * factor))
+            .await;
+        let mut answer = RunAnswer {
+            id: call.id,
+            status: 200,
+            body: [b"answer to ", &call.body[..]].concat().into(),
+        };
+        match mode {
+            WorkerMode::LosesAnswers => return Err(WorkerError::AnswerLost("cut".into())),
+            _ if poison => return Err(WorkerError::AnswerLost("killed".into())),
+            WorkerMode::Fails => answer.status = 500,
+            WorkerMode::Crosses => answer.id.sequence += 1_000_000,
+            _ => {}
+        }
+        Ok(answer)
+    }
+}
+
+impl Worker for FakeWorker {
+    fn run(
+        &self,
+        call: RunCall,
+    ) -> LocalBoxFuture<'_, Result<RunAnswer, WorkerError>> {
+        Box::pin(self.run_call(call))
+    }
+
+    fn start(
+        &self,
+        _task: TaskStart,
+    ) -> LocalBoxFuture<'_, Result<(), WorkerError>> {
+        Box::pin(async { Err(WorkerError::NotReached) })
+    }
+
+    fn renew(
+        &self,
+        _id: TaskId,
+        _wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<TaskState, WorkerError>> {
+        Box::pin(async { Err(WorkerError::NotReached) })
+    }
+
+    fn checkpoint(
+        &self,
+        _id: TaskId,
+    ) -> LocalBoxFuture<'_, Result<u64, WorkerError>> {
+        Box::pin(async { Err(WorkerError::NotReached) })
+    }
+
+    fn throttle(
+        &self,
+        _id: TaskId,
+        _percent: u32,
+    ) -> LocalBoxFuture<'_, Result<(), WorkerError>> {
+        Box::pin(async { Err(WorkerError::NotReached) })
+    }
+
+    fn stop(
+        &self,
+        _id: TaskId,
+    ) -> LocalBoxFuture<'_, Result<(), WorkerError>> {
+        Box::pin(async { Err(WorkerError::NotReached) })
+    }
+}
--- /dev/null
+++ b/tests/requests/main.rs
@@ -0,0 +1,11 @@
+//! Requests: fuzzing of the whole path with fakes at its borders, and focused failures.
+
+mod claims;
+mod fakes;
+mod fuzz;
+mod limits;
+mod network;
+mod oracle;
+mod steps;
+mod upstreams;
+mod world;
--- /dev/null
+++ b/tests/requests/world.rs
@@ -0,0 +1,212 @@
+//! Entries, guards and upstreams in one process under virtual time.
+
+use {
+    super::{
+        fakes::{FakeLog, FakeWorker, Runs},
+        network::{FakeDialer, Site},
+    },
+    compio::runtime::{JoinHandle, spawn},
+    limpetquay::{
+        prelude::*,
+        process::{
+            admission::{Admission, run_dispatch},
+            clock::VirtualClock,
+            entry::{ClaimEnds, Entry, run_claim_ends},
+            metrics::Metrics,
+            settings::EntrySettings,
+            state::{DocumentRecord, RecordBody, State},
+        },
+        request::{CallerRequest, IdSource, LeastWaitRouting, Outcome, PackPlacement, run_request},
+    },
+    std::cell::{Cell, RefCell},
+};
+
+/// The pause between announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+
+const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+/// The document of most tests.
+pub const DOCUMENT: &str = include_str!("service.ini");
+
+/// One entry with its tasks; dropping it kills it.
+pub struct LiveEntry {
+    pub entry: Rc<Entry>,
+    _tasks: Vec<JoinHandle<()>>,
+}
+
+/// Two entries and their sites.
+pub struct World {
+    pub clock: Rc<VirtualClock>,
+    pub log: Rc<FakeLog>,
+    pub sites: Vec<Rc<Site>>,
+    pub runs: Runs,
+    pub entries: RefCell<Vec<LiveEntry>>,
+    document: Document,
+    dialer: Rc<FakeDialer>,
+    epochs: Cell<u64>,
+}
+
+impl World {
+    /// Starts sites of `slots` slots and two entries that have the document in force.
+    pub async fn start(
+        clock: Rc<VirtualClock>,
+        sites: u16,
+        slots: u32,
+        document: &str,
+    ) -> Rc<Self> {
+        let log = FakeLog::new(clock.clone());
+        let runs = Runs::default();
+        let started: Vec<Rc<Site>> = (0..sites)
+            .map(|i| {
+                let name = format!("w{i}").as_str().into();
+                let worker = FakeWorker::new(clock.clone(), name, runs.clone());
+                let address = SocketAddr::new(ADDRESS.ip(), 100 + i);
+                Site::start(clock.clone(), address, worker, slots)
+            })
+            .collect();
+        let by_address = started.iter().map(|s| (s.address, s.clone()));
+        let dialer = FakeDialer {
+            sites: by_address.collect(),
+        };
+        let world = Rc::new(Self {
+            clock,
+            log,
+            sites: started,
+            runs,
+            entries: RefCell::default(),
+            document: Document::parse("service.ini", document).expect("a valid document"),
+            dialer: Rc::new(dialer),
+            epochs: Cell::new(0),
+        });
+        for _ in 0..2 {
+            let entry = world.new_entry();
+            world.entries.borrow_mut().push(entry);
+        }
+        spawn(announce(world.clone())).detach();
+        let record = RecordBody::Document(DocumentRecord {
+            follows: VersionNumber::default(),
+            text: Arc::from(document),
+            operator: "tester".into(),
+            submitted_ms: 0,
+        });
+        let first = world.entry(0);
+        first.state.append(record).await.expect("the log is up");
+        world.sleep(1000).await;
+        world
+    }
+
+    pub fn entry(
+        &self,
+        index: usize,
+    ) -> Rc<Entry> {
+        self.entries.borrow()[index].entry.clone()
+    }
+
+    /// Kills an entry and starts another one in its place.
+    pub fn replace_entry(
+        &self,
+        index: usize,
+    ) {
+        let new = self.new_entry();
+        let old = std::mem::replace(&mut self.entries.borrow_mut()[index], new);
+        drop(old);
+    }
+
+    pub async fn sleep(
+        &self,
+        ms: u64,
+    ) {
+        self.clock.sleep(Duration::from_millis(ms)).await;
+    }
+
+    /// Returns a request of an account through an entry.
+    pub fn request(
+        &self,
+        entry: &Entry,
+        account: &str,
+        kind: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> CallerRequest {
+        CallerRequest {
+            id: entry.ids.request_id(),
+            account: account.into(),
+            kind: self.document.request_kinds[&kind.into()].clone(),
+            body: Bytes::copy_from_slice(body.as_bytes()),
+            deadline: Duration::from_secs(8),
+            idempotency_key: key.map(Arc::from),
+        }
+    }
+
+    /// Sends a request through an entry and waits for its outcome.
+    pub async fn send(
+        &self,
+        entry: usize,
+        account: &str,
+        kind: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Outcome {
+        let entry = self.entry(entry);
+        let req = self.request(&entry, account, kind, key, body);
+        run_request(&entry, &req).await
+    }
+
+    fn new_entry(&self) -> LiveEntry {
+        let epoch = self.epochs.get() + 1;
+        self.epochs.set(epoch);
+        let clock: Rc<dyn Clock> = self.clock.clone();
+        let name: EntryName = format!("entry-{epoch}").as_str().into();
+        let state = State::new(self.log.clone(), clock.clone(), name.clone(), epoch);
+        let entry = Rc::new(Entry {
+            settings: EntrySettings {
+                name,
+                region: "jozi".into(),
+                data_centre: "jozi-1".into(),
+                http: ADDRESS,
+                announcements: ADDRESS,
+                log: ADDRESS,
+                drain_timeout: Duration::from_secs(1),
+                bootstrap: None,
+            },
+            clock: clock.clone(),
+            metrics: Rc::new(Metrics::default()),
+            state: Rc::new(state),
+            members: RefCell::default(),
+            dialer: self.dialer.clone(),
+            routing: Box::new(LeastWaitRouting::new(epoch)),
+            placement: Box::new(PackPlacement),
+            ids: IdSource::with_epoch(epoch),
+            admission: Admission::new(clock, epoch),
+            claim_ends: ClaimEnds::default(),
+            draining: Cell::new(false),
+        });
+        let state = entry.state.clone();
+        let tasks = vec![
+            spawn(async move { state.follow_log().await }),
+            spawn(run_dispatch(entry.clone())),
+            spawn(run_claim_ends(entry.clone())),
+        ];
+        LiveEntry {
+            entry,
+            _tasks: tasks,
+        }
+    }
+}
+
+/// Announces every living guard to every entry, for ever.
+async fn announce(world: Rc<World>) {
+    loop {
+        for site in &world.sites {
+            let guard = site.guard.borrow().clone();
+            let Some(guard) = guard else { continue };
+            for live in world.entries.borrow().iter() {
+                let announcement = guard.describe(site.address);
+                let mut members = live.entry.members.borrow_mut();
+                members.hear(world.clock.now(), announcement);
+            }
+        }
+        world.clock.sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
