--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -4,10 +4,12 @@
 mod check_command;
 mod cli_error;
 mod command;
+mod decisions_command;
 mod key_hash_command;
+mod load_command;
 mod local_command;
 mod role_commands;
 mod run;
 mod signals;
 
-pub use {cli_error::CliError, command::Command, run::run};
+pub use {check_command::check_text, cli_error::CliError, command::Command, run::run};
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -1,14 +1,11 @@
-//! The datagrams of membership.
+//! What an upstream tells of itself.
 
 use {
-    crate::{prelude::*, request::WorkerView},
+    crate::{connection::GuaranteedShare, prelude::*, request::Room, version::FleetWorker},
     derive_more::Display,
     serde::{Deserialize, Serialize},
 };
 
-/// The largest datagram, in bytes.
-pub(super) const MAX_DATAGRAM_BYTES: usize = 1400;
-
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -51,31 +48,143 @@
     pub accelerators: AcceleratorSet,
     /// The accelerators that no task and no reservation holds.
     pub accelerators_free: AcceleratorSet,
+    /// The accelerators that an account is guaranteed and that another account's evictable work
+    /// holds.
+    pub evictable: AcceleratorSet,
+    /// The accelerators that accounts are guaranteed.
+    pub guaranteed: Vec<GuaranteedShare>,
     /// The document version that its guard has in force.
     pub version: VersionNumber,
 }
 
-/// A datagram between a guard and an entry.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Datagram {
-    /// A guard announces its upstream.
-    Announce(Announcement),
+/// The part of an announcement that changes while its guard runs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Pulse {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The number of its guard's start.
+    pub incarnation: u64,
+    /// The announcement's number within that start.
+    pub sequence: u64,
+    /// Whether it takes new work.
+    pub serving: ServingState,
+    /// The slots in use.
+    pub slots_in_use: u32,
+    /// The accelerators that no task and no reservation holds.
+    pub accelerators_free: AcceleratorSet,
+    /// The accelerators whose holders give them back when they are reclaimed.
+    pub evictable: AcceleratorSet,
+    /// The document version that its guard has in force.
+    pub version: VersionNumber,
 }
 
 impl Announcement {
-    /// Returns the announcement as placement sees it.
-    pub fn worker_view(&self) -> WorkerView {
-        let free = match self.serving {
-            ServingState::Serving => self.accelerators_free,
-            ServingState::Draining | ServingState::Leaving => AcceleratorSet::empty(),
+    /// Returns what orders the announcements of one upstream: the guard's start, then the number
+    /// within it.
+    pub fn order(&self) -> (u64, u64) {
+        (self.incarnation, self.sequence)
+    }
+
+    /// Returns the part that changes while the guard runs.
+    pub fn pulse(&self) -> Pulse {
+        Pulse {
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            serving: self.serving,
+            slots_in_use: self.slots_in_use,
+            accelerators_free: self.accelerators_free,
+            evictable: self.evictable,
+            version: self.version,
+        }
+    }
+
+    /// Returns the announcement with a later pulse of the same start taken over.
+    pub fn with_pulse(
+        &self,
+        pulse: &Pulse,
+    ) -> Self {
+        Self {
+            sequence: pulse.sequence,
+            serving: pulse.serving,
+            slots_in_use: pulse.slots_in_use,
+            accelerators_free: pulse.accelerators_free,
+            evictable: pulse.evictable,
+            version: pulse.version,
+            ..self.clone()
+        }
+    }
+
+    /// Tells whether more than the load and the number differ.
+    pub fn differs_in_status(
+        &self,
+        other: &Self,
+    ) -> bool {
+        let status = |a: &Self| Self {
+            sequence: 0,
+            slots_in_use: 0,
+            ..a.clone()
         };
-        WorkerView {
+        status(self) != status(other)
+    }
+
+    /// Tells whether a pulse does not say all that differs from another announcement.
+    pub fn differs_beyond_pulse(
+        &self,
+        other: &Self,
+    ) -> bool {
+        self.with_pulse(&other.pulse()) != *other
+    }
+
+    /// Returns the accelerators that an account is guaranteed here.
+    pub fn guaranteed_to(
+        &self,
+        account: &AccountName,
+    ) -> AcceleratorSet {
+        GuaranteedShare::of_account(&self.guaranteed, account)
+    }
+
+    /// Returns what an account could reserve now: what is free, and what others would have to
+    /// give back. Work that is not `evictable` gets nothing of another account's share.
+    pub fn free_for(
+        &self,
+        account: &AccountName,
+        evictable: bool,
+    ) -> AcceleratorSet {
+        if self.serving != ServingState::Serving {
+            return AcceleratorSet::empty();
+        }
+        let own = self.guaranteed_to(account);
+        let others = GuaranteedShare::union_of(&self.guaranteed).without(own);
+        let free = if evictable {
+            self.accelerators_free
+        } else {
+            self.accelerators_free.without(others)
+        };
+        free.union(self.evictable.intersection(own))
+    }
+
+    /// Returns the worker, where it stands and what it has.
+    pub fn fleet_worker(&self) -> FleetWorker {
+        FleetWorker {
             upstream: self.upstream.clone(),
             region: self.region.clone(),
             data_centre: self.data_centre.clone(),
             rack: self.rack.clone(),
-            all: self.accelerators,
-            free,
+            accelerators: self.accelerators,
+        }
+    }
+
+    /// Returns what is to be had on the worker; nothing unless it is serving.
+    pub fn room(&self) -> Room {
+        if self.serving != ServingState::Serving {
+            return Room::default();
+        }
+        Room {
+            idle: self.accelerators_free,
+            guaranteed: self.guaranteed.clone(),
+            evictable: self.evictable,
+            claimed: false,
         }
     }
 }
--- a/src/process/state/claim_fold.rs
+++ b/src/process/state/claim_fold.rs
@@ -111,15 +111,6 @@
         })
     }
 
-    /// Returns the request that holds the key of a claim and has not ended.
-    pub fn holder(
-        &self,
-        claim: &Claim,
-    ) -> Option<RequestId> {
-        let entry = self.claims.get(&ClaimKey::of(claim))?;
-        entry.end.is_none().then_some(entry.claim.request)
-    }
-
     /// Folds what happened to a claim. The first claim of a key holds it until it has ended
     /// without being run.
     pub fn apply(
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,7 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
-    super::ClaimRecord,
+    super::{ClaimRecord, EntryRecord, SnapshotRecord},
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -36,6 +36,36 @@
     Job(JobRecord),
     /// Something happened to a request with an idempotency key.
     Claim(ClaimRecord),
+    /// An operator drains an upstream or ends that.
+    Drain(DrainRecord),
+    /// An operator changed something.
+    Audit(AuditRecord),
+    /// An entry registered.
+    Entry(EntryRecord),
+    /// A part of the whole state, written again so that the log keeps it.
+    Snapshot(SnapshotRecord),
+}
+
+/// The start or end of the drain of an upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DrainRecord {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Whether it drains.
+    pub on: bool,
+    /// Who asked for it.
+    pub operator: OperatorName,
+}
+
+/// What an operator did.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AuditRecord {
+    /// Who did it.
+    pub operator: OperatorName,
+    /// What was done, with the names of what it was done to.
+    pub action: Arc<str>,
+    /// The document version that the operator's entry had in force.
+    pub from_version: VersionNumber,
 }
 
 /// A submitted document. It is accepted when it follows the version in force where it stands.
--- a/src/request/call/claimed.rs
+++ b/src/request/call/claimed.rs
@@ -6,9 +6,10 @@
     crate::{
         prelude::*,
         process::{
-            clock::with_timeout,
             entry::Entry,
-            state::{Claim, ClaimEnd, ClaimEntry, ClaimRecord, RecordBody, StateError},
+            state::{
+                Claim, ClaimEnd, ClaimEntry, ClaimRecord, RecordBody, RecordOutcome, StateError,
+            },
         },
     },
 };
@@ -27,14 +28,15 @@
 struct OpenClaim<'a> {
     entry: &'a Entry,
     claim: Claim,
-    end: ClaimEnd,
+    /// How the request has ended so far; `None` when the claim cannot stand on the log.
+    end: Option<ClaimEnd>,
 }
 
 impl Drop for OpenClaim<'_> {
     fn drop(&mut self) {
-        self.entry
-            .claim_ends
-            .push(self.claim.clone(), self.end.clone());
+        if let Some(end) = self.end.take() {
+            self.entry.claim_ends.push(self.claim.clone(), end);
+        }
     }
 }
 
@@ -48,16 +50,17 @@
     if let Some(known) = known_outcome(entry, &claim) {
         return known;
     }
-    if let Err(outcome) = take_claim(entry, &claim).await {
-        return outcome;
-    }
     let mut open = OpenClaim {
         entry,
         claim,
-        end: ClaimEnd::Unknown,
+        end: Some(ClaimEnd::NotRun),
     };
+    if let Err(outcome) = take_claim(entry, &mut open).await {
+        return outcome;
+    }
+    open.end = Some(ClaimEnd::Unknown);
     let outcome = run_admitted(entry, req).await;
-    open.end = end_of(&outcome);
+    open.end = Some(end_of(&outcome));
     outcome
 }
 
@@ -83,6 +86,9 @@
 ) -> Option<Outcome> {
     let fold = entry.state.fold();
     let known = fold.claims().get(&claim.account, &claim.key)?;
+    if known.claim.request == claim.request {
+        return None;
+    }
     outcome_of(known, claim, entry.clock.wall())
 }
 
@@ -112,31 +118,18 @@
 /// Puts the claim on the log; an error is the outcome of a request that is not sent.
 async fn take_claim(
     entry: &Entry,
-    claim: &Claim,
-) -> Result<(), Outcome> {
-    let record = RecordBody::Claim(ClaimRecord::Started(claim.clone()));
-    let appending = entry.state.append(record);
-    match with_timeout(&*entry.clock, CLAIM_WAIT, appending).await {
-        Some(Ok(())) => check_claim(entry, claim),
-        Some(Err(StateError::NotRecorded)) => Err(Outcome::NotRun(NotRun::LogUnavailable)),
-        Some(Err(_)) | None => {
-            entry.claim_ends.push(claim.clone(), ClaimEnd::NotRun);
-            Err(Outcome::NotRun(NotRun::LogUnavailable))
-        }
-    }
-}
-
-/// Checks that this claim, and not an earlier one, holds the key.
-fn check_claim(
-    entry: &Entry,
-    claim: &Claim,
+    open: &mut OpenClaim<'_>,
 ) -> Result<(), Outcome> {
-    let holder = entry.state.fold().claims().holder(claim);
-    if holder == Some(claim.request) {
-        return Ok(());
+    let record = RecordBody::Claim(ClaimRecord::Started(open.claim.clone()));
+    let appending = entry.state.append_for_outcome_within(record, CLAIM_WAIT);
+    match appending.await {
+        Ok(RecordOutcome::Applied) => return Ok(()),
+        Ok(_) | Err(StateError::NotRecorded) => open.end = None,
+        Err(StateError::Unknown) => {}
     }
-    let known = known_outcome(entry, claim);
-    Err(known.unwrap_or(Outcome::NotRun(NotRun::LogUnavailable)))
+    let known = known_outcome(entry, &open.claim);
+    let not_run = Outcome::NotRun(NotRun::LogUnavailable);
+    Err(known.unwrap_or(not_run))
 }
 
 fn end_of(outcome: &Outcome) -> ClaimEnd {
--- a/src/version/shape.rs
+++ b/src/version/shape.rs
@@ -51,12 +51,30 @@
 pub struct ShapeError;
 
 impl Shape {
+    /// One accelerator anywhere.
+    pub const SINGLE: Self = Self {
+        members: 1,
+        accelerators: 1,
+        adjacency: Adjacency::Any,
+    };
+
     /// Returns the number of accelerators of the whole shape.
     pub fn total(&self) -> u32 {
         self.members * self.accelerators
     }
 }
 
+impl Adjacency {
+    /// All adjacencies, the nearest first.
+    pub const ALL: [Self; 5] = [
+        Self::Worker,
+        Self::Rack,
+        Self::DataCentre,
+        Self::Region,
+        Self::Any,
+    ];
+}
+
 impl FromStr for Adjacency {
     type Err = ShapeError;
 
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -1,4 +1,6 @@
 //! The whole path, from a caller to an upstream and back, in one process over real sockets.
 
 mod clock;
+mod driver;
+mod malformed;
 mod whole_path;
--- a/tests/requests/world.rs
+++ b/tests/requests/world.rs
@@ -9,14 +9,14 @@
     limpetquay::{
         prelude::*,
         process::{
-            admission::{Admission, run_dispatch},
+            admission::run_dispatch,
             clock::VirtualClock,
-            entry::{ClaimEnds, Entry, run_claim_ends},
+            entry::{Entry, EntryParts, run_claim_ends},
             metrics::Metrics,
             settings::EntrySettings,
             state::{DocumentRecord, RecordBody, State},
         },
-        request::{CallerRequest, IdSource, LeastWaitRouting, Outcome, PackPlacement, run_request},
+        request::{CallerRequest, IdSource, LeastWaitRouting, Outcome, run_request},
     },
     std::cell::{Cell, RefCell},
 };
@@ -159,29 +159,32 @@
         let clock: Rc<dyn Clock> = self.clock.clone();
         let name: EntryName = format!("entry-{epoch}").as_str().into();
         let state = State::new(self.log.clone(), clock.clone(), name.clone(), epoch);
-        let entry = Rc::new(Entry {
-            settings: EntrySettings {
-                name,
-                region: "jozi".into(),
-                data_centre: "jozi-1".into(),
-                http: ADDRESS,
-                announcements: ADDRESS,
-                log: ADDRESS,
-                drain_timeout: Duration::from_secs(1),
-                bootstrap: None,
-            },
-            clock: clock.clone(),
-            metrics: Rc::new(Metrics::default()),
-            state: Rc::new(state),
-            members: RefCell::default(),
+        let metrics = Rc::new(Metrics::default());
+        let settings = EntrySettings {
+            name,
+            region: "jozi".into(),
+            data_centre: "jozi-1".into(),
+            http: ADDRESS,
+            announcements: ADDRESS,
+            seeds: Vec::new(),
+            log: ADDRESS,
+            drain_timeout: Duration::from_secs(1),
+            bootstrap: None,
+            peers: None,
+            log_retention: Duration::from_secs(86_400),
+        };
+        let parts = EntryParts {
+            settings,
+            address: ADDRESS,
             dialer: self.dialer.clone(),
+            clock,
+            metrics,
+            state,
             routing: Box::new(LeastWaitRouting::new(epoch)),
-            placement: Box::new(PackPlacement),
             ids: IdSource::with_epoch(epoch),
-            admission: Admission::new(clock, epoch),
-            claim_ends: ClaimEnds::default(),
-            draining: Cell::new(false),
-        });
+            seed: epoch,
+        };
+        let entry = Rc::new(parts.build());
         let state = entry.state.clone();
         let tasks = vec![
             spawn(async move { state.follow_log().await }),
