--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: takes callers' requests and jobs.
 
+mod claim_ends;
 mod dialer;
 mod document_push;
 #[expect(
@@ -7,8 +8,8 @@
     reason = "a file bears the name of its main type"
 )]
 mod entry;
+mod entry_parts;
 mod fleet_memory;
-mod in_flight;
 mod layout_proposal;
 mod layout_push;
 mod owned_jobs;
@@ -18,11 +19,12 @@
 mod share_index;
 
 pub use {
+    claim_ends::{ClaimEnds, run_claim_ends},
     dialer::{Dialer, LinkDialer},
     document_push::push_documents,
     entry::Entry,
+    entry_parts::EntryParts,
     fleet_memory::FleetMemory,
-    in_flight::{InFlight, InFlightLimits},
     layout_proposal::propose_layouts,
     layout_push::push_layouts,
     owned_jobs::run_jobs,
--- a/src/process/membership/live_cache.rs
+++ b/src/process/membership/live_cache.rs
@@ -32,20 +32,6 @@
         self.since = now;
     }
 
-    /// Replaces the announcement of one upstream in the list.
-    pub(super) fn replace(
-        &mut self,
-        announcement: &Rc<Announcement>,
-    ) {
-        let Some(list) = &mut self.list else {
-            return;
-        };
-        let place = list.binary_search_by(|a| a.upstream.cmp(&announcement.upstream));
-        if let Ok(place) = place {
-            list[place] = announcement.clone();
-        }
-    }
-
     /// Drops the list.
     pub(super) fn clear(&mut self) {
         self.list = None;
--- a/src/process/membership/member_table.rs
+++ b/src/process/membership/member_table.rs
@@ -8,6 +8,7 @@
         publisher::{Publisher, Start},
     },
     crate::prelude::*,
+    event_listener::Event,
     std::collections::BTreeMap,
 };
 
@@ -30,6 +31,7 @@
     by_address: BTreeMap<SocketAddr, UpstreamName>,
     publishers: BTreeMap<EntryName, Publisher>,
     live: RefCell<LiveCache>,
+    changed: Rc<Event>,
 }
 
 impl MemberTable {
@@ -181,6 +183,11 @@
         !soon
     }
 
+    /// Returns what is notified at each new announcement.
+    pub fn changed(&self) -> Rc<Event> {
+        self.changed.clone()
+    }
+
     /// Returns the upstreams whose lease stands, by name.
     pub fn live(
         &self,
@@ -213,19 +220,6 @@
         self.members.get(upstream).map(|m| m.announcement.clone())
     }
 
-    /// Counts slots that this entry has just taken or given back, until the next announcement.
-    pub fn adjust_slots(
-        &mut self,
-        upstream: &UpstreamName,
-        delta: i32,
-    ) {
-        if let Some(member) = self.members.get_mut(upstream) {
-            let announcement = Rc::make_mut(&mut member.announcement);
-            announcement.slots_in_use = announcement.slots_in_use.saturating_add_signed(delta);
-            self.live.get_mut().replace(&member.announcement);
-        }
-    }
-
     /// Forgets what has been gone or silent for long.
     pub fn forget_silent(
         &mut self,
@@ -356,6 +350,7 @@
         member.gone = gone;
         member.touched = now;
         self.live.get_mut().clear();
+        self.changed.notify(usize::MAX);
         true
     }
 
