Release a gang whose job's end was recorded by another owner

Cause: the fuzz in the making found a task that ran 18 s after its job's end was recorded: its driver took the foreign end for a new owner and left. Change: a driver that sees the end releases its gang; starts are numbered by the job's age, so an entry restarted under its name never uses a number twice; it inspects guards before it starts a job that is older than 5 s; kept ends age out after END_KEEP.

--- a/src/process/guard/gang/bounds.rs
+++ b/src/process/guard/gang/bounds.rs
@@ -50,3 +50,6 @@
 
 /// The most ends of gangs that one guard keeps for owners that have not released them.
 pub const MAX_KEPT_ENDS: usize = 256;
+
+/// How long the end of a gang is kept for an owner that has not released it.
+pub const END_KEEP: Duration = Duration::from_secs(2 * 3600);
--- a/src/process/guard/gang/gang_keeper.rs
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -1,7 +1,10 @@
 //! Keeps the pieces and the led gangs of one guard.
 
 use {
-    super::{Fences, LedGang, Piece, Stage, bounds::TASK_LEASE},
+    super::{
+        Fences, LedGang, Piece, Stage,
+        bounds::{END_KEEP, TASK_LEASE},
+    },
     crate::{
         connection::{
             GangId, GangRequest, GuaranteedShare, GuardReply, GuardRequest, LinkError, StopCause,
@@ -67,9 +70,16 @@
         self.book.borrow().guaranteed().to_vec()
     }
 
-    /// Tells whether no gang holds, runs or has left anything here.
+    /// Tells whether no gang holds or runs anything here; ends may be kept for their owners.
     pub fn is_idle(&self) -> bool {
-        self.pieces.borrow().is_empty() && self.led.borrow().is_empty()
+        let led = self.led.borrow();
+        self.pieces.borrow().is_empty() && led.values().all(|l| l.ended_at().is_some())
+    }
+
+    /// Returns the number of ends that are kept for their owners.
+    pub fn kept_ends(&self) -> usize {
+        let led = self.led.borrow();
+        led.values().filter(|l| l.ended_at().is_some()).count()
     }
 
     /// Takes a layout over unless as new a one is known. Work that is never evicted finishes where
@@ -85,9 +95,11 @@
         }
     }
 
-    /// Gives back what has lapsed and forgets old fences.
+    /// Gives back what has lapsed and forgets old fences and ends.
     pub fn expire(&self) {
         let now = self.clock.now();
+        let is_old = |l: &LedGang| l.ended_at().is_some_and(|at| now.since(at) >= END_KEEP);
+        self.led.borrow_mut().retain(|_, l| !is_old(l));
         let lapsed = self.book.borrow_mut().expire(now);
         for gang in &lapsed {
             let mut pieces = self.pieces.borrow_mut();
--- a/src/request/job/gang/job_run.rs
+++ b/src/request/job/gang/job_run.rs
@@ -25,12 +25,20 @@
 /// The longest pause before an end is recorded again while the log is away.
 const RECORD_RETRY: Duration = Duration::from_secs(1);
 
+/// The age from which a job that this task begins to run may have been started before.
+const ADOPTION_AGE: Duration = Duration::from_secs(5);
+
+/// The unit in which starts are numbered by the job's age, in milliseconds.
+const START_UNIT_MS: u64 = 10;
+
 /// Why the task of a job leaves its present course.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Interrupt {
     /// The job was cancelled.
     Cancelled,
-    /// Another entry owns the job, or its end stands on the log.
+    /// The job's end stands on the log.
+    Ended,
+    /// Another entry owns the job.
     Superseded,
 }
 
@@ -81,12 +89,17 @@
     /// Starts the gang until it finishes, is cancelled or has no attempts left; `None` when
     /// another entry owns the job.
     async fn drive(&mut self) -> Option<JobEnd> {
-        if self.ownership > 1 {
+        let age = self.entry.clock.wall().since(Millis(self.spec.accepted_ms));
+        if self.ownership > 1 || age >= ADOPTION_AGE {
             self.placed = self.adopt().await;
         }
         loop {
             match self.interrupt() {
                 Some(Interrupt::Superseded) => return None,
+                Some(Interrupt::Ended) => {
+                    self.release_placed().await;
+                    return None;
+                }
                 Some(Interrupt::Cancelled) => {
                     self.release_placed().await;
                     return Some(JobEnd::Cancelled);
@@ -107,6 +120,15 @@
         }
     }
 
+    /// Numbers the next start. The number grows with the job's age, so an entry that lost its
+    /// memory does not use a number again.
+    fn next_start(&self) -> u32 {
+        let age = self.entry.clock.wall().since(Millis(self.spec.accepted_ms));
+        let by_age = Millis::from(age).0 / START_UNIT_MS;
+        let by_age = u32::try_from(by_age).unwrap_or(u32::MAX - 1);
+        by_age.max(self.start) + 1
+    }
+
     /// Returns the job's kind under the document in force.
     fn kind(&self) -> Option<JobKind> {
         self.entry
@@ -121,7 +143,7 @@
         &mut self,
         kind: &JobKind,
     ) {
-        self.start += 1;
+        self.start = self.next_start();
         let term = Term {
             ownership: self.ownership,
             start: self.start,
@@ -203,7 +225,10 @@
     pub(super) fn interrupt(&self) -> Option<Interrupt> {
         let fold = self.entry.state.fold();
         let job = fold.job(self.spec.id)?;
-        if job.ownership > self.ownership || job.end.is_some() {
+        if job.end.is_some() {
+            return Some(Interrupt::Ended);
+        }
+        if job.ownership > self.ownership {
             return Some(Interrupt::Superseded);
         }
         job.cancelled.then_some(Interrupt::Cancelled)
@@ -219,12 +244,15 @@
         }
     }
 
-    /// Records the end until it stands on the log or another entry owns the job.
+    /// Records the end until one stands on the log or another entry owns the job.
     async fn record_end(
         &self,
         end: JobEnd,
     ) {
-        while self.interrupt() != Some(Interrupt::Superseded) {
+        while !matches!(
+            self.interrupt(),
+            Some(Interrupt::Ended | Interrupt::Superseded)
+        ) {
             let record = RecordBody::Job(JobRecord::Ended {
                 job: self.spec.id,
                 end: end.clone(),
