--- a/src/process/clock/virtual_clock.rs
+++ b/src/process/clock/virtual_clock.rs
@@ -4,7 +4,7 @@
     super::{Clock, Millis},
     compio::runtime::{Runtime, spawn},
     futures_channel::oneshot,
-    futures_util::{FutureExt, future::LocalBoxFuture},
+    futures_util::future::{FutureExt, LocalBoxFuture},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -1,11 +1,12 @@
 //! The entry.
 
 use {
-    super::{Dialer, FleetMemory, InFlightLimits},
+    super::{ClaimEnds, Dialer, FleetMemory},
     crate::{
         connection::GuardPeer,
         prelude::*,
         process::{
+            admission::Admission,
             job_queue::JobTurns,
             link::{CountedPeer, LinkAccount},
             membership::{EntryTable, MemberTable},
@@ -46,8 +47,10 @@
     pub turns: Rc<JobTurns>,
     /// The source of identities.
     pub ids: IdSource,
-    /// The requests in progress.
-    pub in_flight: InFlightLimits,
+    /// The queue, limits and loads of requests.
+    pub admission: Rc<Admission>,
+    /// The ends of claimed requests that are not yet on the log.
+    pub claim_ends: ClaimEnds,
     /// Whether the entry takes no new work.
     pub draining: Cell<bool>,
 }
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: takes callers' requests and jobs.
 
+mod claim_ends;
 mod dialer;
 mod document_push;
 mod drain_push;
@@ -8,8 +9,8 @@
     reason = "a file bears the name of its main type"
 )]
 mod entry;
+mod entry_parts;
 mod fleet_memory;
-mod in_flight;
 mod layout_proposal;
 mod layout_push;
 mod owned_jobs;
@@ -21,12 +22,13 @@
 mod takeover;
 
 pub use {
+    claim_ends::{ClaimEnds, run_claim_ends},
     dialer::{Dialer, LinkDialer},
     document_push::push_documents,
     drain_push::{push_drains, tell_drain},
     entry::Entry,
+    entry_parts::EntryParts,
     fleet_memory::FleetMemory,
-    in_flight::{InFlight, InFlightLimits},
     layout_proposal::propose_layouts,
     layout_push::push_layouts,
     owned_jobs::run_jobs,
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -2,19 +2,17 @@
 
 use {
     super::{
-        Entry, InFlightLimits, LinkDialer, follow_registry, keep_placements, propose_layouts,
-        push_documents, push_drains, push_layouts, register, run_jobs, take_over_jobs,
+        Entry, EntryParts, LinkDialer, follow_registry, keep_placements, propose_layouts,
+        push_documents, push_drains, push_layouts, register, run_claim_ends, run_jobs,
+        take_over_jobs,
     },
     crate::{
         connection::{HttpClient, HttpServer},
         prelude::*,
         process::{
+            admission::run_dispatch,
             clock::with_timeout,
-            link::LinkAccount,
-            membership::{
-                DatagramLink, EntryRow, EntryTable, Membership, MembershipParts,
-                PublicationVersion, ServingState, UdpLink, new_incarnation,
-            },
+            membership::{DatagramLink, Membership, MembershipParts, UdpLink},
             metrics::Metrics,
             platform::HttpLog,
             settings::EntrySettings,
@@ -22,10 +20,10 @@
             state::{HttpPeers, SnapshotPolicy, State},
             task_group::TaskGroup,
         },
-        request::{EntryApi, IdSource, LeastWaitRouting, WeighedPlacement},
+        request::{EntryApi, IdSource, LeastWaitRouting},
     },
     compio::runtime::{JoinHandle, spawn},
-    std::{cell::Cell, io},
+    std::io,
 };
 
 /// How long an entry still takes connections after it has stopped being ready, so that the
@@ -138,34 +136,18 @@
     if let Some(peers) = &settings.peers {
         state = state.with_peers(Rc::new(HttpPeers::new(client, peers.clone())));
     }
-    let own = EntryRow {
-        name: settings.name.clone(),
-        region: settings.region.clone(),
-        data_centre: settings.data_centre.clone(),
+    let parts = EntryParts {
+        settings,
         address,
-        incarnation: new_incarnation(&*clock),
-        heartbeat: 0,
-        serving: ServingState::Serving,
-        published: PublicationVersion::default(),
-    };
-    let entries = EntryTable::new(own, settings.seeds.clone());
-    Entry {
-        link: LinkAccount::new(settings.region.clone(), metrics.clone()),
         dialer: Rc::new(LinkDialer::new(clock.clone(), metrics.clone())),
-        members: Rc::default(),
-        entries: Rc::new(RefCell::new(entries)),
-        settings,
         clock,
         metrics,
-        state: Rc::new(state),
-        routing: Box::new(LeastWaitRouting),
-        placement: Box::new(WeighedPlacement),
-        turns: Rc::default(),
-        fleet: RefCell::default(),
+        state,
+        routing: Box::new(LeastWaitRouting::new(rand::random())),
         ids,
-        in_flight: InFlightLimits::default(),
-        draining: Cell::new(false),
-    }
+        seed: rand::random(),
+    };
+    parts.build()
 }
 
 fn start_tasks(
@@ -184,6 +166,8 @@
     tasks.spawn(keep_placements(entry.clone()));
     let turns = entry.clone();
     tasks.spawn(async move { turns.turns.run(&turns).await });
+    tasks.spawn(run_dispatch(entry.clone()));
+    tasks.spawn(run_claim_ends(entry.clone()));
     tasks.spawn(push_documents(entry.clone(), membership.clone()));
     tasks.spawn(register(entry.clone()));
     tasks.spawn(follow_registry(entry.clone()));
--- a/src/process/state/record.rs
+++ b/src/process/state/record.rs
@@ -1,7 +1,7 @@
 //! What the system writes to the platform's log.
 
 use {
-    super::{EntryRecord, LayoutRecord, PlacementRecord, SnapshotRecord},
+    super::{ClaimRecord, EntryRecord, LayoutRecord, PlacementRecord, SnapshotRecord},
     crate::{prelude::*, request::JobSpec},
     derive_more::From,
     serde::{Deserialize, Serialize},
@@ -34,6 +34,8 @@
     Document(DocumentRecord),
     /// Something happened to a job.
     Job(JobRecord),
+    /// Something happened to a request with an idempotency key.
+    Claim(ClaimRecord),
     /// An operator drains an upstream or ends that.
     Drain(DrainRecord),
     /// An operator changed something.
--- a/src/process/state/state.rs
+++ b/src/process/state/state.rs
@@ -137,6 +137,20 @@
         Ok(receipt.1)
     }
 
+    /// Records something, waits for a bounded time until it is folded here and returns what became
+    /// of it. A record that was not sent within that time is never sent.
+    ///
+    /// # Errors
+    /// [`StateError`], which tells whether the record may stand on the log.
+    pub async fn append_for_outcome_within(
+        &self,
+        body: RecordBody,
+        wait: Duration,
+    ) -> Result<RecordOutcome, StateError> {
+        let receipt = self.append_within(body, wait).await?;
+        Ok(receipt.1)
+    }
+
     /// Records something and waits for a bounded time until it is folded here. A record that was
     /// not sent within that time is never sent.
     ///
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -1,5 +1,6 @@
 //! State on the platform's log, under faults of the log and of its readers and writers.
 
+mod admin;
 mod cases;
 mod fake_log;
 mod fuzz;
