--- /dev/null
+++ b/src/process/cli/admin/admin_action.rs
@@ -0,0 +1,93 @@
+//! The border of an operator's command.
+
+use {
+    super::{
+        AdminClient, apply::Apply, cancel::Cancel, drain::Drain, explain::Explain, list::List,
+        revert::Revert, status::Status, text::Text,
+    },
+    crate::{prelude::*, process::cli::CliError},
+    getopts::{Matches, Options},
+};
+
+/// One operator's command, such as `limpetquay accounts`.
+pub trait AdminAction {
+    /// Returns the word that calls the command.
+    fn name(&self) -> &'static str;
+
+    /// Returns the arguments that follow the options, for the usage line.
+    fn arguments(&self) -> &'static str {
+        ""
+    }
+
+    /// Returns one line that says what the command does.
+    fn summary(&self) -> &'static str;
+
+    /// Adds the command's options.
+    fn add_options(
+        &self,
+        _opts: &mut Options,
+    ) {
+    }
+
+    /// Runs the command and returns what it prints.
+    ///
+    /// # Errors
+    /// [`CliError`], which holds the exit code.
+    fn run<'a>(
+        &'a self,
+        client: &'a AdminClient,
+        matches: &'a Matches,
+    ) -> LocalBoxFuture<'a, Result<String, CliError>>;
+}
+
+/// Returns all operators' commands.
+pub fn admin_actions() -> Vec<Box<dyn AdminAction>> {
+    vec![
+        Box::new(Apply),
+        Box::new(Text::SHOW),
+        Box::new(List::HISTORY),
+        Box::new(Text::DIFF),
+        Box::new(Revert),
+        Box::new(Status),
+        Box::new(List::ENTRIES),
+        Box::new(List::ACCOUNTS),
+        Box::new(List::UPSTREAMS),
+        Box::new(Drain::ON),
+        Box::new(Drain::OFF),
+        Box::new(List::JOBS),
+        Box::new(Cancel),
+        Box::new(Explain),
+        Box::new(List::AUDIT),
+    ]
+}
+
+/// Runs the operator's command that the arguments name, and returns what it prints.
+///
+/// # Errors
+/// [`CliError`], which holds the exit code.
+pub async fn run_admin(
+    client: &AdminClient,
+    args: &[&str],
+) -> Result<String, CliError> {
+    let actions = admin_actions();
+    let action = actions.iter().find(|a| Some(&a.name()) == args.first());
+    let action = action.ok_or_else(|| CliError::Usage("unknown command".to_owned()))?;
+    let mut opts = Options::new();
+    add_common_options(&mut opts);
+    action.add_options(&mut opts);
+    let matches = opts.parse(&args[1..]);
+    let matches = matches.map_err(|e| CliError::Usage(e.to_string()))?;
+    action.run(client, &matches).await
+}
+
+/// Adds the options that all operators' commands have.
+pub(super) fn add_common_options(opts: &mut Options) {
+    opts.optopt("e", "entry", "the entry to call", "ADDRESS");
+    opts.optopt(
+        "k",
+        "key-file",
+        "the file with the operator's key; LIMPETQUAY_KEY otherwise",
+        "FILE",
+    );
+    opts.optflag("j", "json", "print JSON");
+}
--- /dev/null
+++ b/src/process/cli/admin/admin_client.rs
@@ -0,0 +1,149 @@
+//! Calls of the administration interface.
+
+use {
+    crate::{
+        connection::{HttpAnswer, HttpClient},
+        prelude::*,
+        process::cli::CliError,
+    },
+    hyper::Method,
+    serde_json::Value,
+};
+
+/// The longest time that a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The status of an answer to a document with faults.
+const UNPROCESSABLE: u16 = 422;
+
+/// Calls one entry with an operator's key.
+pub struct AdminClient {
+    client: HttpClient,
+    entry: SocketAddr,
+    bearer: String,
+}
+
+impl AdminClient {
+    /// Creates a client of the entry at an address.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        entry: SocketAddr,
+        key: &str,
+    ) -> Self {
+        Self {
+            client: HttpClient::new(clock),
+            entry,
+            bearer: format!("Bearer {key}"),
+        }
+    }
+
+    /// Gets a path and returns its body as text.
+    pub(super) async fn get_text(
+        &self,
+        path: &str,
+    ) -> Result<String, CliError> {
+        let answer = self.call(Method::GET, path, &[], Bytes::new()).await?;
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
+    /// Gets a path and returns its body as JSON.
+    pub(super) async fn get_json(
+        &self,
+        path: &str,
+    ) -> Result<Value, CliError> {
+        let answer = self.call(Method::GET, path, &[], Bytes::new()).await?;
+        read_json(&answer)
+    }
+
+    /// Gets all pages of a list.
+    pub(super) async fn get_pages(
+        &self,
+        path: &str,
+    ) -> Result<Vec<Value>, CliError> {
+        let mut items = Vec::new();
+        let mut cursor = String::new();
+        loop {
+            let joint = if path.contains('?') { '&' } else { '?' };
+            let page = format!("{path}{joint}limit=1000&cursor={cursor}");
+            let mut page = self.get_json(&page).await?;
+            if let Value::Array(rows) = page["items"].take() {
+                items.extend(rows);
+            }
+            match page["next"].as_str() {
+                Some(next) => cursor = next.to_owned(),
+                None => return Ok(items),
+            }
+        }
+    }
+
+    /// Posts JSON to a path and returns the answer's JSON.
+    pub(super) async fn post(
+        &self,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, CliError> {
+        let body = body.to_string().into_bytes().into();
+        let answer = self.call(Method::POST, path, &[], body).await?;
+        read_json(&answer)
+    }
+
+    /// Puts a document that follows a version.
+    pub(super) async fn put_document(
+        &self,
+        follows: &str,
+        text: String,
+    ) -> Result<Value, CliError> {
+        let headers = [("if-match", follows)];
+        let body = text.into_bytes().into();
+        let answer = self.call(Method::PUT, "document", &headers, body).await?;
+        read_json(&answer)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<HttpAnswer, CliError> {
+        let url = format!("http://{}/v1/admin/{path}", self.entry);
+        let mut all = vec![("authorization", self.bearer.as_str())];
+        all.extend_from_slice(headers);
+        let answer = self.client.call(method, &url, &all, body, CALL_TIMEOUT);
+        let answer = answer.await.map_err(|e| {
+            let message = format!("{}: {e}", self.entry);
+            CliError::Failed(message)
+        })?;
+        if answer.status < 300 {
+            return Ok(answer);
+        }
+        Err(read_problem(&answer))
+    }
+}
+
+fn read_json(answer: &HttpAnswer) -> Result<Value, CliError> {
+    let json = serde_json::from_slice(&answer.body);
+    json.map_err(|e| CliError::Failed(format!("the answer is not JSON: {e}")))
+}
+
+/// Turns problem details into an error for people: what happened, the difference or the faults,
+/// and when to try again.
+fn read_problem(answer: &HttpAnswer) -> CliError {
+    let problem: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let detail = problem["detail"].as_str().unwrap_or("the entry refused");
+    let mut message = format!("{detail} ({})", answer.status);
+    if let Some(seconds) = problem["retry_after_s"].as_u64() {
+        message += &format!("; try again in {seconds} s");
+    }
+    for fault in problem["faults"].as_array().into_iter().flatten() {
+        message += &format!("\nline {}: {}", fault["line"], fault["message"]);
+    }
+    if let Some(diff) = problem["diff"].as_str() {
+        message += &format!("\nwhat the document would change there:\n{diff}");
+    }
+    if answer.status == UNPROCESSABLE {
+        CliError::Usage(message)
+    } else {
+        CliError::Failed(message)
+    }
+}
--- /dev/null
+++ b/src/process/cli/admin/drain.rs
@@ -0,0 +1,71 @@
+//! `limpetquay drain` and `limpetquay undrain`.
+
+use {
+    super::{AdminAction, AdminClient},
+    crate::{
+        prelude::*,
+        process::cli::{CliError, command::only_argument},
+    },
+    getopts::Matches,
+    serde_json::Value,
+};
+
+/// Drains an upstream, or ends that.
+pub(super) struct Drain {
+    name: &'static str,
+    summary: &'static str,
+}
+
+impl Drain {
+    /// Drains an upstream.
+    pub(super) const ON: Self = Self {
+        name: "drain",
+        summary: "have an upstream finish its work and take no more",
+    };
+
+    /// Ends the drain of an upstream.
+    pub(super) const OFF: Self = Self {
+        name: "undrain",
+        summary: "have a drained upstream take work again",
+    };
+
+    async fn set(
+        &self,
+        client: &AdminClient,
+        matches: &Matches,
+    ) -> Result<String, CliError> {
+        let upstream = only_argument(matches, "the upstream")?;
+        let path = format!("upstreams/{upstream}/{}", self.name);
+        let done = client.post(&path, &Value::Null).await?;
+        if matches.opt_present("json") {
+            return Ok(format!("{done}\n"));
+        }
+        let told = match done["guard_told"].as_bool() {
+            Some(true) => "its guard knows",
+            _ => "its guard has not answered yet",
+        };
+        Ok(format!("{upstream}: {} is recorded; {told}\n", self.name))
+    }
+}
+
+impl AdminAction for Drain {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn arguments(&self) -> &'static str {
+        "UPSTREAM"
+    }
+
+    fn summary(&self) -> &'static str {
+        self.summary
+    }
+
+    fn run<'a>(
+        &'a self,
+        client: &'a AdminClient,
+        matches: &'a Matches,
+    ) -> LocalBoxFuture<'a, Result<String, CliError>> {
+        Box::pin(self.set(client, matches))
+    }
+}
--- /dev/null
+++ b/src/process/cli/admin/mod.rs
@@ -0,0 +1,19 @@
+//! Operators' commands, which call an entry's administration interface.
+
+mod admin_action;
+mod admin_client;
+mod admin_command;
+mod apply;
+mod cancel;
+mod drain;
+mod explain;
+mod list;
+mod revert;
+mod status;
+mod text;
+
+pub use {
+    admin_action::{AdminAction, admin_actions, run_admin},
+    admin_client::AdminClient,
+    admin_command::AdminCommand,
+};
--- /dev/null
+++ b/src/process/cli/admin/text.rs
@@ -0,0 +1,81 @@
+//! `limpetquay show` and `limpetquay diff`.
+
+use {
+    super::{AdminAction, AdminClient},
+    crate::{prelude::*, process::cli::CliError},
+    getopts::{Matches, Options},
+};
+
+/// Prints a text of the administration interface.
+pub(super) struct Text {
+    name: &'static str,
+    summary: &'static str,
+    path: &'static str,
+    /// The options that go into the query, with their help.
+    options: &'static [(&'static str, &'static str)],
+}
+
+impl Text {
+    /// Prints the document in force or a kept version.
+    pub(super) const SHOW: Self = Self {
+        name: "show",
+        summary: "print the document in force, or a kept version",
+        path: "document",
+        options: &[("version", "a kept version")],
+    };
+
+    /// Prints the difference between two versions.
+    pub(super) const DIFF: Self = Self {
+        name: "diff",
+        summary: "print what changed between two versions",
+        path: "document/diff",
+        options: &[
+            ("from", "the earlier version; the one before the later"),
+            ("to", "the later version; the one in force"),
+        ],
+    };
+
+    async fn print(
+        &self,
+        client: &AdminClient,
+        matches: &Matches,
+    ) -> Result<String, CliError> {
+        let given = self.options.iter().filter_map(|(name, _)| {
+            let value = matches.opt_str(name)?;
+            Some(format!("{name}={value}"))
+        });
+        let query = given.collect::<Vec<String>>().join("&");
+        let text = client.get_text(&format!("{}?{query}", self.path)).await?;
+        if matches.opt_present("json") {
+            return Ok(format!("{}\n", serde_json::Value::String(text)));
+        }
+        Ok(text)
+    }
+}
+
+impl AdminAction for Text {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn summary(&self) -> &'static str {
+        self.summary
+    }
+
+    fn add_options(
+        &self,
+        opts: &mut Options,
+    ) {
+        for (name, help) in self.options {
+            opts.optopt("", name, help, "VERSION");
+        }
+    }
+
+    fn run<'a>(
+        &'a self,
+        client: &'a AdminClient,
+        matches: &'a Matches,
+    ) -> LocalBoxFuture<'a, Result<String, CliError>> {
+        Box::pin(self.print(client, matches))
+    }
+}
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod admin;
 mod bench_command;
 mod check_command;
 mod cli_error;
@@ -14,6 +15,7 @@
 mod signals;
 
 pub use {
+    admin::{AdminClient, run_admin},
     check_command::check_text,
     cli_error::CliError,
     command::Command,
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         CliError, Command,
+        admin::{AdminCommand, admin_actions},
         bench_command::BenchCommand,
         check_command::CheckCommand,
         decisions_command::DecisionsCommand,
@@ -28,7 +29,7 @@
 }
 
 fn commands() -> Vec<Box<dyn Command>> {
-    vec![
+    let mut commands: Vec<Box<dyn Command>> = vec![
         Box::new(RoleCommand::<EntryRole>::new()),
         Box::new(RoleCommand::<GuardRole>::new()),
         Box::new(LocalCommand),
@@ -39,7 +40,11 @@
         Box::new(BenchCommand),
         Box::new(RoleCommand::<StandInLogRole>::new()),
         Box::new(RoleCommand::<StandInUpstreamRole>::new()),
-    ]
+    ];
+    for action in admin_actions() {
+        commands.push(Box::new(AdminCommand(action)));
+    }
+    commands
 }
 
 fn run_command(args: &[String]) -> Result<(), CliError> {
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod cases;
+mod commands;
 mod fake_log;
 mod fuzz;
 mod model;
