Let gangs hold no accelerator, within a limit of each worker

Change: shapes of jobs may have 0 accelerators; guards take plain_tasks from their settings, count such members in their book, announce what is left and refuse what is too much; placement fills by places; fairness, claims and fragmentation leave them out. Guarantees without accelerators are refused. Before: 12x0 was refused as a shape.

--- a/src/connection/peer/gang_message.rs
+++ b/src/connection/peer/gang_message.rs
@@ -106,6 +106,16 @@
     pub work: Work,
 }
 
+impl ReserveCall {
+    /// Returns the number of members that hold no accelerator.
+    pub fn plain_tasks(&self) -> u32 {
+        match self.accelerators {
+            0 => self.members.len() as u32,
+            _ => 0,
+        }
+    }
+}
+
 /// What the tasks of a gang run.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Work {
--- a/src/connection/peer/message.rs
+++ b/src/connection/peer/message.rs
@@ -135,4 +135,7 @@
     /// The call does not fit the guard's state.
     #[display("no such reservation")]
     NotReserved,
+    /// As many tasks without accelerators run as may.
+    #[display("no room for tasks without accelerators")]
+    NoTaskRoom,
 }
--- a/src/process/bench/capacity/guard_probe.rs
+++ b/src/process/bench/capacity/guard_probe.rs
@@ -135,6 +135,7 @@
         slots: 8,
         connections: 64,
         accelerators: 8,
+        plain_tasks: 32,
         drain_timeout: Duration::from_secs(1),
     }
 }
--- a/src/process/guard/accelerator_book.rs
+++ b/src/process/guard/accelerator_book.rs
@@ -35,6 +35,8 @@
     pub account: AccountName,
     /// The accelerators.
     pub accelerators: AcceleratorSet,
+    /// The tasks without accelerators.
+    pub plain_tasks: u32,
     /// How the tasks give their accelerators back.
     pub eviction: Eviction,
     /// How they are held.
@@ -54,6 +56,7 @@
 #[derive(Debug)]
 pub struct AcceleratorBook {
     all: AcceleratorSet,
+    plain_tasks: u32,
     usable_from: Millis,
     holdings: BTreeMap<GangId, Holding>,
     layout: u64,
@@ -61,14 +64,17 @@
 }
 
 impl AcceleratorBook {
-    /// Creates a book in which nothing is held. Nothing is given out before `usable_from`, because
+    /// Creates a book in which nothing is held; `plain_tasks` is the most tasks without
+    /// accelerators. Nothing is given out before `usable_from`, because
     /// tasks that were started before the guard may run until then.
     pub fn new(
         all: AcceleratorSet,
+        plain_tasks: u32,
         usable_from: Millis,
     ) -> Self {
         Self {
             all,
+            plain_tasks,
             usable_from,
             holdings: BTreeMap::new(),
             layout: 0,
@@ -92,6 +98,18 @@
         self.all.without(self.held_by(|_| true))
     }
 
+    /// Returns how many tasks without accelerators could still be started.
+    pub fn plain_free(
+        &self,
+        now: Millis,
+    ) -> u32 {
+        if now < self.usable_from {
+            return 0;
+        }
+        let held = self.holdings.values().map(|h| h.plain_tasks);
+        self.plain_tasks.saturating_sub(held.sum())
+    }
+
     /// Returns the accelerators of the holdings that a condition picks.
     pub fn held_by<F>(
         &self,
@@ -154,7 +172,8 @@
     /// guaranteed, then others' shares, and then what others' work gives back on the own share.
     ///
     /// # Errors
-    /// [`Refusal::NoAccelerators`] when these are too few.
+    /// [`Refusal::NoAccelerators`] when these are too few, [`Refusal::NoTaskRoom`] when too many
+    /// tasks without accelerators run.
     pub fn claim(
         &mut self,
         now: Millis,
@@ -162,6 +181,10 @@
         until: Millis,
     ) -> Result<Claim, Refusal> {
         let needed = call.accelerators * call.members.len() as u32;
+        let plain_tasks = call.plain_tasks();
+        if plain_tasks > self.plain_free(now) {
+            return Err(Refusal::NoTaskRoom);
+        }
         let mut claim = self.claim_free(now, call, needed);
         let missing = needed - claim.accelerators.len();
         if missing > 0 {
@@ -175,6 +198,7 @@
         let holding = Holding {
             account: call.account.clone(),
             accelerators: claim.accelerators,
+            plain_tasks,
             eviction: call.eviction,
             hold: Hold::Reserved { until },
         };
--- a/src/process/guard/gang/gang_keeper.rs
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -40,6 +40,7 @@
         worker: Rc<dyn Worker>,
         dialer: Rc<dyn Dialer>,
         all: AcceleratorSet,
+        plain_tasks: u32,
         changed: Rc<Event>,
     ) -> Self {
         let usable_from = clock.now() + Millis::from(TASK_LEASE);
@@ -48,7 +49,7 @@
             metrics,
             worker,
             dialer,
-            book: RefCell::new(AcceleratorBook::new(all, usable_from)),
+            book: RefCell::new(AcceleratorBook::new(all, plain_tasks, usable_from)),
             fences: RefCell::default(),
             pieces: RefCell::default(),
             led: RefCell::default(),
@@ -61,6 +62,11 @@
         self.book.borrow().free(self.clock.now())
     }
 
+    /// Returns how many tasks without accelerators could still be started.
+    pub fn plain_free(&self) -> u32 {
+        self.book.borrow().plain_free(self.clock.now())
+    }
+
     /// Returns the guaranteed accelerators that their account can reclaim from others' work.
     pub fn borrowed(&self) -> AcceleratorSet {
         self.book.borrow().borrowed()
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -79,6 +79,7 @@
             worker.clone(),
             dialer,
             AcceleratorSet::first(settings.accelerators),
+            settings.plain_tasks,
             changed.clone(),
         );
         Self {
@@ -135,6 +136,8 @@
             slots_in_use: self.slots.in_use(),
             accelerators: AcceleratorSet::first(self.settings.accelerators),
             accelerators_free: self.gangs.free(),
+            plain_tasks: self.settings.plain_tasks,
+            plain_free: self.gangs.plain_free(),
             evictable: self.gangs.borrowed(),
             guaranteed: self.gangs.guaranteed(),
             version: self.version.get(),
--- a/src/process/job_queue/queued_job.rs
+++ b/src/process/job_queue/queued_job.rs
@@ -27,6 +27,8 @@
     pub upstream: UpstreamName,
     /// The accelerators, as far as they are known.
     pub accelerators: AcceleratorSet,
+    /// The tasks without accelerators, as far as they are known.
+    pub plain_tasks: u32,
 }
 
 /// A job that has a place.
--- a/src/process/job_queue/turn.rs
+++ b/src/process/job_queue/turn.rs
@@ -300,6 +300,7 @@
         let held = decision.taken.iter().map(|t| HeldOn {
             upstream: self.cx.view.name_of(t.worker).clone(),
             accelerators: t.accelerators,
+            plain_tasks: t.plain_tasks,
         });
         let running = RunningJob {
             id: job.id,
@@ -369,7 +370,8 @@
         job: &WaitingJob,
         ask: &PlacementAsk,
     ) -> WaitReason {
-        let free = self.queue.claim.is_none() && job.kind.class != Class::Deferrable;
+        let claims = job.kind.class != Class::Deferrable && !job.kind.gang.is_plain();
+        let free = self.queue.claim.is_none() && claims;
         let running = self.queue.running.values().chain(&self.queue.others);
         let estimates = &self.queue.estimates;
         let claim = free
@@ -486,6 +488,7 @@
         Some(Taken {
             worker: view.fleet.index_of(&h.upstream)?,
             accelerators: h.accelerators,
+            plain_tasks: h.plain_tasks,
         })
     });
     held.collect()
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -201,6 +201,7 @@
                 slots: workers.slots,
                 connections: workers.connections,
                 accelerators: workers.accelerators,
+                plain_tasks: workers.plain_tasks,
                 drain_timeout: DRAIN_TIMEOUT,
             };
             self.guard_settings.push(settings.clone());
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -46,8 +46,12 @@
     pub slots_in_use: u32,
     /// All its accelerators.
     pub accelerators: AcceleratorSet,
+    /// The most tasks without accelerators that it runs at once.
+    pub plain_tasks: u32,
     /// The accelerators that no task and no reservation holds.
     pub accelerators_free: AcceleratorSet,
+    /// The tasks without accelerators that could still be started.
+    pub plain_free: u32,
     /// The accelerators that an account is guaranteed and that another account's evictable work
     /// holds.
     pub evictable: AcceleratorSet,
@@ -72,6 +76,8 @@
     pub slots_in_use: u32,
     /// The accelerators that no task and no reservation holds.
     pub accelerators_free: AcceleratorSet,
+    /// The tasks without accelerators that could still be started.
+    pub plain_free: u32,
     /// The accelerators whose holders give them back when they are reclaimed.
     pub evictable: AcceleratorSet,
     /// The document version that its guard has in force.
@@ -94,6 +100,7 @@
             serving: self.serving,
             slots_in_use: self.slots_in_use,
             accelerators_free: self.accelerators_free,
+            plain_free: self.plain_free,
             evictable: self.evictable,
             version: self.version,
         }
@@ -109,6 +116,7 @@
             serving: pulse.serving,
             slots_in_use: pulse.slots_in_use,
             accelerators_free: pulse.accelerators_free,
+            plain_free: pulse.plain_free,
             evictable: pulse.evictable,
             version: pulse.version,
             ..self.clone()
@@ -172,6 +180,7 @@
             data_centre: self.data_centre.clone(),
             rack: self.rack.clone(),
             accelerators: self.accelerators,
+            plain_tasks: self.plain_tasks,
         }
     }
 
@@ -194,6 +203,7 @@
         }
         Room {
             idle: self.accelerators_free,
+            plain: self.plain_free,
             guaranteed: self.guaranteed.clone(),
             evictable: self.evictable,
             claimed: false,
--- a/src/process/settings/guard_settings.rs
+++ b/src/process/settings/guard_settings.rs
@@ -1,7 +1,9 @@
 //! Settings of a guard.
 
 use {
-    super::place::{read_address, read_count, read_drain_timeout, read_list, read_name},
+    super::place::{
+        read_address, read_count, read_drain_timeout, read_list, read_name, read_plain_tasks,
+    },
     crate::{
         prelude::*,
         version::{Faults, IniFile},
@@ -31,6 +33,8 @@
     pub connections: u32,
     /// The number of the worker's accelerators.
     pub accelerators: u32,
+    /// The most tasks without accelerators that the worker runs at once.
+    pub plain_tasks: u32,
     /// How long a graceful shutdown waits for work in progress.
     pub drain_timeout: Duration,
 }
@@ -63,6 +67,7 @@
         let slots = read_count(file, section, "slots", 1..=1024);
         let connections = read_count(file, section, "connections", 1..=4096);
         let accelerators = read_count(file, section, "accelerators", 0..=64);
+        let plain_tasks = read_plain_tasks(file, section);
         let drain_timeout = read_drain_timeout(file, section);
         if listen.is_some() && listen == worker {
             file.fault(
@@ -89,6 +94,7 @@
             slots: slots?,
             connections: connections?,
             accelerators: accelerators?,
+            plain_tasks,
             drain_timeout,
         })
     }
--- a/src/process/settings/local_settings.rs
+++ b/src/process/settings/local_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a whole system in one process.
 
 use {
-    super::place::{read_count, read_name},
+    super::place::{read_count, read_name, read_plain_tasks},
     crate::{
         prelude::*,
         version::{Faults, IniFile, IniSection},
@@ -17,6 +17,8 @@
     pub connections: u32,
     /// The accelerators of each.
     pub accelerators: u32,
+    /// The most tasks without accelerators that each runs at once.
+    pub plain_tasks: u32,
     /// The workers of each rack.
     pub per_rack: u32,
 }
@@ -77,11 +79,13 @@
         let slots = read_count(file, section, "slots", 1..=1024);
         let connections = read_count(file, section, "connections", 1..=4096);
         let accelerators = read_count(file, section, "accelerators", 0..=64);
+        let plain_tasks = read_plain_tasks(file, section);
         let per_rack = read_count(file, section, "per_rack", 1..=64);
         Some(Self {
             slots: slots?,
             connections: connections?,
             accelerators: accelerators?,
+            plain_tasks,
             per_rack: per_rack?,
         })
     }
--- a/src/process/settings/place.rs
+++ b/src/process/settings/place.rs
@@ -11,6 +11,9 @@
 /// How long a graceful shutdown waits when the settings do not say.
 const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How many tasks without accelerators a worker runs when the settings do not say.
+const DEFAULT_PLAIN_TASKS: u32 = 32;
+
 /// Reads an IP address and port.
 pub(super) fn read_address(
     file: &IniFile,
@@ -77,6 +80,18 @@
     })
 }
 
+/// Reads how many tasks without accelerators a worker runs at once.
+pub(super) fn read_plain_tasks(
+    file: &IniFile,
+    section: &IniSection,
+) -> u32 {
+    let expected = "a whole number from 0 to 1024";
+    let tasks = file.optional(section, "plain_tasks", expected, |v| {
+        v.parse().ok().filter(|n| *n <= 1024)
+    });
+    tasks.unwrap_or(DEFAULT_PLAIN_TASKS)
+}
+
 /// Reads how long a graceful shutdown waits for work in progress.
 pub(super) fn read_drain_timeout(
     file: &IniFile,
--- a/src/request/job/fleet_view.rs
+++ b/src/request/job/fleet_view.rs
@@ -10,6 +10,8 @@
 pub struct Room {
     /// The accelerators that nothing holds.
     pub idle: AcceleratorSet,
+    /// The tasks without accelerators that could still be started.
+    pub plain: u32,
     /// The accelerators that accounts are guaranteed.
     pub guaranteed: Vec<GuaranteedShare>,
     /// The accelerators that an account is guaranteed and that another account's evictable work
@@ -48,6 +50,8 @@
     pub worker: usize,
     /// The accelerators.
     pub accelerators: AcceleratorSet,
+    /// The tasks without accelerators.
+    pub plain_tasks: u32,
 }
 
 impl Room {
@@ -126,6 +130,7 @@
             let room = &mut self.rooms[part.worker];
             room.idle = room.idle.without(part.accelerators);
             room.evictable = room.evictable.without(part.accelerators);
+            room.plain = room.plain.saturating_sub(part.plain_tasks);
         }
     }
 
@@ -137,10 +142,11 @@
         for part in taken {
             let room = &mut self.rooms[part.worker];
             room.idle = room.idle.union(part.accelerators);
+            room.plain += part.plain_tasks;
         }
     }
 
-    /// Takes every accelerator of some workers out of the view.
+    /// Takes all room of some workers out of the view.
     pub fn close(
         &mut self,
         workers: &BTreeSet<UpstreamName>,
@@ -149,6 +155,7 @@
             if let Some(i) = self.fleet.index_of(worker) {
                 self.rooms[i].idle = AcceleratorSet::empty();
                 self.rooms[i].evictable = AcceleratorSet::empty();
+                self.rooms[i].plain = 0;
             }
         }
     }
--- a/src/request/job/gang/place.rs
+++ b/src/request/job/gang/place.rs
@@ -62,6 +62,7 @@
         let held = workers.map(|u| HeldOn {
             upstream: u.upstream.clone(),
             accelerators: AcceleratorSet::empty(),
+            plain_tasks: 0,
         });
         self.turn.adopt(RunningJob {
             id: self.spec.id,
--- a/src/request/job/packing.rs
+++ b/src/request/job/packing.rs
@@ -10,6 +10,7 @@
 #[derive(Debug)]
 pub(super) struct PackingSite {
     tiers: Vec<Tiers>,
+    plain: Vec<u32>,
     gang_accelerators: u32,
 }
 
@@ -56,6 +57,7 @@
         });
         Self {
             tiers: tiers.collect(),
+            plain: view.rooms.iter().map(|r| r.plain).collect(),
             gang_accelerators: ask.gang.accelerators,
         }
     }
@@ -65,7 +67,9 @@
         &self,
         worker: usize,
     ) -> u32 {
-        self.tiers[worker].all().len() / self.gang_accelerators
+        let accelerators = self.tiers[worker].all().len();
+        let members = accelerators.checked_div(self.gang_accelerators);
+        members.unwrap_or(self.plain[worker])
     }
 
     /// Packs all members of a gang on a group: on workers with own accelerators first, then on
@@ -83,8 +87,12 @@
         workers.retain(|w| self.fitting(*w) > 0);
         workers.sort_by_key(|w| {
             let tiers = &self.tiers[*w];
-            let own_members = tiers.own.len() / self.gang_accelerators;
-            (Reverse(own_members.min(1)), tiers.all().len(), *w)
+            let own_members = tiers.own.len().checked_div(self.gang_accelerators);
+            let room = match own_members {
+                Some(_) => tiers.all().len(),
+                None => self.plain[*w],
+            };
+            (Reverse(own_members.unwrap_or(0).min(1)), room, *w)
         });
         Some(self.fill(ask, &workers))
     }
@@ -123,6 +131,10 @@
         packing.taken.push(Taken {
             worker,
             accelerators,
+            plain_tasks: match self.gang_accelerators {
+                0 => members,
+                _ => 0,
+            },
         });
         let members = std::iter::repeat_n(worker, members as usize);
         packing.members.extend(members);
--- a/src/request/job/passed_over.rs
+++ b/src/request/job/passed_over.rs
@@ -35,6 +35,9 @@
 ) -> PassReason {
     let needed = ask.gang.accelerators;
     let room = &view.rooms[worker];
+    if ask.gang.is_plain() && room.plain == 0 {
+        return PassReason::TooFewIdle;
+    }
     let to_be_had = room.tiers(&ask.account, ask.evictable).all().len();
     if view.fleet.workers()[worker].accelerators.len() < needed {
         PassReason::TooSmall
--- a/src/request/job/shape_mix.rs
+++ b/src/request/job/shape_mix.rs
@@ -31,12 +31,13 @@
         Self::even(guarantees.chain(gangs))
     }
 
-    /// Returns a mix of shapes in which each counts as often as it is named.
+    /// Returns a mix of shapes in which each counts as often as it is named. Shapes without
+    /// accelerators are left out.
     pub fn even<I>(shapes: I) -> Self
     where
         I: Iterator<Item = Shape>,
     {
-        let mut all: Vec<Shape> = shapes.collect();
+        let mut all: Vec<Shape> = shapes.filter(|s| !s.is_plain()).collect();
         all.sort();
         let total = all.len() as f64;
         let shapes = all.chunk_by(|a, b| a == b).map(|same| MixShape {
--- a/src/version/account.rs
+++ b/src/version/account.rs
@@ -90,6 +90,10 @@
             let message = format!("the quota is below the {guaranteed} guaranteed accelerators");
             file.fault(section, "quota_accelerators", message);
         }
+        if self.guarantees.iter().any(Shape::is_plain) {
+            let message = "a guaranteed shape has at least one accelerator for each member";
+            file.fault(section, "guarantee", message);
+        }
         if self.max_in_flight == 0 {
             file.fault(
                 section,
--- a/src/version/layout/fleet.rs
+++ b/src/version/layout/fleet.rs
@@ -18,6 +18,20 @@
     pub rack: RackName,
     /// All its accelerators.
     pub accelerators: AcceleratorSet,
+    /// The most tasks without accelerators that it runs at once.
+    pub plain_tasks: u32,
+}
+
+impl FleetWorker {
+    /// Returns how many groups of `accelerators` it holds when it is empty; 0 accelerators stand
+    /// for tasks without any.
+    pub fn most_members(
+        &self,
+        accelerators: u32,
+    ) -> u32 {
+        let members = self.accelerators.len().checked_div(accelerators);
+        members.unwrap_or(self.plain_tasks)
+    }
 }
 
 /// Workers by name, grouped by worker, rack, data centre and region. Workers are named by their
@@ -90,7 +104,7 @@
         let members = self.groups(adjacency).iter().map(|g| {
             let fitting = g
                 .iter()
-                .map(|i| self.workers[*i].accelerators.len() / accelerators);
+                .map(|i| self.workers[*i].most_members(accelerators));
             fitting.sum::<u32>()
         });
         members.max().unwrap_or_default()
--- a/src/version/shape.rs
+++ b/src/version/shape.rs
@@ -36,7 +36,8 @@
 pub struct Shape {
     /// The number of groups.
     pub members: u32,
-    /// The number of accelerators of each group, all on one worker.
+    /// The number of accelerators of each group, all on one worker. 0 stands for tasks that hold
+    /// no accelerator, which gangs may have and guarantees may not.
     pub accelerators: u32,
     /// How near the groups have to be.
     pub adjacency: Adjacency,
@@ -58,6 +59,11 @@
         adjacency: Adjacency::Any,
     };
 
+    /// Tells whether its members hold no accelerator.
+    pub fn is_plain(&self) -> bool {
+        self.accelerators == 0
+    }
+
     /// Returns the number of accelerators of the whole shape.
     pub fn total(&self) -> u32 {
         self.members * self.accelerators
@@ -101,7 +107,7 @@
             accelerators: accelerators.parse().map_err(|_| ShapeError)?,
             adjacency: adjacency.trim().parse()?,
         };
-        let sane = (1..=1024).contains(&shape.members) && (1..=64).contains(&shape.accelerators);
+        let sane = (1..=1024).contains(&shape.members) && shape.accelerators <= 64;
         if sane { Ok(shape) } else { Err(ShapeError) }
     }
 }
--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -163,6 +163,8 @@
             slots_in_use: 0,
             accelerators: AcceleratorSet::first(8),
             accelerators_free: AcceleratorSet::first(8),
+            plain_tasks: 0,
+            plain_free: 0,
             evictable: AcceleratorSet::empty(),
             guaranteed: Vec::new(),
             version: VersionNumber::default(),
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -3,4 +3,5 @@
 mod clock;
 mod driver;
 mod malformed;
+mod plain_tasks;
 mod whole_path;
--- /dev/null
+++ b/tests/path/plain_tasks.rs
@@ -0,0 +1,123 @@
+//! Gangs whose members hold no accelerator.
+
+use limpetquay::{
+    connection::{Eviction, GangId, ReserveCall, Work},
+    prelude::*,
+    process::{guard::AcceleratorBook, platform::Term},
+    request::{FleetView, PlacementAsk, PlacementPolicy, Room, ShapeMix, WeighedPlacement},
+    version::{Adjacency, Class, Fleet, FleetWorker, Shape},
+};
+
+/// The tasks without accelerators that one worker of these tests runs at once.
+const PLAIN_TASKS: u32 = 4;
+
+fn reserve(
+    job: u64,
+    members: u32,
+    accelerators: u32,
+) -> ReserveCall {
+    ReserveCall {
+        gang: GangId {
+            job: JobId(job),
+            term: Term {
+                ownership: 1,
+                start: 1,
+            },
+        },
+        account: "account".into(),
+        members: (0..members).collect(),
+        accelerators,
+        eviction: Eviction::Never,
+        hold_ms: 1_000,
+        work: Work {
+            kind: "kind".into(),
+            payload: Bytes::new(),
+            progress_ms: 0,
+            declared_ms: 1_000,
+        },
+    }
+}
+
+/// A book gives out no more places than the worker has, and they do not touch accelerators.
+#[test]
+fn a_guard_limits_tasks_without_accelerators() {
+    let mut book = AcceleratorBook::new(AcceleratorSet::first(2), PLAIN_TASKS, Millis(0));
+    let now = Millis(0);
+    let until = Millis(1_000);
+    let mut seen = Vec::new();
+    for (job, members, accelerators) in [(1, 3, 0), (2, 2, 0), (3, 1, 0), (4, 1, 2), (5, 1, 0)] {
+        let claim = book.claim(now, &reserve(job, members, accelerators), until);
+        let claim = claim.map(|c| c.accelerators.len());
+        seen.push(format!(
+            "{members}x{accelerators}: {claim:?}, {} left",
+            book.plain_free(now)
+        ));
+    }
+    book.release(reserve(1, 3, 0).gang);
+    seen.push(format!("after a release: {} left", book.plain_free(now)));
+    insta::assert_debug_snapshot!(seen);
+}
+
+fn view(plain: [u32; 3]) -> FleetView {
+    let workers = (0..3).map(|i| FleetWorker {
+        upstream: format!("w{i}").as_str().into(),
+        region: "north".into(),
+        data_centre: "n1".into(),
+        rack: format!("r{}", i / 2).as_str().into(),
+        accelerators: AcceleratorSet::empty(),
+        plain_tasks: PLAIN_TASKS,
+    });
+    let rooms = plain.map(|plain| Room {
+        plain,
+        ..Room::default()
+    });
+    FleetView {
+        fleet: Rc::new(Fleet::new(workers.collect())),
+        rooms: rooms.to_vec(),
+    }
+}
+
+fn place(
+    members: u32,
+    adjacency: Adjacency,
+    plain: [u32; 3],
+) -> String {
+    let ask = PlacementAsk {
+        account: "account".into(),
+        gang: Shape {
+            members,
+            accelerators: 0,
+            adjacency,
+        },
+        class: Class::Normal,
+        evictable: false,
+        waited: 0.0,
+        may_hold: false,
+        completion_weight: 0.5,
+        fragmentation_weight: 0.5,
+        mix: Rc::new(ShapeMix::default()),
+    };
+    let decision = WeighedPlacement.place(&ask, &view(plain));
+    let members: Vec<&str> = decision.members.iter().map(UpstreamName::as_str).collect();
+    members.join(" ")
+}
+
+/// Members go where there are places, near to each other, or nowhere.
+#[test]
+fn tasks_without_accelerators_are_placed_where_there_is_room() {
+    insta::assert_debug_snapshot!([
+        place(3, Adjacency::Any, [4, 4, 4]),
+        place(6, Adjacency::Any, [4, 4, 4]),
+        place(5, Adjacency::Rack, [1, 3, 4]),
+        place(4, Adjacency::Rack, [1, 3, 2]),
+        place(8, Adjacency::Any, [1, 3, 4]),
+    ]);
+}
+
+/// A fleet knows how many members fit when it is empty.
+#[test]
+fn a_fleet_counts_places_for_tasks_without_accelerators() {
+    let fleet = view([0; 3]).fleet.clone();
+    let most = Adjacency::ALL.map(|a| format!("{a}: {}", fleet.most_members(a, 0)));
+    insta::assert_debug_snapshot!(most);
+}
--- a/tests/path/whole_path.rs
+++ b/tests/path/whole_path.rs
@@ -51,6 +51,27 @@
             .await;
         answer.expect("the entry answers")
     }
+
+    /// Waits until a submitted job has ended, and returns the answer about its result.
+    async fn wait_for_result(
+        &self,
+        account: &str,
+        submitted: &HttpAnswer,
+    ) -> HttpAnswer {
+        let path = result_path(submitted);
+        let mut result = self.call(account, Method::GET, &path, "").await;
+        while result.status == 409 {
+            compio::time::sleep(Duration::from_millis(20)).await;
+            result = self.call(account, Method::GET, &path, "").await;
+        }
+        result
+    }
+}
+
+/// Returns the path of a submitted job's result.
+fn result_path(submitted: &HttpAnswer) -> String {
+    let id: serde_json::Value = serde_json::from_slice(&submitted.body).expect("JSON");
+    format!("/v1/jobs/{}/result", id["id"].as_str().expect("an id"))
 }
 
 fn text(answer: &HttpAnswer) -> String {
@@ -78,6 +99,21 @@
     });
 }
 
+/// A gang whose members hold no accelerator runs whole.
+#[test]
+fn a_gang_without_accelerators_finishes() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        let body = r#"{"kind":"log-sweep","payload":"run_ms=100"}"#;
+        let submitted = fixture
+            .call("producers", Method::POST, "/v1/jobs", body)
+            .await;
+        let result = fixture.wait_for_result("producers", &submitted).await;
+        insta::assert_debug_snapshot!(text(&result), @r#""200 log-sweep member 0 finished""#);
+        fixture.system.stop().await;
+    });
+}
+
 /// A gang job runs whole, and only its own account finds it.
 #[test]
 fn a_gang_job_finishes() {
@@ -87,13 +123,8 @@
         let submitted = fixture
             .call("jozi-studios", Method::POST, "/v1/jobs", body)
             .await;
-        let id: serde_json::Value = serde_json::from_slice(&submitted.body).expect("JSON");
-        let path = format!("/v1/jobs/{}/result", id["id"].as_str().expect("an id"));
-        let mut result = fixture.call("jozi-studios", Method::GET, &path, "").await;
-        while result.status == 409 {
-            compio::time::sleep(Duration::from_millis(20)).await;
-            result = fixture.call("jozi-studios", Method::GET, &path, "").await;
-        }
+        let result = fixture.wait_for_result("jozi-studios", &submitted).await;
+        let path = result_path(&submitted);
         let stranger = fixture.call("kaap-studios", Method::GET, &path, "").await;
         insta::assert_debug_snapshot!([
             submitted.status.to_string(),
--- a/tests/placement/layout.rs
+++ b/tests/placement/layout.rs
@@ -20,6 +20,7 @@
                     data_centre: data_centre.into(),
                     rack: format!("r{rack}").as_str().into(),
                     accelerators: AcceleratorSet::first(accelerators),
+                    plain_tasks: 0,
                 });
             }
         }
@@ -118,6 +119,7 @@
         data_centre: (*data_centre).into(),
         rack: "r1".into(),
         accelerators: AcceleratorSet::first(*accelerators),
+        plain_tasks: 0,
     });
     Fleet::new(workers.collect())
 }
--- a/tests/placement/layout_fuzz.rs
+++ b/tests/placement/layout_fuzz.rs
@@ -26,6 +26,7 @@
                 data_centre: format!("dc{region}{data_centre}").as_str().into(),
                 rack: format!("rack{rack}").as_str().into(),
                 accelerators: AcceleratorSet::first(accelerators),
+                plain_tasks: 0,
             },
         );
         Fleet::new(workers.collect())
--- a/tests/requests/network.rs
+++ b/tests/requests/network.rs
@@ -80,6 +80,7 @@
             slots: self.slots,
             connections: 64,
             accelerators: 0,
+            plain_tasks: 0,
             drain_timeout: Duration::from_secs(1),
         };
         let guard = Guard::new(
