--- /dev/null
+++ b/src/process/bench/log/job_cost.rs
@@ -0,0 +1,58 @@
+//! What a job costs on the log.
+
+use {
+    super::in_force::start_system,
+    crate::{
+        prelude::*,
+        process::{
+            bench::{BenchCx, BenchError, Table},
+            local::LocalSystem,
+        },
+        request::{JobSubmission, submit_job},
+    },
+};
+
+/// How often the jobs are looked at.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Runs jobs and counts the appends and bytes that they added to the log.
+pub(super) async fn measure_job_cost(cx: &BenchCx) -> Result<Table, BenchError> {
+    let jobs = if cx.quick { 4 } else { 60 };
+    let system = start_system().await?;
+    let (appends, bytes) = (system.log().appends(), system.log().bytes());
+    for _ in 0..jobs {
+        submit(&system).await?;
+    }
+    wait_for_ends(&system).await;
+    let appends = (system.log().appends() - appends) as f64;
+    let bytes = (system.log().bytes() - bytes) as f64;
+    system.stop().await;
+    let columns = ["jobs", "appends a job", "bytes a job"];
+    let mut table = Table::new("job-cost", &columns);
+    let count = f64::from(jobs);
+    table.push(vec![
+        jobs.to_string(),
+        format!("{:.2}", appends / count),
+        format!("{:.0}", bytes / count),
+    ]);
+    Ok(table)
+}
+
+async fn submit(system: &LocalSystem) -> Result<(), BenchError> {
+    let entry = system.entries()[0].entry();
+    let submission = JobSubmission {
+        kind: "crash-cluster".into(),
+        payload: "run_ms=50".to_owned(),
+    };
+    let submitted = submit_job(entry, &"jozi-studios".into(), submission).await;
+    submitted
+        .map(drop)
+        .map_err(|e| BenchError::Failed(e.to_string()))
+}
+
+async fn wait_for_ends(system: &LocalSystem) {
+    let entry = system.entries()[0].entry();
+    while entry.state.fold().jobs().any(|j| j.is_open()) {
+        system.clock().sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/src/process/bench/log/recovery.rs
@@ -0,0 +1,87 @@
+//! How long queued jobs are without an owner after all entries are lost.
+
+use {
+    super::in_force::start_system,
+    crate::{
+        prelude::*,
+        process::{
+            bench::{BenchCx, BenchError, Table},
+            local::LocalSystem,
+            state::{JobRecord, RecordBody},
+        },
+        request::JobSpec,
+    },
+    futures_util::future::join_all,
+    std::time::Instant,
+};
+
+/// How often the jobs are looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Accepts jobs that wait, ends all entries at once, starts them anew, and measures until each job
+/// has an owner that lives.
+pub(super) async fn measure_recovery(cx: &BenchCx) -> Result<Table, BenchError> {
+    let jobs = if cx.quick { 50 } else { 1000 };
+    let mut system = start_system().await?;
+    accept_jobs(&system, jobs).await?;
+    let appends = system.log().appends();
+    let lost = Instant::now();
+    system.restart_all_entries().await?;
+    let started = Instant::now();
+    while owned_jobs(&system) < jobs {
+        system.clock().sleep(LOOK).await;
+    }
+    let owned = Instant::now();
+    let appends = system.log().appends() - appends;
+    system.stop().await;
+    let columns = ["queued jobs", "restart ms", "to owners ms", "appends"];
+    let mut table = Table::new("recovery", &columns);
+    table.push(vec![
+        jobs.to_string(),
+        (started - lost).as_millis().to_string(),
+        (owned - started).as_millis().to_string(),
+        appends.to_string(),
+    ]);
+    Ok(table)
+}
+
+async fn accept_jobs(
+    system: &LocalSystem,
+    jobs: usize,
+) -> Result<(), BenchError> {
+    let entries = system.entries();
+    let appends = (0..jobs).map(|i| {
+        let entry = entries[i % entries.len()].entry();
+        let spec = JobSpec {
+            id: entry.ids.job_id(),
+            account: "jozi-studios".into(),
+            kind: "overnight-retrain".into(),
+            payload: Bytes::from_static(b"run_ms=600000"),
+            accepted_ms: entry.clock.wall().0,
+        };
+        let owner = entry.settings.name.clone();
+        let record = RecordBody::Job(JobRecord::Accepted { spec, owner });
+        entry.state.append(record)
+    });
+    let results = join_all(appends).await;
+    match results.into_iter().find_map(Result::err) {
+        Some(e) => Err(BenchError::Failed(e.to_string())),
+        None => Ok(()),
+    }
+}
+
+/// Counts the open jobs whose owner is a present start of an entry, as the first entry sees it.
+fn owned_jobs(system: &LocalSystem) -> usize {
+    let starts: Vec<u64> = system
+        .entries()
+        .iter()
+        .map(|e| e.entry().state.epoch())
+        .collect();
+    let Some(first) = system.entries().first() else {
+        return 0;
+    };
+    let fold = first.entry().state.fold();
+    fold.jobs()
+        .filter(|j| j.is_open() && starts.contains(&j.owner_epoch))
+        .count()
+}
--- /dev/null
+++ b/src/process/bench/log/start.rs
@@ -0,0 +1,94 @@
+//! How long a new entry takes to read the log.
+
+use {
+    super::log_client::ServedLog,
+    crate::{
+        prelude::*,
+        process::{
+            bench::{BenchCx, BenchError, Table, fit_line},
+            clock::SystemClock,
+            state::{JobRecord, RecordBody, State},
+        },
+        request::JobSpec,
+    },
+    futures_util::future::join_all,
+    std::time::Instant,
+};
+
+/// The lengths of the log, in records.
+const LENGTHS: [usize; 4] = [1000, 2000, 4000, 8000];
+
+/// The records that are appended at a time.
+const CHUNK: usize = 500;
+
+/// Measures the time until a new reader has folded logs of several lengths.
+pub(super) async fn measure_starts(cx: &BenchCx) -> Result<Table, BenchError> {
+    let lengths = if cx.quick {
+        &LENGTHS[..2]
+    } else {
+        &LENGTHS[..]
+    };
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+    let served = ServedLog::start(clock).await?;
+    let writer = served.follow("entry-1");
+    let mut table = Table::new("start", &["records", "ms to read"]);
+    let mut points = Vec::new();
+    let mut written = 0;
+    for length in lengths {
+        append_jobs(&writer, written, *length).await?;
+        written = *length;
+        let start = Instant::now();
+        let reader = served.follow("entry-2");
+        wait_until_read(&reader, *length).await;
+        let ms = start.elapsed().as_secs_f64() * 1e3;
+        table.push(vec![length.to_string(), format!("{ms:.1}")]);
+        points.push((*length as f64, ms));
+    }
+    if let Some(fit) = fit_line(&points) {
+        let slope = format!("{:.2} ms for 1000 more", fit.slope * 1e3);
+        table.push(vec!["slope".to_owned(), slope]);
+    }
+    Ok(table)
+}
+
+async fn wait_until_read(
+    reader: &State,
+    records: usize,
+) {
+    loop {
+        let change = reader.change();
+        if reader.fold().next().0 >= records as u64 {
+            return;
+        }
+        change.await;
+    }
+}
+
+/// Appends accepted jobs with the numbers from one up to another.
+async fn append_jobs(
+    writer: &State,
+    from: usize,
+    to: usize,
+) -> Result<(), BenchError> {
+    let numbers: Vec<usize> = (from..to).collect();
+    for chunk in numbers.chunks(CHUNK) {
+        let appends = chunk.iter().map(|n| writer.append(accepted_job(*n)));
+        let results = join_all(appends).await;
+        if let Some(e) = results.into_iter().find_map(Result::err) {
+            return Err(BenchError::Failed(e.to_string()));
+        }
+    }
+    Ok(())
+}
+
+pub(super) fn accepted_job(number: usize) -> RecordBody {
+    let spec = JobSpec {
+        id: JobId(number as u64),
+        account: "jozi-studios".into(),
+        kind: "crash-cluster".into(),
+        payload: Bytes::from_static(b"run_ms=50"),
+        accepted_ms: 0,
+    };
+    let owner = "entry-1".into();
+    RecordBody::Job(JobRecord::Accepted { spec, owner })
+}
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -7,6 +7,7 @@
 mod bench;
 pub mod capacity;
 mod fit;
+mod log;
 mod page;
 pub mod placement;
 mod plot;
