Publish displaced upstreams as gone, and pass late rows over

Cause: the fuzz found two faults.

Change: a lost upstream is published as gone whether or not it was displaced; a delta that says nothing after what is held is passed over. Each course is a test of its own.

--- a/src/process/membership/member_table.rs
+++ b/src/process/membership/member_table.rs
@@ -142,8 +142,8 @@
         }
     }
 
-    /// Takes rows of a publication over when they follow what is held; tells when the copy is
-    /// still behind.
+    /// Takes rows of a publication over when they follow what is held and say more; tells when the
+    /// copy is still behind.
     pub fn apply_delta(
         &mut self,
         now: Millis,
@@ -152,7 +152,8 @@
         let start = (delta.incarnation, delta.generation);
         let known = self.publisher(&delta.publisher, start)?;
         known.newest = known.newest.max(delta.upto);
-        if delta.base > known.have {
+        let is_late = delta.upto <= known.have;
+        if delta.base > known.have || is_late {
             return known.behind();
         }
         known.have = known.have.max(delta.upto);
--- a/src/process/membership/watch_task.rs
+++ b/src/process/membership/watch_task.rs
@@ -169,7 +169,7 @@
     upstream: &UpstreamName,
 ) {
     let now = membership.clock.now();
-    let known = membership.members.borrow().get(upstream);
+    let known = membership.members.borrow().latest(upstream);
     let Some(known) = known else {
         return;
     };
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -4,6 +4,7 @@
 mod course;
 mod entries;
 mod fleet;
+mod found;
 mod fuzz;
 mod network;
 mod regions;
