--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Entry, InFlightLimits, LinkDialer, follow_registry, push_documents, register, run_jobs,
+        Entry, InFlightLimits, LinkDialer, follow_registry, keep_placements, propose_layouts,
+        push_documents, push_layouts, register, run_jobs,
     },
     crate::{
         connection::{HttpClient, HttpServer},
@@ -21,7 +22,7 @@
             state::{HttpPeers, SnapshotPolicy, State},
             task_group::TaskGroup,
         },
-        request::{EntryApi, IdSource, LeastWaitRouting, PackPlacement},
+        request::{EntryApi, IdSource, LeastWaitRouting, WeighedPlacement},
     },
     compio::runtime::{JoinHandle, spawn},
     std::{cell::Cell, io},
@@ -158,7 +159,9 @@
         metrics,
         state: Rc::new(state),
         routing: Box::new(LeastWaitRouting),
-        placement: Box::new(PackPlacement),
+        placement: Box::new(WeighedPlacement),
+        turns: Rc::default(),
+        fleet: RefCell::default(),
         ids,
         in_flight: InFlightLimits::default(),
         draining: Cell::new(false),
@@ -174,6 +177,11 @@
     tasks.spawn(async move { state.follow_log().await });
     tasks.spawn(keep_snapshots(entry.clone()));
     tasks.spawn(run_jobs(entry.clone()));
+    tasks.spawn(propose_layouts(entry.clone()));
+    tasks.spawn(push_layouts(entry.clone()));
+    tasks.spawn(keep_placements(entry.clone()));
+    let turns = entry.clone();
+    tasks.spawn(async move { turns.turns.run(&turns).await });
     tasks.spawn(push_documents(entry.clone(), membership.clone()));
     tasks.spawn(register(entry.clone()));
     tasks.spawn(follow_registry(entry.clone()));
