Measure the cost of membership for an entry, a guard and the link

Cause: the budget of 12 KB/s and 4.6% of a core for each node at 950 upstreams was worked out on paper only.

--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -1,7 +1,9 @@
 //! The border of a measurement.
 
 use {
-    super::{Table, capacity::CapacityBench, placement::PlacementBench},
+    super::{
+        Table, capacity::CapacityBench, membership::MembershipBench, placement::PlacementBench,
+    },
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
     std::{io, path::PathBuf},
@@ -55,5 +57,9 @@
 
 /// Returns all measurements.
 pub fn benches() -> Vec<Box<dyn Bench>> {
-    vec![Box::new(CapacityBench), Box::new(PlacementBench)]
+    vec![
+        Box::new(CapacityBench),
+        Box::new(MembershipBench),
+        Box::new(PlacementBench),
+    ]
 }
--- /dev/null
+++ b/src/process/bench/membership/mod.rs
@@ -0,0 +1,17 @@
+//! The cost of membership: one measured entry among generated guards and other entries.
+
+mod counting_link;
+mod fleet_peers;
+mod fleet_run;
+mod fleet_stage;
+mod light_generator;
+mod membership_bench;
+mod sample;
+mod watched_run;
+
+pub use {
+    fleet_run::{FleetCosts, run_fleet},
+    membership_bench::MembershipBench,
+    sample::Cost,
+    watched_run::{WatchedCost, run_watched},
+};
--- /dev/null
+++ b/src/process/bench/membership/watched_run.rs
@@ -0,0 +1,146 @@
+//! One entry that watches a growing number of upstreams.
+
+use {
+    super::{
+        Cost,
+        counting_link::{CountingLink, Traffic},
+        light_generator::announce_many,
+        sample::Sample,
+    },
+    crate::{
+        prelude::*,
+        process::{
+            bench::{BenchError, ProcessUsage, capacity::measure_in_thread},
+            clock::SystemClock,
+            membership::{
+                EntryRow, EntryTable, MemberTable, Membership, MembershipParts, PublicationVersion,
+                ServingState, UdpLink, new_incarnation,
+            },
+            metrics::Metrics,
+        },
+    },
+    compio::runtime::Runtime,
+    std::{
+        sync::atomic::{AtomicBool, Ordering},
+        thread,
+    },
+};
+
+/// How long the entry may take to know all upstreams.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// What one entry costs that watches some upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchedCost {
+    /// The upstreams that announce themselves.
+    pub upstreams: u32,
+    /// The upstreams that the entry knew at the end.
+    pub known: usize,
+    /// What it costs.
+    pub cost: Cost,
+    /// The resident memory that came with the entry and its upstreams, in megabytes.
+    pub megabytes: f64,
+}
+
+/// Measures an entry that watches `upstreams` upstreams for a while. The generator runs in another
+/// thread, so that its processor time is not counted; its memory does not grow with the entry's.
+///
+/// # Errors
+/// [`BenchError`] when a socket cannot be bound.
+pub fn run_watched(
+    upstreams: u32,
+    watched: Duration,
+) -> Result<WatchedCost, BenchError> {
+    measure_in_thread(async move || measure(upstreams, watched).await)
+}
+
+async fn measure(
+    upstreams: u32,
+    watched: Duration,
+) -> Result<WatchedCost, BenchError> {
+    let before = ProcessUsage::of_self().resident_bytes;
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+    let traffic = Rc::new(Traffic::default());
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = UdpLink::bind(loopback, clock.clone()).await?;
+    let link = CountingLink::new(link, traffic.clone());
+    let place = ("region", "data-centre");
+    let entry = MeasuredEntry::start(clock.clone(), Rc::new(link), "entry", place, Vec::new());
+    let stop = Arc::new(AtomicBool::new(false));
+    let generator = start_generator(entry.address, upstreams, stop.clone());
+    clock.sleep(SETTLE).await;
+    let first = Sample::take(&*clock, &traffic);
+    clock.sleep(watched).await;
+    let last = Sample::take(&*clock, &traffic);
+    let known = entry.members.borrow().live(clock.now()).len();
+    let resident = ProcessUsage::of_self().resident_bytes;
+    stop.store(true, Ordering::Relaxed);
+    entry.membership.kill();
+    let joined = generator.join();
+    joined.map_err(|_| BenchError::Failed("the generator panicked".into()))??;
+    Ok(WatchedCost {
+        upstreams,
+        known,
+        cost: first.cost_until(&last),
+        megabytes: resident.saturating_sub(before) as f64 / 1e6,
+    })
+}
+
+fn start_generator(
+    entry: SocketAddr,
+    upstreams: u32,
+    stop: Arc<AtomicBool>,
+) -> thread::JoinHandle<std::io::Result<()>> {
+    thread::spawn(move || {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let announcing = announce_many(clock, entry, upstreams, &stop);
+        Runtime::new()?.block_on(announcing)
+    })
+}
+
+/// The membership of one entry.
+pub(super) struct MeasuredEntry {
+    pub(super) address: SocketAddr,
+    pub(super) members: Rc<RefCell<MemberTable>>,
+    pub(super) membership: Rc<Membership>,
+    pub(super) metrics: Rc<Metrics>,
+}
+
+impl MeasuredEntry {
+    /// Starts the membership of an entry on a socket.
+    pub(super) fn start(
+        clock: Rc<dyn Clock>,
+        link: Rc<dyn crate::process::membership::DatagramLink>,
+        name: &str,
+        place: (&str, &str),
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let address = link.address();
+        let own = EntryRow {
+            name: name.into(),
+            region: place.0.into(),
+            data_centre: place.1.into(),
+            address,
+            incarnation: new_incarnation(&*clock),
+            heartbeat: 0,
+            serving: ServingState::Serving,
+            published: PublicationVersion::default(),
+        };
+        let members: Rc<RefCell<MemberTable>> = Rc::default();
+        let metrics = Rc::new(Metrics::default());
+        let membership = Membership::start(MembershipParts {
+            clock,
+            link,
+            metrics: metrics.clone(),
+            entries: Rc::new(RefCell::new(EntryTable::new(own, seeds))),
+            members: members.clone(),
+            seed: rand::random(),
+        });
+        Self {
+            address,
+            members,
+            membership,
+            metrics,
+        }
+    }
+}
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -7,6 +7,7 @@
 mod bench;
 pub mod capacity;
 mod fit;
+pub mod membership;
 mod page;
 pub mod placement;
 mod plot;
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Returns the number of upstreams that this entry watches for the others.
+    pub fn watched(&self) -> usize {
+        self.watches.borrow().len()
+    }
+
     /// Tells whether this entry watches an upstream for the others.
     pub fn is_watching(
         &self,
