--- a/src/request/api/mod.rs
+++ b/src/request/api/mod.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface of an entry: turns requests into calls of the decisions, and back.
 
-mod admin_api;
+mod admin;
 mod entry_api;
 mod job_api;
 mod request_api;
