Announce places for plain tasks in generated upstreams

Cause: the merged generator of the membership bench lacked the new fields. Change: 32 places, 14 of them free, as at the target (17,000 tasks on 950 workers).

--- a/src/process/bench/membership/light_generator.rs
+++ b/src/process/bench/membership/light_generator.rs
@@ -37,6 +37,8 @@
         slots_in_use: 0,
         accelerators: AcceleratorSet::first(2),
         accelerators_free: AcceleratorSet::first(2),
+        plain_tasks: 32,
+        plain_free: 14,
         evictable: AcceleratorSet::empty(),
         guaranteed: Vec::new(),
         version: VersionNumber::default(),
