--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -1,7 +1,10 @@
 //! The border of a measurement.
 
 use {
-    super::{Table, capacity::CapacityBench, log::LogBench, placement::PlacementBench},
+    super::{
+        Table, capacity::CapacityBench, log::LogBench, membership::MembershipBench,
+        placement::PlacementBench,
+    },
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
     std::{io, path::PathBuf},
@@ -58,6 +61,7 @@
     vec![
         Box::new(CapacityBench),
         Box::new(LogBench),
+        Box::new(MembershipBench),
         Box::new(PlacementBench),
     ]
 }
