--- a/tests/state/fake_log.rs
+++ b/tests/state/fake_log.rs
@@ -31,6 +31,8 @@
     pub down: std::cell::Cell<bool>,
     pub slow_ms: std::cell::Cell<u64>,
     pub next_append: std::cell::Cell<Option<AppendFault>>,
+    /// How long a record is kept, when it is not kept for ever.
+    pub retention: std::cell::Cell<Option<Duration>>,
     appended: event_listener::Event,
 }
 
@@ -49,6 +51,7 @@
             down: Default::default(),
             slow_ms: Default::default(),
             next_append: Default::default(),
+            retention: Default::default(),
             appended: event_listener::Event::new(),
         })
     }
@@ -133,7 +136,15 @@
         if self.down.get() {
             return Err(LogError::Unavailable);
         }
-        Ok(self.kept.borrow().read(from))
+        let mut kept = self.kept.borrow_mut();
+        if let Some(retention) = self.retention.get() {
+            let limits = LogLimits {
+                retention,
+                ..LogLimits::default()
+            };
+            kept.expire(self.clock.wall(), &limits);
+        }
+        Ok(kept.read(from))
     }
 
     async fn delay(&self) {
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -7,4 +7,5 @@
 mod fuzz;
 mod model;
 mod recovery;
+mod retention;
 mod world;
