--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -9,7 +9,8 @@
             entry::{Entry, RunningEntry},
             guard::RunningGuard,
             settings::{
-                EntrySettings, GuardSettings, LocalDataCentre, LocalSettings, PeerSettings,
+                Bootstrap, EntrySettings, GuardSettings, LocalDataCentre, LocalSettings,
+                PeerSettings,
             },
             shutdown::Shutdown,
             stand_in::{StandInLog, StandInUpstream},
@@ -45,6 +46,7 @@
     pub(super) peers: PeerSettings,
     log: Rc<StandInLog>,
     log_address: SocketAddr,
+    bootstrap: Option<Bootstrap>,
     pub(super) guard_settings: Vec<GuardSettings>,
 }
 
@@ -57,6 +59,29 @@
         settings: &LocalSettings,
         document: &str,
         clock: Rc<dyn Clock>,
+    ) -> Result<Self, LocalError> {
+        let system = Self::start_processes(settings, None, clock).await?;
+        system.submit_document(document).await?;
+        system.wait_until_ready().await?;
+        Ok(system)
+    }
+
+    /// Starts everything without a document; `bootstrap` may submit the first one.
+    ///
+    /// # Errors
+    /// [`LocalError`] when a socket cannot be bound.
+    pub async fn start_empty(
+        settings: &LocalSettings,
+        bootstrap: Bootstrap,
+        clock: Rc<dyn Clock>,
+    ) -> Result<Self, LocalError> {
+        Self::start_processes(settings, Some(bootstrap), clock).await
+    }
+
+    async fn start_processes(
+        settings: &LocalSettings,
+        bootstrap: Option<Bootstrap>,
+        clock: Rc<dyn Clock>,
     ) -> Result<Self, LocalError> {
         let mut system = Self {
             entries: Vec::new(),
@@ -70,6 +95,7 @@
             log: Rc::new(StandInLog::new(clock.clone())),
             log_address: ANY_PORT,
             guard_settings: Vec::new(),
+            bootstrap,
             clock,
         };
         system.log_address = system.serve(system.log.clone()).await?;
@@ -79,8 +105,6 @@
         for data_centre in &settings.data_centres {
             system.start_workers(data_centre, settings).await?;
         }
-        system.submit_document(document).await?;
-        system.wait_until_ready().await?;
         Ok(system)
     }
 
@@ -158,7 +182,7 @@
                 seeds: self.seeds(),
                 log: self.log_address,
                 drain_timeout: DRAIN_TIMEOUT,
-                bootstrap: None,
+                bootstrap: self.bootstrap.clone(),
                 peers: Some(self.peers.clone()),
                 log_retention: LOG_RETENTION,
             };
--- a/tests/state/admin.rs
+++ b/tests/state/admin.rs
@@ -9,9 +9,10 @@
         process::{
             clock::SystemClock,
             local::{EXAMPLE_DOCUMENT, LocalSystem, example_key},
-            settings::LocalSettings,
+            settings::{Bootstrap, LocalSettings},
             stand_in::LogFaults,
         },
+        version::KeyHash,
     },
     serde_json::Value,
 };
@@ -39,6 +40,21 @@
         }
     }
 
+    /// Starts a system without a document, where `first-operator` may submit one.
+    pub async fn start_empty() -> Self {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let settings = LocalSettings::parse("local.ini", SETTINGS).expect("valid settings");
+        let bootstrap = Bootstrap {
+            operator: "first-operator".into(),
+            key: KeyHash::of(&example_key("first-operator")),
+        };
+        let system = LocalSystem::start_empty(&settings, bootstrap, clock.clone()).await;
+        Self {
+            system: system.expect("the system starts"),
+            client: HttpClient::new(clock),
+        }
+    }
+
     /// Sends a request to an entry and returns status and body.
     pub async fn call(
         &self,
--- a/tests/state/recovery.rs
+++ b/tests/state/recovery.rs
@@ -1,8 +1,18 @@
 //! What was accepted survives the entries that accepted it.
 
 use {
-    super::admin::Fixture, compio::runtime::Runtime, hyper::Method,
-    limpetquay::process::state::JobStatus, std::collections::BTreeMap,
+    super::admin::Fixture,
+    compio::runtime::Runtime,
+    hyper::Method,
+    limpetquay::{
+        prelude::*,
+        process::{
+            local::EXAMPLE_DOCUMENT,
+            stand_in::LogFaults,
+            state::{JobStatus, LogCondition},
+        },
+    },
+    std::collections::BTreeMap,
 };
 
 /// The number of submitted jobs; more than can run at once.
@@ -66,3 +76,57 @@
         fixture.system.stop().await;
     });
 }
+
+/// An entry that starts while the log is down takes the document over from another entry, and says
+/// that the log is unreachable.
+#[test]
+fn an_entry_starts_without_the_log() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let mut fixture = Fixture::start().await;
+        let down = LogFaults {
+            down: true,
+            ..LogFaults::default()
+        };
+        fixture.system.log().set_faults(down);
+        let replaced = fixture.system.replace_entry(1).await;
+        replaced.expect("the entry starts anew");
+        let state = fixture.system.entries()[1].entry().state.clone();
+        while state.view().condition != LogCondition::Unreachable {
+            fixture
+                .system
+                .clock()
+                .sleep(Duration::from_millis(20))
+                .await;
+        }
+        let seen = (state.fold().version(), state.view().condition);
+        fixture.system.log().set_faults(LogFaults::default());
+        while state.view().condition != LogCondition::Following {
+            state.wait_for_change().await;
+        }
+        insta::assert_debug_snapshot!((seen, state.fold().version()));
+        fixture.system.stop().await;
+    });
+}
+
+/// Before the first document only the operator of the settings may submit it; after it, only the
+/// operators that it names.
+#[test]
+fn the_first_document_is_submitted_by_the_bootstrap_operator() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start_empty().await;
+        let path = "/v1/admin/document";
+        let put = async |name: &str, follows: &str| {
+            let headers = [("if-match", follows)];
+            let text = EXAMPLE_DOCUMENT;
+            let answer = fixture.call(0, name, Method::PUT, path, &headers, text);
+            let (status, body) = answer.await;
+            format!("{name} following {follows}: {status} {}", body.len() < 20)
+        };
+        let stranger = put("ayanda", "0").await;
+        let first = put("first-operator", "0").await;
+        let again = put("first-operator", "1").await;
+        let named = put("ayanda", "1").await;
+        insta::assert_debug_snapshot!([stranger, first, again, named]);
+        fixture.system.stop().await;
+    });
+}
