Fuzz gangs and guarantees, and announce gangs that lost their owner

Cause: no test caused the failures that gangs are built against. The oracle looks at what fake workers ran. Found and mended: a foreign end left a gang running; a claim turned a quarantined holding into one that never lapsed; a renewal under way outlived the quarantine of a new guard (now QUARANTINE, 6.5 s); an owner that was cancelled while it took over did not look for the gang. A lead guard now announces gangs that no owner asked about for 30 s, and entries release those whose job has ended.

--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -7,6 +7,7 @@
 )]
 mod entry;
 mod in_flight;
+mod release_orphans;
 mod running_entry;
 mod tasks;
 
@@ -14,6 +15,7 @@
     dialer::{Dialer, LinkDialer},
     entry::Entry,
     in_flight::{InFlight, InFlightLimits},
+    release_orphans::release_orphans,
     running_entry::RunningEntry,
     tasks::{push_documents, run_jobs},
 };
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -1,7 +1,7 @@
 //! An entry with its sockets and tasks.
 
 use {
-    super::{Entry, InFlightLimits, LinkDialer, push_documents, run_jobs},
+    super::{Entry, InFlightLimits, LinkDialer, push_documents, release_orphans, run_jobs},
     crate::{
         connection::{HttpClient, HttpServer},
         prelude::*,
@@ -112,4 +112,5 @@
     spawn(async move { listener.run(&hearing.members).await }).detach();
     spawn(run_jobs(entry.clone())).detach();
     spawn(push_documents(entry.clone())).detach();
+    spawn(release_orphans(entry.clone())).detach();
 }
--- a/src/process/guard/accelerator_book.rs
+++ b/src/process/guard/accelerator_book.rs
@@ -330,7 +330,8 @@
 impl Holding {
     /// Tells whether the owner of a share can have the accelerators back.
     fn is_reclaimable(&self) -> bool {
-        self.eviction.is_possible()
+        let quarantined = matches!(self.hold, Hold::Quarantined { .. });
+        self.eviction.is_possible() && !quarantined
     }
 
     fn has_lapsed(
--- a/src/process/guard/gang/bounds.rs
+++ b/src/process/guard/gang/bounds.rs
@@ -11,6 +11,10 @@
 /// How long a task runs without a renewal of its lease by its guard.
 pub const TASK_LEASE: Duration = Duration::from_secs(4);
 
+/// How long a task may run after its guard was last heard: a renewal that was under way extends the
+/// lease once more when its wait ends.
+pub const QUARANTINE: Duration = Duration::from_millis(6500);
+
 /// The longest time that a checkpoint before an eviction may take.
 pub const CHECKPOINT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -53,3 +57,9 @@
 
 /// How long the end of a gang is kept for an owner that has not released it.
 pub const END_KEEP: Duration = Duration::from_secs(2 * 3600);
+
+/// How long no owner has asked about a gang before its lead guard announces it.
+pub const ORPHAN_AGE: Duration = Duration::from_secs(30);
+
+/// The most gangs without an owner that one announcement names.
+pub const MAX_ANNOUNCED_ORPHANS: usize = 4;
--- a/src/process/guard/gang/gang_keeper.rs
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Fences, LedGang, Piece, Stage,
-        bounds::{END_KEEP, TASK_LEASE},
+        bounds::{END_KEEP, MAX_ANNOUNCED_ORPHANS, QUARANTINE},
     },
     crate::{
         connection::{
@@ -41,7 +41,7 @@
         all: AcceleratorSet,
         changed: Rc<Event>,
     ) -> Self {
-        let usable_from = clock.now() + Millis::from(TASK_LEASE);
+        let usable_from = clock.now() + Millis::from(QUARANTINE);
         Self {
             clock,
             metrics,
@@ -76,6 +76,19 @@
         self.pieces.borrow().is_empty() && led.values().all(|l| l.ended_at().is_some())
     }
 
+    /// Returns the pieces that hold something here, with the accelerators of each.
+    pub fn pieces(&self) -> Vec<Rc<Piece>> {
+        self.pieces.borrow().values().cloned().collect()
+    }
+
+    /// Returns led gangs that no owner has asked about for long, a few at most.
+    pub fn orphans(&self) -> Vec<GangId> {
+        let now = self.clock.now();
+        let led = self.led.borrow();
+        let orphans = led.values().filter(|l| l.is_orphan(now)).map(|l| l.id);
+        orphans.take(MAX_ANNOUNCED_ORPHANS).collect()
+    }
+
     /// Returns the number of ends that are kept for their owners.
     pub fn kept_ends(&self) -> usize {
         let led = self.led.borrow();
--- a/src/process/guard/gang/lead_calls.rs
+++ b/src/process/guard/gang/lead_calls.rs
@@ -60,6 +60,7 @@
     ) -> Result<GangReply, Refusal> {
         let led = self.led.borrow().get(&gang).cloned();
         let led = led.ok_or(Refusal::NotReserved)?;
+        led.note_watched(self.clock.now());
         let another = async {
             loop {
                 let changed = led.listen();
--- a/src/process/guard/gang/led_gang.rs
+++ b/src/process/guard/gang/led_gang.rs
@@ -1,7 +1,7 @@
 //! A gang as its lead guard knows it.
 
 use {
-    super::bounds::{GANG_LEASE, PIECE_GONE_BOUND},
+    super::bounds::{GANG_LEASE, ORPHAN_AGE, PIECE_GONE_BOUND},
     crate::{
         connection::{
             Beat, GangEnd, GangId, GangPhase, PieceAddress, PieceEnd, PieceState, Refusal,
@@ -38,6 +38,7 @@
     records: RefCell<Vec<PieceRecord>>,
     verdict: RefCell<Option<GangEnd>>,
     ended: Cell<Option<Millis>>,
+    watched: Cell<Millis>,
     changed: Event,
 }
 
@@ -62,6 +63,7 @@
             pieces,
             verdict: RefCell::new(None),
             ended: Cell::new(None),
+            watched: Cell::new(now),
             changed: Event::new(),
         }
     }
@@ -197,6 +199,22 @@
         self.ended.get()
     }
 
+    /// Notes that an owner asks how the gang stands.
+    pub fn note_watched(
+        &self,
+        now: Millis,
+    ) {
+        self.watched.set(now);
+    }
+
+    /// Tells whether no owner has asked for so long that none seems to know of the gang.
+    pub fn is_orphan(
+        &self,
+        now: Millis,
+    ) -> bool {
+        now.since(self.watched.get()) >= ORPHAN_AGE
+    }
+
     /// Returns where the gang is in its life.
     pub fn phase(&self) -> GangPhase {
         let verdict = self.verdict.borrow().clone();
--- a/src/process/guard/gang/piece_run.rs
+++ b/src/process/guard/gang/piece_run.rs
@@ -5,7 +5,7 @@
         GangKeeper, Measure, Overrun, Piece, Stage,
         bounds::{
             BEAT_INTERVAL, BEAT_TIMEOUT, CALL_RETRY, CHECKPOINT_INTERVAL, CHECKPOINT_TIMEOUT,
-            END_REPORT, GANG_LEASE, TASK_LEASE, WORKER_TIMEOUT,
+            END_REPORT, GANG_LEASE, QUARANTINE, TASK_LEASE, WORKER_TIMEOUT,
         },
         overrun::THROTTLED_PERCENT,
     },
@@ -102,7 +102,7 @@
         };
         let end = self.stop_tasks(end).await;
         tracing::info!(gang = %self.piece.gang(), ?end, "a piece of a gang has ended");
-        let quarantine = self.uncertain.get().then_some(TASK_LEASE);
+        let quarantine = self.uncertain.get().then_some(QUARANTINE);
         self.keeper.piece_down(&self.piece, end.clone(), quarantine);
         self.report_end(end).await;
         self.keeper.forget_piece(self.piece.gang());
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -130,6 +130,7 @@
             accelerators_free: self.gangs.free(),
             evictable: self.gangs.borrowed(),
             guaranteed: self.gangs.guaranteed(),
+            orphans: self.gangs.orphans(),
             version: self.version.get(),
         }
     }
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -1,7 +1,11 @@
 //! The datagrams of membership.
 
 use {
-    crate::{connection::GuaranteedShare, prelude::*, request::WorkerView},
+    crate::{
+        connection::{GangId, GuaranteedShare},
+        prelude::*,
+        request::WorkerView,
+    },
     derive_more::Display,
     serde::{Deserialize, Serialize},
 };
@@ -56,6 +60,8 @@
     pub evictable: AcceleratorSet,
     /// The accelerators that accounts are guaranteed.
     pub guaranteed: Vec<GuaranteedShare>,
+    /// Gangs that its guard leads and no owner has asked about for long; a few at most.
+    pub orphans: Vec<GangId>,
     /// The document version that its guard has in force.
     pub version: VersionNumber,
 }
--- a/src/request/job/gang/adopt.rs
+++ b/src/request/job/gang/adopt.rs
@@ -1,11 +1,10 @@
 //! Takes a job over from an earlier owner: finds out what its guards hold and run.
 
 use {
-    super::{JobRun, PlacedGang},
+    super::{Interrupt, JobRun, PlacedGang},
     crate::{
-        connection::{GangId, GangReply, GangRequest, GuardReply, KnownGang},
+        connection::{GangId, GangReply, GangRequest, GuardReply, KnownGang, PieceAddress},
         prelude::*,
-        process::clock::with_timeout,
     },
     futures_util::future::join_all,
     std::collections::{BTreeMap, BTreeSet},
@@ -44,11 +43,14 @@
             let waited = self.entry.clock.now().since(started);
             let silent = !self.unheard(&findings).is_empty();
             let settled = waited >= SETTLE_TIME && !silent && findings.waiting.is_empty();
-            let over = self.interrupt().is_some();
+            let over = matches!(
+                self.interrupt(),
+                Some(Interrupt::Ended | Interrupt::Superseded)
+            );
             if settled || over || !findings.led.is_empty() || waited >= SILENCE_BOUND {
                 break;
             }
-            with_timeout(&*self.entry.clock, INSPECT_PAUSE, self.interrupted()).await;
+            self.entry.clock.sleep(INSPECT_PAUSE).await;
         }
         let (_, adopted) = findings.led.pop_last().unzip();
         if let Some(placed) = &adopted {
@@ -132,7 +134,7 @@
             .filter(|(gang, _)| Some(**gang) != kept);
         let releases = rest.flat_map(|(gang, guards)| {
             guards.iter().map(|guard| {
-                let piece = crate::connection::PieceAddress {
+                let piece = PieceAddress {
                     guard: *guard,
                     members: Vec::new(),
                 };
--- /dev/null
+++ b/tests/gangs/main.rs
@@ -0,0 +1,10 @@
+//! Gangs and guarantees: real guards and job tasks in virtual time, between fakes that fail.
+
+mod fake_log;
+mod fake_net;
+mod fake_worker;
+mod fuzz;
+mod node;
+mod oracle;
+mod step;
+mod world;
--- /dev/null
+++ b/tests/gangs/step.rs
@@ -0,0 +1,351 @@
+//! The steps of the fuzz.
+
+use {
+    super::{
+        fake_net::Faults,
+        fake_worker::Health,
+        oracle::Oracle,
+        world::{ENTRIES, WORKERS, World},
+    },
+    compio::runtime::spawn,
+    limpetquay::{
+        connection::{Eviction, GangId, GangReply, GuaranteedShare, GuardReply, ReserveCall, Work},
+        prelude::*,
+        process::platform::Term,
+    },
+    proptest::prelude::*,
+};
+
+/// The accounts that submit jobs; `owner` holds shares and only probes them.
+const ACCOUNTS: [&str; 2] = ["alba", "bruno"];
+
+const KINDS: [&str; 6] = ["single", "pair", "spread", "stopped", "wide", "fixed"];
+
+/// One step.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Submit {
+        entry: usize,
+        account: usize,
+        kind: usize,
+        run_ms: u64,
+        fails: bool,
+    },
+    Cancel {
+        entry: usize,
+        job: usize,
+    },
+    CancelAll,
+    PauseGuard {
+        site: usize,
+        ms: u64,
+    },
+    RestartGuard {
+        site: usize,
+        after_ms: u64,
+    },
+    LoseInstance {
+        site: usize,
+        after_ms: u64,
+    },
+    Sicken {
+        site: usize,
+        health: Health,
+        ms: u64,
+    },
+    PauseEntry {
+        entry: usize,
+        ms: u64,
+    },
+    RestartEntry {
+        entry: usize,
+    },
+    TakeOver {
+        heir: usize,
+        job: usize,
+    },
+    CutEntry {
+        entry: usize,
+        site: usize,
+        ms: u64,
+    },
+    CutGuards {
+        a: usize,
+        b: usize,
+        ms: u64,
+    },
+    LogOut {
+        ms: u64,
+    },
+    Layout {
+        variant: usize,
+    },
+    Network(Faults),
+    Probe {
+        site: usize,
+    },
+    Wait {
+        ms: u64,
+    },
+}
+
+/// Returns the strategy of one step.
+pub fn step() -> impl Strategy<Value = Step> {
+    let site = 0..WORKERS;
+    let entry = 0..ENTRIES;
+    let ms = 500..25_000u64;
+    prop_oneof![
+        16 => (entry.clone(), 0..2usize, 0..KINDS.len(), 500..40_000u64, 0..10u32).prop_map(
+            |(entry, account, kind, run_ms, fails)| Step::Submit {
+                entry, account, kind, run_ms, fails: fails == 0,
+            }
+        ),
+        3 => (entry.clone(), 0..64usize).prop_map(|(entry, job)| Step::Cancel { entry, job }),
+        1 => Just(Step::CancelAll),
+        3 => (site.clone(), ms.clone()).prop_map(|(site, ms)| Step::PauseGuard { site, ms }),
+        2 => (site.clone(), ms.clone())
+            .prop_map(|(site, after_ms)| Step::RestartGuard { site, after_ms }),
+        1 => (site.clone(), ms.clone())
+            .prop_map(|(site, after_ms)| Step::LoseInstance { site, after_ms }),
+        2 => (site.clone(), health(), ms.clone())
+            .prop_map(|(site, health, ms)| Step::Sicken { site, health, ms }),
+        1 => (entry.clone(), ms.clone()).prop_map(|(entry, ms)| Step::PauseEntry { entry, ms }),
+        1 => entry.clone().prop_map(|entry| Step::RestartEntry { entry }),
+        1 => (entry.clone(), 0..64usize).prop_map(|(heir, job)| Step::TakeOver { heir, job }),
+        1 => (entry, site.clone(), ms.clone())
+            .prop_map(|(entry, site, ms)| Step::CutEntry { entry, site, ms }),
+        2 => (site.clone(), site.clone(), ms.clone())
+            .prop_map(|(a, b, ms)| Step::CutGuards { a, b, ms }),
+        1 => ms.prop_map(|ms| Step::LogOut { ms }),
+        2 => (0..4usize).prop_map(|variant| Step::Layout { variant }),
+        2 => (0..6u32, 0..10u32, 0..6u32)
+            .prop_map(|(lost, doubled, late)| Step::Network(Faults { lost, doubled, late })),
+        4 => site.prop_map(|site| Step::Probe { site }),
+        8 => (50..6_000u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+fn health() -> impl Strategy<Value = Health> {
+    prop_oneof![
+        Just(Health::SlowCheckpoints),
+        Just(Health::RefusesStarts),
+        Just(Health::FailsTasks),
+        Just(Health::Silent),
+    ]
+}
+
+impl Step {
+    /// Takes the step.
+    pub async fn take(
+        &self,
+        world: &Rc<World>,
+        oracle: &Rc<Oracle>,
+        number: u64,
+    ) {
+        match *self {
+            Self::Submit {
+                entry,
+                account,
+                kind,
+                run_ms,
+                fails,
+            } => {
+                let payload = if fails {
+                    "fail".to_owned()
+                } else {
+                    format!("run_ms={run_ms}")
+                };
+                world.submit(entry, ACCOUNTS[account], KINDS[kind], &payload);
+            }
+            Self::Cancel { entry, job } => {
+                if let Some(job) = pick(&world.jobs(), job) {
+                    world.cancel(entry, job);
+                }
+            }
+            Self::CancelAll => world.jobs().into_iter().for_each(|j| world.cancel(0, j)),
+            Self::PauseEntry { entry, ms } => {
+                let node = world.entries.borrow()[entry].node.clone();
+                node.set_paused(true);
+                later(world, ms, move |_| node.set_paused(false));
+            }
+            Self::RestartEntry { entry } => world.restart_entry(entry),
+            Self::TakeOver { heir, job } => {
+                if let Some(job) = pick(&world.jobs(), job) {
+                    world.take_over(heir, job);
+                }
+            }
+            Self::LogOut { ms } => {
+                world.log.out.set(true);
+                world.log.loses_answers.set(ms % 2 == 0);
+                later(world, ms, |world| world.log.out.set(false));
+            }
+            Self::Layout { variant } => world.set_layout(layout(variant)),
+            Self::Network(faults) => world.net.faults.set(faults),
+            Self::Probe { site } => {
+                let oracle = oracle.clone();
+                spawn(async move { oracle.probe_share(site, number).await }).detach();
+            }
+            Self::Wait { ms } => world.sleep(ms).await,
+            Self::PauseGuard { .. }
+            | Self::RestartGuard { .. }
+            | Self::LoseInstance { .. }
+            | Self::Sicken { .. }
+            | Self::CutEntry { .. }
+            | Self::CutGuards { .. } => self.hurt(world),
+        }
+    }
+
+    /// Does harm to an instance or a link, and undoes it later.
+    fn hurt(
+        &self,
+        world: &Rc<World>,
+    ) {
+        match *self {
+            Self::PauseGuard { site, ms } => pause_guard(world, site, ms),
+            Self::RestartGuard { site, after_ms } => kill_guard(world, site, after_ms),
+            Self::LoseInstance { site, after_ms } => {
+                world.sites[site].worker.lose_all();
+                kill_guard(world, site, after_ms);
+            }
+            Self::Sicken { site, health, ms } => {
+                world.sites[site].worker.set_health(health);
+                later(world, ms, move |world| {
+                    world.sites[site].worker.set_health(Health::Well);
+                });
+            }
+            Self::CutEntry { entry, site, ms } => {
+                let entry = world.entries.borrow()[entry].address;
+                cut(world, (entry, world.sites[site].address), ms);
+            }
+            Self::CutGuards { a, b, ms } => {
+                cut(world, (world.sites[a].address, world.sites[b].address), ms);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Does something to the world after a time.
+fn later<F>(
+    world: &Rc<World>,
+    ms: u64,
+    action: F,
+) where
+    F: FnOnce(&World) + 'static,
+{
+    let world = world.clone();
+    spawn(async move {
+        world.sleep(ms).await;
+        action(&world);
+    })
+    .detach();
+}
+
+fn cut(
+    world: &Rc<World>,
+    pair: (SocketAddr, SocketAddr),
+    ms: u64,
+) {
+    world.net.set_cut(pair, true);
+    later(world, ms, move |world| world.net.set_cut(pair, false));
+}
+
+fn pause_guard(
+    world: &Rc<World>,
+    site: usize,
+    ms: u64,
+) {
+    let at = &world.sites[site];
+    let Some(host) = world.net.host(at.address) else {
+        return;
+    };
+    host.node.set_paused(true);
+    at.disturbed.set(world.clock.now());
+    later(world, ms, move |world| {
+        host.node.set_paused(false);
+        world.sites[site].disturbed.set(world.clock.now());
+    });
+}
+
+fn kill_guard(
+    world: &Rc<World>,
+    site: usize,
+    after_ms: u64,
+) {
+    let at = &world.sites[site];
+    at.disturbed.set(world.clock.now());
+    let Some(host) = world.net.host(at.address).filter(|h| !h.node.is_dead()) else {
+        return;
+    };
+    host.node.kill();
+    later(world, after_ms, move |world| world.start_guard(site));
+}
+
+fn pick(
+    jobs: &[JobId],
+    number: usize,
+) -> Option<JobId> {
+    jobs.get(number % jobs.len().max(1)).copied()
+}
+
+/// Returns one of a few layouts: which account is guaranteed what on each worker.
+pub fn layout(variant: usize) -> Vec<Vec<GuaranteedShare>> {
+    let first = |n| AcceleratorSet::first(n);
+    let share = |account: &str, accelerators| GuaranteedShare {
+        account: account.into(),
+        accelerators,
+    };
+    let whole = first(4);
+    let shares = (0..WORKERS).map(|site| match (variant, site % 3) {
+        (0, _) => vec![],
+        (1, 0) | (2, 1) => vec![share("owner", whole)],
+        (1, 1) | (3, 0) => vec![
+            share("owner", first(2)),
+            share("alba", whole.without(first(2))),
+        ],
+        (2, 0) => vec![share("alba", whole)],
+        (2, _) => vec![
+            share("owner", first(1)),
+            share("bruno", first(3).without(first(1))),
+        ],
+        (3, _) => vec![share("owner", whole.without(first(2)))],
+        _ => vec![share("bruno", first(2))],
+    });
+    shares.collect()
+}
+
+/// Returns the call that takes a whole share for its owner.
+pub fn probe_call(
+    number: u64,
+    account: &AccountName,
+    accelerators: u32,
+) -> ReserveCall {
+    ReserveCall {
+        gang: GangId {
+            job: JobId(number),
+            term: Term {
+                ownership: 1,
+                start: 1,
+            },
+        },
+        account: account.clone(),
+        members: vec![0],
+        accelerators,
+        eviction: Eviction::Never,
+        hold_ms: 5000,
+        work: Work {
+            kind: "probe".into(),
+            payload: Bytes::new(),
+            progress_ms: 0,
+            declared_ms: 1000,
+        },
+    }
+}
+
+/// Returns the accelerators that a reply gives.
+pub fn reserved(reply: &GuardReply) -> AcceleratorSet {
+    match reply {
+        GuardReply::Gang(GangReply::Reserved { accelerators }) => *accelerators,
+        _ => AcceleratorSet::empty(),
+    }
+}
