--- a/src/process/guard/mod.rs
+++ b/src/process/guard/mod.rs
@@ -7,6 +7,9 @@
     reason = "a file bears the name of its main type"
 )]
 mod guard;
+mod lateness;
+mod recent_requests;
+mod run_requests;
 mod running_guard;
 mod slot_book;
 
@@ -14,6 +17,9 @@
     accelerator_book::{AcceleratorBook, Claim, Hold, Holding},
     gang::{Fences, GangKeeper, LedGang, Measure, Overrun, Piece, Stage, bounds},
     guard::Guard,
+    lateness::Lateness,
+    recent_requests::{Admittance, RecentRequests, RecentState},
+    run_requests::RequestRunner,
     running_guard::RunningGuard,
     slot_book::{Slot, SlotBook},
 };
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -8,7 +8,9 @@
         process::{
             entry::{Entry, RunningEntry},
             guard::RunningGuard,
-            settings::{EntrySettings, GuardSettings, LocalDataCentre, LocalSettings},
+            settings::{
+                EntrySettings, GuardSettings, LocalDataCentre, LocalSettings, PeerSettings,
+            },
             shutdown::Shutdown,
             stand_in::{StandInLog, StandInUpstream},
             state::{DocumentRecord, RecordBody},
@@ -30,13 +32,20 @@
 /// How long a graceful shutdown of a local process may take.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long the stand-in log of a local system keeps a record.
+const LOG_RETENTION: Duration = Duration::from_secs(24 * 3600);
+
 /// A whole system: a stand-in log, stand-in upstreams, guards and entries.
 pub struct LocalSystem {
-    clock: Rc<dyn Clock>,
-    entries: Vec<RunningEntry>,
-    guards: Vec<RunningGuard>,
-    upstreams: Vec<Rc<StandInUpstream>>,
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) entries: Vec<RunningEntry>,
+    pub(super) guards: Vec<RunningGuard>,
+    pub(super) upstreams: Vec<Rc<StandInUpstream>>,
     platform: Rc<Shutdown>,
+    pub(super) peers: PeerSettings,
+    log: Rc<StandInLog>,
+    log_address: SocketAddr,
+    pub(super) guard_settings: Vec<GuardSettings>,
 }
 
 impl LocalSystem {
@@ -54,11 +63,18 @@
             guards: Vec::new(),
             upstreams: Vec::new(),
             platform: Rc::default(),
-            clock: clock.clone(),
+            peers: PeerSettings {
+                addresses: Rc::default(),
+                key: format!("{:032x}", rand::random::<u128>()).into(),
+            },
+            log: Rc::new(StandInLog::new(clock.clone())),
+            log_address: ANY_PORT,
+            guard_settings: Vec::new(),
+            clock,
         };
-        let log = system.serve(Rc::new(StandInLog::new(clock))).await?;
+        system.log_address = system.serve(system.log.clone()).await?;
         for data_centre in &settings.data_centres {
-            system.start_entries(data_centre, log).await?;
+            system.start_entries(data_centre).await?;
         }
         for data_centre in &settings.data_centres {
             system.start_workers(data_centre, settings).await?;
@@ -73,6 +89,11 @@
         &self.clock
     }
 
+    /// Returns the stand-in log.
+    pub fn log(&self) -> &Rc<StandInLog> {
+        &self.log
+    }
+
     /// Returns the entries.
     pub fn entries(&self) -> &[RunningEntry] {
         &self.entries
@@ -126,7 +147,6 @@
     async fn start_entries(
         &mut self,
         data_centre: &LocalDataCentre,
-        log: SocketAddr,
     ) -> Result<(), LocalError> {
         for i in 1..=data_centre.entries {
             let settings = EntrySettings {
@@ -135,16 +155,29 @@
                 data_centre: data_centre.name.clone(),
                 http: ANY_PORT,
                 announcements: ANY_PORT,
-                log,
+                seeds: self.seeds(),
+                log: self.log_address,
                 drain_timeout: DRAIN_TIMEOUT,
                 bootstrap: None,
+                peers: Some(self.peers.clone()),
+                log_retention: LOG_RETENTION,
             };
-            self.entries
-                .push(RunningEntry::start(settings, self.clock.clone()).await?);
+            self.start_entry(settings).await?;
         }
         Ok(())
     }
 
+    pub(super) async fn start_entry(
+        &mut self,
+        settings: EntrySettings,
+    ) -> Result<(), LocalError> {
+        let entry = RunningEntry::start(settings, self.clock.clone()).await?;
+        let address = entry.http_address();
+        self.peers.addresses.borrow_mut().push(address);
+        self.entries.push(entry);
+        Ok(())
+    }
+
     async fn start_workers(
         &mut self,
         data_centre: &LocalDataCentre,
@@ -164,22 +197,25 @@
                 rack: format!("rack-{rack}").as_str().into(),
                 listen: ANY_PORT,
                 worker,
-                entries: self
-                    .entries
-                    .iter()
-                    .map(RunningEntry::announcement_address)
-                    .collect(),
+                entries: self.seeds(),
                 slots: workers.slots,
                 connections: workers.connections,
                 accelerators: workers.accelerators,
                 drain_timeout: DRAIN_TIMEOUT,
             };
-            self.guards
-                .push(RunningGuard::start(settings, self.clock.clone()).await?);
+            self.guard_settings.push(settings.clone());
+            let guard = RunningGuard::start(settings, self.clock.clone()).await?;
+            self.guards.push(guard);
         }
         Ok(())
     }
 
+    /// Returns where the entries hear announcements.
+    pub(super) fn seeds(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        entries.map(RunningEntry::announcement_address).collect()
+    }
+
     async fn submit_document(
         &self,
         text: &str,
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -10,6 +10,16 @@
     registry: Registry,
     /// Requests by outcome.
     pub requests: IntCounterVec,
+    /// Requests that were not run, by reason.
+    pub not_run: IntCounterVec,
+    /// Retries after a failure.
+    pub retries: IntCounter,
+    /// Answers that named another request and were dropped.
+    pub crossed_answers: IntCounter,
+    /// Replies that nobody waited for any more and were dropped.
+    pub late_replies: IntCounter,
+    /// Frames of requests that were seen before.
+    pub doubled_requests: IntCounter,
     /// Bytes that were sent to guards.
     pub peer_bytes_sent: IntCounter,
     /// Failed tries to connect to a guard.
@@ -20,6 +30,20 @@
     pub malformed_datagrams: IntCounter,
     /// Announcements heard.
     pub announcements: IntCounter,
+    /// Bytes that crossed the link between regions, by purpose.
+    pub link_bytes: IntCounterVec,
+    /// Bytes of membership datagrams with their UDP and IP headers, by direction.
+    pub membership_bytes: IntCounterVec,
+    /// Membership datagrams, by direction.
+    pub membership_datagrams: IntCounterVec,
+    /// Upstreams that are known as live.
+    pub live_upstreams: IntGauge,
+    /// Upstreams that this entry watches for the others.
+    pub watched_upstreams: IntGauge,
+    /// Entries that are known as live.
+    pub live_entries: IntGauge,
+    /// Upstreams that were found dead.
+    pub upstreams_lost: IntCounter,
     /// The document version in force.
     pub document_version: IntGauge,
     /// Slots in use.
@@ -40,6 +64,32 @@
                 "Requests by outcome.",
                 &["outcome"],
             ),
+            not_run: counter_vec(
+                &registry,
+                "limpetquay_requests_not_run_total",
+                "Requests that were not run, by reason.",
+                &["reason"],
+            ),
+            retries: counter(
+                &registry,
+                "limpetquay_request_retries_total",
+                "Retries of requests after a failure.",
+            ),
+            crossed_answers: counter(
+                &registry,
+                "limpetquay_crossed_answers_total",
+                "Answers that named another request and were dropped.",
+            ),
+            late_replies: counter(
+                &registry,
+                "limpetquay_late_replies_total",
+                "Replies that nobody waited for any more and were dropped.",
+            ),
+            doubled_requests: counter(
+                &registry,
+                "limpetquay_doubled_requests_total",
+                "Frames of requests that were seen before.",
+            ),
             peer_bytes_sent: counter(
                 &registry,
                 "limpetquay_peer_sent_bytes_total",
@@ -65,6 +115,44 @@
                 "limpetquay_announcements_total",
                 "Announcements heard.",
             ),
+            link_bytes: counter_vec(
+                &registry,
+                "limpetquay_link_bytes_total",
+                "Bytes that crossed the link between regions, by purpose.",
+                &["purpose"],
+            ),
+            membership_bytes: counter_vec(
+                &registry,
+                "limpetquay_membership_bytes_total",
+                "Bytes of membership datagrams with UDP and IP headers, by direction.",
+                &["direction"],
+            ),
+            membership_datagrams: counter_vec(
+                &registry,
+                "limpetquay_membership_datagrams_total",
+                "Membership datagrams, by direction.",
+                &["direction"],
+            ),
+            live_upstreams: gauge(
+                &registry,
+                "limpetquay_live_upstreams",
+                "Upstreams that are known as live.",
+            ),
+            watched_upstreams: gauge(
+                &registry,
+                "limpetquay_watched_upstreams",
+                "Upstreams that this entry watches for the others.",
+            ),
+            live_entries: gauge(
+                &registry,
+                "limpetquay_live_entries",
+                "Entries that are known as live.",
+            ),
+            upstreams_lost: counter(
+                &registry,
+                "limpetquay_upstreams_lost_total",
+                "Upstreams that were found dead.",
+            ),
             document_version: gauge(
                 &registry,
                 "limpetquay_document_version",
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,10 +1,15 @@
 //! What lives as long as one process.
 
+pub mod admission;
 pub mod bench;
 pub mod cli;
 pub mod clock;
+pub mod decision_report;
 pub mod entry;
 pub mod guard;
+pub mod job_queue;
+pub mod link;
+pub mod load;
 pub mod local;
 pub mod logging;
 pub mod membership;
@@ -14,3 +19,4 @@
 pub mod shutdown;
 pub mod stand_in;
 pub mod state;
+pub mod task_group;
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -1,23 +1,36 @@
 //! The fold of the log: the same records in the same order give every reader the same state.
+//!
+//! Each matter has a fold of its own in a file of its own, which serialises, looks at no time but
+//! that of the record, and keeps a bounded amount. [`Fold`] finds the matter of a record and holds
+//! the matters together.
 
 use {
-    super::{DocumentRecord, JobEntry, JobRecord, Record, RecordBody, RecordKey},
+    super::{
+        AuditFold, ClaimFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold,
+        LayoutFold, PlacementFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome,
+        SnapshotFold, WriterFold,
+    },
     crate::{
         prelude::*,
         process::platform::{LogRecord, Offset},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    serde::{Deserialize, Serialize},
 };
 
 /// The state that the log tells up to an offset.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Fold {
     next: Offset,
-    version: VersionNumber,
-    document: Rc<Document>,
-    accepted_keys: BTreeMap<RecordKey, VersionNumber>,
-    seen: BTreeSet<RecordKey>,
-    jobs: BTreeMap<JobId, JobEntry>,
+    writers: WriterFold,
+    snapshots: SnapshotFold,
+    documents: DocumentFold,
+    jobs: JobFold,
+    layouts: LayoutFold,
+    placements: PlacementFold,
+    claims: ClaimFold,
+    drains: DrainFold,
+    audit: AuditFold,
+    entries: EntryRegistry,
 }
 
 impl Fold {
@@ -28,28 +41,60 @@
 
     /// Returns the version in force.
     pub fn version(&self) -> VersionNumber {
-        self.version
+        self.documents.version()
     }
 
     /// Returns the document in force.
     pub fn document(&self) -> &Rc<Document> {
-        &self.document
+        self.documents.document()
     }
 
-    /// Returns the version that a document record was accepted as.
-    pub fn accepted_as(
-        &self,
-        key: RecordKey,
-    ) -> Option<VersionNumber> {
-        self.accepted_keys.get(&key).copied()
+    /// Returns the documents.
+    pub fn documents(&self) -> &DocumentFold {
+        &self.documents
+    }
+
+    /// Returns the layout of guarantees.
+    pub fn layouts(&self) -> &LayoutFold {
+        &self.layouts
+    }
+
+    /// Returns where jobs run.
+    pub fn placements(&self) -> &PlacementFold {
+        &self.placements
+    }
+
+    /// Returns the drained upstreams.
+    pub fn drains(&self) -> &DrainFold {
+        &self.drains
+    }
+
+    /// Returns the changes that operators made.
+    pub fn audit(&self) -> &AuditFold {
+        &self.audit
     }
 
-    /// Tells whether a record has been folded.
+    /// Returns the claims of idempotency keys.
+    pub fn claims(&self) -> &ClaimFold {
+        &self.claims
+    }
+
+    /// Returns the writers.
+    pub fn writers(&self) -> &WriterFold {
+        &self.writers
+    }
+
+    /// Returns which snapshots stand on the log.
+    pub fn snapshots(&self) -> &SnapshotFold {
+        &self.snapshots
+    }
+
+    /// Tells whether this or a later record of the same writer has been folded.
     pub fn has_seen(
         &self,
         key: RecordKey,
     ) -> bool {
-        self.seen.contains(&key)
+        self.writers.has_passed(key)
     }
 
     /// Returns a job.
@@ -57,12 +102,17 @@
         &self,
         id: JobId,
     ) -> Option<&JobEntry> {
-        self.jobs.get(&id)
+        self.jobs.get(id)
     }
 
     /// Returns all jobs, by identity.
     pub fn jobs(&self) -> impl Iterator<Item = &JobEntry> {
-        self.jobs.values()
+        self.jobs.iter()
+    }
+
+    /// Returns the registered entries.
+    pub fn entries(&self) -> &EntryRegistry {
+        &self.entries
     }
 
     /// Tells whether a job was cancelled.
@@ -70,7 +120,7 @@
         &self,
         id: JobId,
     ) -> bool {
-        self.jobs.get(&id).is_some_and(|j| j.cancelled)
+        self.job(id).is_some_and(|j| j.cancelled)
     }
 
     /// Returns the number of an account's jobs that have not ended.
@@ -79,72 +129,82 @@
         account: &AccountName,
     ) -> u32 {
         let open = |j: &&JobEntry| j.end.is_none() && j.spec.account == *account;
-        self.jobs.values().filter(open).count() as u32
+        self.jobs().filter(open).count() as u32
     }
 
-    /// Folds one record. A record that is not well formed, or was folded before, changes nothing.
+    /// Returns the version that a document record was accepted as.
+    pub fn accepted_as(
+        &self,
+        key: RecordKey,
+    ) -> Option<VersionNumber> {
+        let mut history = self.documents.history();
+        history.find(|v| v.key == key).map(|v| v.version)
+    }
+
+    /// Encodes the whole state.
+    ///
+    /// # Errors
+    /// The error of encoding.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a state.
+    ///
+    /// # Errors
+    /// The error of decoding.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let mut fold: Self = postcard::from_bytes(bytes)?;
+        fold.documents.read_document();
+        Ok(fold)
+    }
+
+    /// Folds one record and returns what became of it. A record that is not well formed, was
+    /// folded before or comes too late changes nothing.
     pub fn apply(
         &mut self,
         log_record: &LogRecord,
-    ) {
+    ) -> Option<(RecordKey, RecordOutcome)> {
         if log_record.offset < self.next {
-            return;
+            return None;
         }
         self.next = Offset(log_record.offset.0 + 1);
         let Ok(record) = postcard::from_bytes::<Record>(&log_record.data) else {
             tracing::warn!(offset = %log_record.offset, "a malformed record was passed over");
-            return;
+            return None;
         };
-        if !self.seen.insert(record.key) {
-            return;
-        }
-        match record.body {
-            RecordBody::Document(document) => self.apply_document(record.key, document),
-            RecordBody::Job(job) => self.apply_job(job),
-        }
-    }
-
-    fn apply_document(
-        &mut self,
-        key: RecordKey,
-        record: DocumentRecord,
-    ) {
-        if record.follows != self.version {
-            return;
-        }
-        let Ok(document) = Document::parse("document", &record.text) else {
-            return;
+        let cx = RecordCx {
+            key: record.key,
+            writer: record.writer,
+            offset: log_record.offset,
+            appended_ms: log_record.appended_ms,
         };
-        self.version = self.version.next();
-        self.document = Rc::new(document);
-        self.accepted_keys.insert(key, self.version);
+        self.snapshots.note_start(&cx);
+        if !self.writers.apply(&cx) {
+            return None;
+        }
+        Some((cx.key, self.apply_body(&cx, record.body)))
     }
 
-    fn apply_job(
+    /// Passes a record on to the fold of its matter.
+    fn apply_body(
         &mut self,
-        record: JobRecord,
-    ) {
-        match record {
-            JobRecord::Accepted { spec, owner } => {
-                let job = JobEntry {
-                    spec: Rc::new(spec),
-                    owner,
-                    ownership: 1,
-                    cancelled: false,
-                    end: None,
-                };
-                self.jobs.entry(job.spec.id).or_insert(job);
-            }
-            JobRecord::Cancelled { job } => {
-                if let Some(job) = self.jobs.get_mut(&job) {
-                    job.cancelled |= job.end.is_none();
-                }
-            }
-            JobRecord::Ended { job, end } => {
-                if let Some(job) = self.jobs.get_mut(&job) {
-                    job.end.get_or_insert(end);
-                }
+        cx: &RecordCx,
+        body: RecordBody,
+    ) -> RecordOutcome {
+        match body {
+            RecordBody::Document(document) => self.documents.apply(cx, document),
+            RecordBody::Job(job) => {
+                self.placements.note_job(&job);
+                self.jobs.apply(cx, job)
             }
+            RecordBody::Layout(layout) => self.layouts.apply(cx, layout),
+            RecordBody::Placement(placement) => self.placements.apply(cx, placement),
+            RecordBody::Claim(claim) => self.claims.apply(cx, claim),
+            RecordBody::Drain(drain) => self.drains.apply(cx, drain),
+            RecordBody::Audit(audit) => self.audit.apply(cx, audit),
+            RecordBody::Entry(entry) => self.entries.apply(cx, entry),
+            RecordBody::Snapshot(part) => self.snapshots.apply(cx, &part),
         }
     }
 }
--- a/tests/gangs/world.rs
+++ b/tests/gangs/world.rs
@@ -13,22 +13,22 @@
         prelude::*,
         process::{
             clock::VirtualClock,
-            entry::{Entry, InFlightLimits, release_orphans, run_jobs},
+            entry::{Entry, EntryParts, release_orphans, run_jobs},
             guard::Guard,
-            membership::MemberTable,
             metrics::Metrics,
             settings::{EntrySettings, GuardSettings},
             state::{DocumentRecord, JobRecord, RecordBody, State},
         },
-        request::{IdSource, JobSubmission, LeastWaitRouting, PackPlacement, run_job, submit_job},
+        request::{IdSource, JobSubmission, LeastWaitRouting, submit_job},
     },
-    std::{cell::Cell, collections::BTreeMap},
+    std::cell::Cell,
 };
 
 pub const WORKERS: usize = 6;
 pub const ENTRIES: usize = 2;
 pub const ACCELERATORS: u32 = 4;
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+const TAKEOVER_INTERVAL: Duration = Duration::from_secs(3);
 
 /// One worker instance with the guard process beside it.
 pub struct Site {
@@ -55,7 +55,6 @@
     pub sites: Vec<Site>,
     pub entries: RefCell<Vec<EntryHost>>,
     pub layout: RefCell<(u64, Vec<Vec<GuaranteedShare>>)>,
-    pub ownerships: RefCell<BTreeMap<JobId, u32>>,
     starts: Cell<u64>,
 }
 
@@ -85,7 +84,6 @@
             sites,
             entries: RefCell::default(),
             layout: RefCell::new((0, vec![Vec::new(); WORKERS])),
-            ownerships: RefCell::default(),
             starts: Cell::new(0),
         });
         for site in 0..WORKERS {
@@ -96,6 +94,7 @@
             world.entries.borrow_mut().push(host);
         }
         spawn(world.clone().announce()).detach();
+        spawn(world.clone().replace_owners()).detach();
         let first = world.entries.borrow()[0].entry.clone();
         let document = RecordBody::Document(DocumentRecord {
             follows: VersionNumber::default(),
@@ -182,19 +181,20 @@
         });
         let state = State::new(log, clock.clone(), settings.name.clone(), epoch);
         let address = address(100 + number);
-        let entry = Rc::new(Entry {
+        let parts = EntryParts {
             settings,
+            address,
             clock,
             metrics: Rc::new(Metrics::default()),
-            state: Rc::new(state),
-            members: RefCell::new(MemberTable::default()),
+            state,
             dialer: self.dialer(&node, address),
-            routing: Box::new(LeastWaitRouting),
-            placement: Box::new(PackPlacement),
+            routing: Box::new(LeastWaitRouting::new(epoch)),
             ids: IdSource::with_epoch(epoch),
-            in_flight: InFlightLimits::default(),
-            draining: Cell::new(false),
-        });
+            seed: epoch,
+        };
+        let entry = Rc::new(parts.build());
+        let turns = entry.clone();
+        spawn(async move { turns.turns.run(&turns).await }).detach();
         let state = entry.state.clone();
         spawn(async move { state.follow_log().await }).detach();
         spawn(run_jobs(entry.clone())).detach();
@@ -291,18 +291,12 @@
         .detach();
     }
 
-    /// Kills an entry's process and starts it anew; the other entry takes its jobs over.
+    /// Kills an entry's process and starts it anew, without its memory.
     pub fn restart_entry(
         &self,
         number: usize,
     ) {
-        let old = self.entries.borrow()[number].clone();
-        old.node.kill();
-        let open = open_jobs(&old);
-        let heir = (number + 1) % ENTRIES;
-        for job in open {
-            self.take_over(heir, job);
-        }
+        self.entries.borrow()[number].node.kill();
         let host = self.new_entry(number);
         self.entries.borrow_mut()[number] = host;
     }
@@ -313,22 +307,38 @@
         heir: usize,
         job: JobId,
     ) {
-        let mut ownerships = self.ownerships.borrow_mut();
-        let ownership = ownerships.entry(job).or_insert(1);
-        *ownership += 1;
-        let (heir, ownership) = (self.entries.borrow()[heir].entry.clone(), *ownership);
+        let heir = self.entries.borrow()[heir].entry.clone();
+        let follows = heir.state.fold().job(job).map(|j| j.ownership);
+        let Some(follows) = follows else {
+            return;
+        };
+        let record = RecordBody::Job(JobRecord::Owner {
+            job,
+            owner: heir.settings.name.clone(),
+            follows,
+        });
         spawn(async move {
-            while heir.state.fold().job(job).is_none() {
-                heir.state.wait_for_change().await;
-            }
-            let spec = heir.state.fold().job(job).map(|j| (*j.spec).clone());
-            if let Some(spec) = spec {
-                run_job(heir, spec, ownership).await;
-            }
+            let _ = heir.state.append(record).await;
         })
         .detach();
     }
 
+    /// Has a live entry take over the jobs whose owner is dead, for ever.
+    async fn replace_owners(self: Rc<Self>) {
+        loop {
+            self.clock.sleep(TAKEOVER_INTERVAL).await;
+            let hosts = self.entries.borrow().clone();
+            let heir = (0..ENTRIES).find(|i| hosts[*i].node.is_up());
+            for job in heir
+                .map(|h| orphaned_jobs(&hosts[h], &hosts))
+                .iter()
+                .flatten()
+            {
+                self.take_over(heir.unwrap_or_default(), *job);
+            }
+        }
+    }
+
     /// Returns the jobs that an entry knows.
     pub fn jobs(&self) -> Vec<JobId> {
         let host = self.entries.borrow()[0].clone();
@@ -337,8 +347,15 @@
     }
 }
 
-fn open_jobs(host: &EntryHost) -> Vec<JobId> {
-    let fold = host.entry.state.fold();
-    let open = fold.jobs().filter(|j| j.end.is_none());
-    open.map(|j| j.spec.id).collect()
+/// Returns the open jobs that an entry knows whose owner is none of the present processes.
+fn orphaned_jobs(
+    heir: &EntryHost,
+    hosts: &[EntryHost],
+) -> Vec<JobId> {
+    let epochs: Vec<u64> = hosts.iter().map(|h| h.entry.state.epoch()).collect();
+    let fold = heir.entry.state.fold();
+    let orphaned = fold
+        .jobs()
+        .filter(|j| j.end.is_none() && !epochs.contains(&j.owner_epoch));
+    orphaned.map(|j| j.spec.id).collect()
 }
