--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -17,6 +17,7 @@
 mod owner_watch;
 mod placement_records;
 mod registration;
+mod release_orphans;
 mod running_entry;
 mod share_index;
 mod takeover;
@@ -35,6 +36,7 @@
     owner_watch::{Owner, OwnerWatch},
     placement_records::keep_placements,
     registration::{follow_registry, register},
+    release_orphans::release_orphans,
     running_entry::RunningEntry,
     share_index::ShareIndex,
     takeover::take_over_jobs,
