--- a/src/process/bench/membership/light_generator.rs
+++ b/src/process/bench/membership/light_generator.rs
@@ -41,6 +41,7 @@
         plain_free: 14,
         evictable: AcceleratorSet::empty(),
         guaranteed: Vec::new(),
+        orphans: Vec::new(),
         version: VersionNumber::default(),
     }
 }
--- a/src/process/membership/announcement.rs
+++ b/src/process/membership/announcement.rs
@@ -1,7 +1,12 @@
 //! What an upstream tells of itself.
 
 use {
-    crate::{connection::GuaranteedShare, prelude::*, request::Room, version::FleetWorker},
+    crate::{
+        connection::{GangId, GuaranteedShare},
+        prelude::*,
+        request::Room,
+        version::FleetWorker,
+    },
     derive_more::Display,
     serde::{Deserialize, Serialize},
 };
@@ -57,6 +62,8 @@
     pub evictable: AcceleratorSet,
     /// The accelerators that accounts are guaranteed.
     pub guaranteed: Vec<GuaranteedShare>,
+    /// Gangs that its guard leads and no owner has asked about for long; a few at most.
+    pub orphans: Vec<GangId>,
     /// The document version that its guard has in force.
     pub version: VersionNumber,
 }
