--- a/src/process/cli/admin/admin_action.rs
+++ b/src/process/cli/admin/admin_action.rs
@@ -49,6 +49,7 @@
         Box::new(Text::DIFF),
         Box::new(Revert),
         Box::new(Status),
+        Box::new(List::READERS),
         Box::new(List::ENTRIES),
         Box::new(List::ACCOUNTS),
         Box::new(List::UPSTREAMS),
--- a/src/process/cli/admin/list.rs
+++ b/src/process/cli/admin/list.rs
@@ -102,6 +102,20 @@
         filters: &[],
     };
 
+    /// Lists how far entries have read the log.
+    pub(super) const READERS: Self = Self {
+        name: "readers",
+        summary: "list how far each entry has read the log",
+        path: "log/readers",
+        columns: &[
+            ("entry", "entry"),
+            ("log", "condition"),
+            ("read to", "next"),
+            ("version", "version"),
+        ],
+        filters: &[],
+    };
+
     /// Lists the changes by operators.
     pub(super) const AUDIT: Self = Self {
         name: "audit",
--- a/src/process/state/log_view.rs
+++ b/src/process/state/log_view.rs
@@ -3,11 +3,11 @@
 use {
     crate::{prelude::*, process::platform::Offset},
     derive_more::Display,
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
 };
 
 /// Whether a reader keeps up with the log.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogCondition {
     /// No answer has come yet.
--- a/src/request/api/admin/admin_api.rs
+++ b/src/request/api/admin/admin_api.rs
@@ -7,6 +7,7 @@
         documents::{diff, get_document, list_history, put_document, revert},
         jobs::{cancel_many, explain_job, get_job, list_jobs},
         log_status::{list_audit, list_entries, show_log},
+        readers::list_readers,
         upstreams::{list_upstreams, set_drained},
     },
     crate::{
@@ -28,6 +29,7 @@
         return Problem::not_found().into();
     };
     match authorise(entry, req, role) {
+        Ok(_) if path == ["log", "readers"] => list_readers(entry, req).await,
         Ok(_) if role == Role::Read => look(entry, req, path),
         Ok(operator) => change(entry, req, path, &operator).await,
         Err(problem) => problem.into(),
--- a/src/request/api/admin/mod.rs
+++ b/src/request/api/admin/mod.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod log_status;
 mod page;
+mod readers;
 mod upstreams;
 
-pub(super) use admin_api::answer_admin;
+pub(super) use {admin_api::answer_admin, readers::ReaderView};
--- a/src/request/api/entry_api.rs
+++ b/src/request/api/entry_api.rs
@@ -2,8 +2,10 @@
 
 use {
     super::{
-        admin::answer_admin, job_api::answer_jobs, request_api::answer_request,
-        state_api::answer_state,
+        admin::answer_admin,
+        job_api::answer_jobs,
+        request_api::answer_request,
+        state_api::{answer_reader, answer_state},
     },
     crate::{
         connection::{HttpHandler, HttpReply, HttpRequest, Problem},
@@ -39,6 +41,7 @@
             ["readyz"] => HttpReply::text(503, "not ready\n"),
             ["metrics"] => HttpReply::text(200, &entry.metrics.render()),
             ["v1", "state"] => answer_state(entry, &req),
+            ["v1", "state", "reader"] => answer_reader(entry, &req),
             ["v1", "admin", rest @ ..] => answer_admin(entry, &req, rest).await,
             ["v1", "requests", kind] => match authorise(entry, &req) {
                 Ok(account) => answer_request(entry, &req, &account, kind).await,
--- a/src/request/api/state_api.rs
+++ b/src/request/api/state_api.rs
@@ -1,10 +1,13 @@
 //! The state, for other entries.
 
-use crate::{
-    connection::{HttpReply, HttpRequest, Problem},
-    prelude::*,
-    process::{entry::Entry, platform::Offset, settings::PeerSettings},
-    version::KeyHash,
+use {
+    super::admin::ReaderView,
+    crate::{
+        connection::{HttpReply, HttpRequest, Problem},
+        prelude::*,
+        process::{entry::Entry, platform::Offset, settings::PeerSettings},
+        version::KeyHash,
+    },
 };
 
 /// Answers another entry with the whole state, or with nothing when that entry has read as far.
@@ -30,6 +33,19 @@
     }
 }
 
+/// Answers another entry with how far this one has read.
+pub(super) fn answer_reader(
+    entry: &Entry,
+    req: &HttpRequest,
+) -> HttpReply {
+    let peers = entry.settings.peers.as_ref();
+    if peers.is_some_and(|p| shows_key(p, req)) {
+        HttpReply::json(200, &ReaderView::of(entry))
+    } else {
+        Problem::unauthorized().into()
+    }
+}
+
 /// Tells whether the request shows the key that entries share. Hashes are compared, so that the
 /// time of the comparison tells nothing.
 fn shows_key(
--- a/tests/state/commands.rs
+++ b/tests/state/commands.rs
@@ -36,6 +36,8 @@
         let address = fixture.system.entries()[0].http_address();
         let clock = fixture.system.clock().clone();
         let client = AdminClient::new(clock, address, &example_key("ayanda"));
+        let readers = run(&client, "readers").await;
+        assert!(readers.contains("entry-jozi-1-2"), "{readers}");
         let mut printed = Vec::new();
         for line in [
             "entries",
