--- a/src/process/cli/admin/admin_client.rs
+++ b/src/process/cli/admin/admin_client.rs
@@ -6,6 +6,7 @@
         prelude::*,
         process::cli::CliError,
     },
+    getopts::Matches,
     hyper::Method,
     serde_json::Value,
 };
@@ -121,6 +122,18 @@
     }
 }
 
+/// Returns the query that passes the given options on.
+pub(super) fn query_of(
+    matches: &Matches,
+    names: &[&str],
+) -> String {
+    let given = names.iter().filter_map(|name| {
+        let value = matches.opt_str(name)?;
+        Some(format!("{name}={value}"))
+    });
+    given.collect::<Vec<String>>().join("&")
+}
+
 fn read_json(answer: &HttpAnswer) -> Result<Value, CliError> {
     let json = serde_json::from_slice(&answer.body);
     json.map_err(|e| CliError::Failed(format!("the answer is not JSON: {e}")))
--- a/src/process/cli/admin/list.rs
+++ b/src/process/cli/admin/list.rs
@@ -1,7 +1,7 @@
 //! Commands that print lists.
 
 use {
-    super::{AdminAction, AdminClient},
+    super::{AdminAction, AdminClient, admin_client::query_of},
     crate::{
         prelude::*,
         process::{bench::Table, cli::CliError},
@@ -135,11 +135,7 @@
         client: &AdminClient,
         matches: &Matches,
     ) -> Result<String, CliError> {
-        let given = self.filters.iter().filter_map(|name| {
-            let value = matches.opt_str(name)?;
-            Some(format!("{name}={value}"))
-        });
-        let query = given.collect::<Vec<String>>().join("&");
+        let query = query_of(matches, self.filters);
         let items = client.get_pages(&format!("{}?{query}", self.path)).await?;
         if matches.opt_present("json") {
             return Ok(format!("{}\n", Value::Array(items)));
--- a/src/process/cli/admin/text.rs
+++ b/src/process/cli/admin/text.rs
@@ -1,7 +1,7 @@
 //! `limpetquay show` and `limpetquay diff`.
 
 use {
-    super::{AdminAction, AdminClient},
+    super::{AdminAction, AdminClient, admin_client::query_of},
     crate::{prelude::*, process::cli::CliError},
     getopts::{Matches, Options},
 };
@@ -40,11 +40,8 @@
         client: &AdminClient,
         matches: &Matches,
     ) -> Result<String, CliError> {
-        let given = self.options.iter().filter_map(|(name, _)| {
-            let value = matches.opt_str(name)?;
-            Some(format!("{name}={value}"))
-        });
-        let query = given.collect::<Vec<String>>().join("&");
+        let names: Vec<&str> = self.options.iter().map(|o| o.0).collect();
+        let query = query_of(matches, &names);
         let text = client.get_text(&format!("{}?{query}", self.path)).await?;
         if matches.opt_present("json") {
             return Ok(format!("{}\n", serde_json::Value::String(text)));
