--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Table, capacity::CapacityBench, membership::MembershipBench, placement::PlacementBench,
+        Table, capacity::CapacityBench, log::LogBench, membership::MembershipBench,
+        placement::PlacementBench,
     },
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
@@ -59,6 +60,7 @@
 pub fn benches() -> Vec<Box<dyn Bench>> {
     vec![
         Box::new(CapacityBench),
+        Box::new(LogBench),
         Box::new(MembershipBench),
         Box::new(PlacementBench),
     ]
