--- a/src/process/guard/gang/piece_run.rs
+++ b/src/process/guard/gang/piece_run.rs
@@ -135,7 +135,9 @@
         match with_timeout(&*self.keeper.clock, BEAT_TIMEOUT, starting).await {
             Some(Ok(())) => return true,
             Some(Err(WorkerError::NotReached | WorkerError::Refused(_))) => {}
-            Some(Err(WorkerError::AnswerLost(_))) | None => self.uncertain.set(true),
+            Some(Err(WorkerError::AnswerLost(_) | WorkerError::AnswerTooLarge)) | None => {
+                self.uncertain.set(true);
+            }
         }
         tracing::warn!(task = %task.id, "a task was not started");
         false
--- a/src/process/state/fold.rs
+++ b/src/process/state/fold.rs
@@ -6,9 +6,9 @@
 
 use {
     super::{
-        AuditFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold, LayoutFold,
-        PlacementFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome, SnapshotFold,
-        WriterFold,
+        AuditFold, ClaimFold, DocumentFold, DrainFold, EntryRegistry, JobEntry, JobFold,
+        LayoutFold, PlacementFold, Record, RecordBody, RecordCx, RecordKey, RecordOutcome,
+        SnapshotFold, WriterFold,
     },
     crate::{
         prelude::*,
@@ -27,6 +27,7 @@
     jobs: JobFold,
     layouts: LayoutFold,
     placements: PlacementFold,
+    claims: ClaimFold,
     drains: DrainFold,
     audit: AuditFold,
     entries: EntryRegistry,
@@ -73,6 +74,11 @@
         &self.audit
     }
 
+    /// Returns the claims of idempotency keys.
+    pub fn claims(&self) -> &ClaimFold {
+        &self.claims
+    }
+
     /// Returns the writers.
     pub fn writers(&self) -> &WriterFold {
         &self.writers
@@ -194,6 +200,7 @@
             }
             RecordBody::Layout(layout) => self.layouts.apply(cx, layout),
             RecordBody::Placement(placement) => self.placements.apply(cx, placement),
+            RecordBody::Claim(claim) => self.claims.apply(cx, claim),
             RecordBody::Drain(drain) => self.drains.apply(cx, drain),
             RecordBody::Audit(audit) => self.audit.apply(cx, audit),
             RecordBody::Entry(entry) => self.entries.apply(cx, entry),
--- a/src/process/state/mod.rs
+++ b/src/process/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that all processes agree on, folded from the platform's log.
 
 mod audit_fold;
+mod claim_fold;
 mod document_fold;
 mod drain_fold;
 mod entry_registry;
@@ -31,6 +32,7 @@
 
 pub use {
     audit_fold::{AuditEntry, AuditFold},
+    claim_fold::{Claim, ClaimEnd, ClaimEntry, ClaimFold, ClaimRecord},
     document_fold::{AcceptedVersion, DocumentFold},
     drain_fold::{DrainFold, DrainMark},
     entry_registry::{EntryRecord, EntryRegistry},
--- /dev/null
+++ b/src/request/call/claimed.rs
@@ -0,0 +1,144 @@
+//! Runs a non-idempotent request under its caller's idempotency key, which is claimed on the log
+//! before the request is sent.
+
+use {
+    super::{CallerRequest, Fingerprint, KeyConflict, NotRun, Outcome, run::run_admitted},
+    crate::{
+        prelude::*,
+        process::{
+            entry::Entry,
+            state::{
+                Claim, ClaimEnd, ClaimEntry, ClaimRecord, RecordBody, RecordOutcome, StateError,
+            },
+        },
+    },
+};
+
+/// The longest wait for a claim to stand on the log.
+const CLAIM_WAIT: Duration = Duration::from_secs(2);
+
+/// How long after its deadline a request without an end counts as lost; more than clocks of
+/// entries differ.
+const LOST_AFTER: Duration = Duration::from_secs(30);
+
+/// The largest answer that is kept on the log, in bytes.
+const MAX_KEPT_ANSWER: usize = 2 << 10;
+
+/// Ends a claim on the log when the request's task ends, also when the caller goes away.
+struct OpenClaim<'a> {
+    entry: &'a Entry,
+    claim: Claim,
+    /// How the request has ended so far; `None` when the claim cannot stand on the log.
+    end: Option<ClaimEnd>,
+}
+
+impl Drop for OpenClaim<'_> {
+    fn drop(&mut self) {
+        if let Some(end) = self.end.take() {
+            self.entry.claim_ends.push(self.claim.clone(), end);
+        }
+    }
+}
+
+/// Claims the request's key, runs the request when the claim stands, and records its end.
+pub(super) async fn run_claimed(
+    entry: &Rc<Entry>,
+    req: &CallerRequest,
+    key: &Arc<str>,
+) -> Outcome {
+    let claim = claim_of(entry, req, key);
+    if let Some(known) = known_outcome(entry, &claim) {
+        return known;
+    }
+    let mut open = OpenClaim {
+        entry,
+        claim,
+        end: Some(ClaimEnd::NotRun),
+    };
+    if let Err(outcome) = take_claim(entry, &mut open).await {
+        return outcome;
+    }
+    open.end = Some(ClaimEnd::Unknown);
+    let outcome = run_admitted(entry, req).await;
+    open.end = Some(end_of(&outcome));
+    outcome
+}
+
+fn claim_of(
+    entry: &Entry,
+    req: &CallerRequest,
+    key: &Arc<str>,
+) -> Claim {
+    let lost = req.deadline + CLAIM_WAIT + LOST_AFTER;
+    Claim {
+        account: req.account.clone(),
+        key: key.clone(),
+        content: Fingerprint::of(&req.account, &req.kind.name, &req.body),
+        request: req.id,
+        lost_ms: entry.clock.wall().0 + Millis::from(lost).0,
+    }
+}
+
+/// Returns the outcome that the log already tells for this key; `None` when it may be claimed.
+fn known_outcome(
+    entry: &Entry,
+    claim: &Claim,
+) -> Option<Outcome> {
+    let fold = entry.state.fold();
+    let known = fold.claims().get(&claim.account, &claim.key)?;
+    if known.claim.request == claim.request {
+        return None;
+    }
+    outcome_of(known, claim, entry.clock.wall())
+}
+
+fn outcome_of(
+    known: &ClaimEntry,
+    claim: &Claim,
+    now: Millis,
+) -> Option<Outcome> {
+    if known.claim.content != claim.content {
+        return Some(Outcome::Conflict(KeyConflict::OtherBody));
+    }
+    match &known.end {
+        Some(ClaimEnd::NotRun) => None,
+        Some(ClaimEnd::Answered { status, body }) => Some(match body {
+            Some(body) => Outcome::Answered {
+                status: *status,
+                body: body.clone(),
+            },
+            None => Outcome::Conflict(KeyConflict::AnswerNotKept { status: *status }),
+        }),
+        Some(ClaimEnd::Unknown) => Some(Outcome::Unknown),
+        None if now.0 > known.claim.lost_ms => Some(Outcome::Unknown),
+        None => Some(Outcome::Conflict(KeyConflict::InProgress)),
+    }
+}
+
+/// Puts the claim on the log; an error is the outcome of a request that is not sent.
+async fn take_claim(
+    entry: &Entry,
+    open: &mut OpenClaim<'_>,
+) -> Result<(), Outcome> {
+    let record = RecordBody::Claim(ClaimRecord::Started(open.claim.clone()));
+    let appending = entry.state.append_for_outcome_within(record, CLAIM_WAIT);
+    match appending.await {
+        Ok(RecordOutcome::Applied) => return Ok(()),
+        Ok(_) | Err(StateError::NotRecorded) => open.end = None,
+        Err(StateError::Unknown) => {}
+    }
+    let known = known_outcome(entry, &open.claim);
+    let not_run = Outcome::NotRun(NotRun::LogUnavailable);
+    Err(known.unwrap_or(not_run))
+}
+
+fn end_of(outcome: &Outcome) -> ClaimEnd {
+    match outcome {
+        Outcome::Answered { status, body } => ClaimEnd::Answered {
+            status: *status,
+            body: (body.len() <= MAX_KEPT_ANSWER).then(|| body.clone()),
+        },
+        Outcome::NotRun(_) | Outcome::Conflict(_) => ClaimEnd::NotRun,
+        Outcome::Unknown => ClaimEnd::Unknown,
+    }
+}
