Let a heartbeat that came through others prove no more than its own time

Cause: a new test showed that a data centre that died with its entries was known in its region for longer than the lease of 5 s: entries passed on each other's last heartbeats, and each later number renewed the lease in full.

Change: heartbeat numbers are milliseconds, and one that came through another entry extends the lease only by how much later it is. Loads are sent at spread times, so that entries that started at once do not send at once.

--- a/src/process/bench/membership/fleet_run.rs
+++ b/src/process/bench/membership/fleet_run.rs
@@ -14,7 +14,7 @@
         process::{
             bench::{BenchError, capacity::measure_in_thread},
             clock::SystemClock,
-            membership::{DatagramLink, UdpLink},
+            membership::{DatagramLink, UdpLink, load_interval_of},
         },
     },
     compio::runtime::Runtime,
@@ -184,7 +184,8 @@
         let idle = self.watch(watched).await;
         self.stage.set_phase(Phase::Loaded);
         self.clock.sleep(REST).await;
-        let loaded = self.watch(watched).await;
+        let interval = load_interval_of(u64::from(plan.upstreams));
+        let loaded = self.watch(watched.max(interval * 2)).await;
         let watches = self.entry.membership.watched() as u32;
         let worst = if worst {
             Some(self.worst_minute().await?)
--- a/src/process/membership/entry_row.rs
+++ b/src/process/membership/entry_row.rs
@@ -19,7 +19,8 @@
     pub address: SocketAddr,
     /// The number of its start; later starts have higher ones.
     pub incarnation: u64,
-    /// The number of the heartbeat within that start.
+    /// The number of the heartbeat within that start: the milliseconds since then, or more when
+    /// several are sent at once.
     pub heartbeat: u64,
     /// Whether it takes new work.
     pub serving: ServingState,
--- a/src/process/membership/entry_table.rs
+++ b/src/process/membership/entry_table.rs
@@ -83,11 +83,13 @@
         }
     }
 
-    /// Takes a row over unless a newer one is known.
+    /// Takes a row over unless a newer one is known. A row that came through another entry tells
+    /// only that its entry lived as much later as its heartbeat is later than the known one.
     pub fn hear(
         &mut self,
         now: Millis,
         row: EntryRow,
+        direct: bool,
     ) -> HeardEntry {
         if row.name == self.own.name {
             return HeardEntry::Stale;
@@ -99,9 +101,16 @@
         }
         let was_reachable = known
             .is_some_and(|p| p.row.incarnation == row.incarnation && self.is_reachable(now, p));
+        let heard = match known.filter(|p| p.row.incarnation == row.incarnation && !direct) {
+            Some(known) => {
+                let later = row.heartbeat - known.row.heartbeat;
+                now.min(known.heard + Millis(later))
+            }
+            None => now,
+        };
         let peer = Peer {
             row: Rc::new(row),
-            heard: now,
+            heard,
         };
         self.peers.insert(peer.row.name.clone(), peer);
         if was_reachable {
@@ -121,6 +130,17 @@
         self.is_reachable(now, peer).then(|| peer.row.clone())
     }
 
+    /// Returns until when the last heartbeat of an entry counts.
+    pub(super) fn live_until(
+        &self,
+        name: &EntryName,
+    ) -> Millis {
+        let peer = self.peers.get(name);
+        peer.map_or(Millis::default(), |p| {
+            p.heard + Millis::from(self.lease(&p.row))
+        })
+    }
+
     /// Returns the last row of an entry.
     pub fn get(
         &self,
@@ -246,7 +266,7 @@
     }
 
     /// Returns how long an entry counts as live after a heartbeat.
-    pub(super) fn lease(
+    fn lease(
         &self,
         row: &EntryRow,
     ) -> Duration {
--- a/src/process/membership/hear_entries.rs
+++ b/src/process/membership/hear_entries.rs
@@ -25,7 +25,11 @@
     let mut remote = Vec::new();
     for row in rows {
         let now = membership.clock.now();
-        let heard = membership.entries.borrow_mut().hear(now, row.clone());
+        let direct = from == row.address;
+        let heard = membership
+            .entries
+            .borrow_mut()
+            .hear(now, row.clone(), direct);
         if heard == HeardEntry::Stale {
             continue;
         }
@@ -33,7 +37,7 @@
         if heard == HeardEntry::Joined {
             membership.joined.set(Some(now));
             start_peer(membership, &row.name);
-            if from == row.address {
+            if direct {
                 introduce(membership, &row).await;
             }
         }
@@ -58,8 +62,8 @@
         members.end_vouching(&row.name, until);
         return;
     }
-    let lease = membership.entries.borrow().lease(row);
-    let behind = membership.members.borrow_mut().vouch(now, row, lease);
+    let until = membership.entries.borrow().live_until(&row.name);
+    let behind = membership.members.borrow_mut().vouch(now, row, until);
     if let Some(behind) = behind {
         ask_for_deltas(membership, &row.name, behind).await;
     }
--- a/src/process/membership/member_table.rs
+++ b/src/process/membership/member_table.rs
@@ -118,12 +118,12 @@
         &mut self,
         now: Millis,
         row: &EntryRow,
-        lease: Duration,
+        until: Millis,
     ) -> Option<Behind> {
         let start = (row.incarnation, row.published.generation);
         let known = self.publisher(&row.name, start)?;
         let lapsed = known.until <= now;
-        known.until = now + Millis::from(lease);
+        known.until = known.until.max(until);
         known.newest = known.newest.max(row.published.change);
         let behind = known.behind();
         if lapsed {
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -67,6 +67,7 @@
     pub(super) watches: RefCell<BTreeMap<UpstreamName, Rc<Watch>>>,
     pub(super) peers: RefCell<BTreeMap<EntryName, TaskGroup>>,
     pub(super) link_budget: ByteBudget,
+    started: Millis,
     pub(super) joined: Cell<Option<Millis>>,
     rng: RefCell<StdRng>,
     tasks: TaskGroup,
@@ -76,6 +77,7 @@
     /// Starts the tasks. They end with [`Membership::kill`] or [`Membership::leave`].
     pub fn start(parts: MembershipParts) -> Rc<Self> {
         let region = parts.entries.borrow().own().region.clone();
+        let started = parts.clock.now();
         let membership = Rc::new(Self {
             account: LinkAccount::new(region, parts.metrics.clone()),
             clock: parts.clock,
@@ -90,6 +92,7 @@
             peers: RefCell::default(),
             link_budget: ByteBudget::new(LINK_BYTES_PER_SECOND, LINK_BURST_BYTES),
             joined: Cell::new(None),
+            started,
             rng: RefCell::new(StdRng::seed_from_u64(parts.seed)),
             tasks: TaskGroup::default(),
         });
@@ -162,7 +165,8 @@
     pub(super) fn own_row(&self) -> EntryRow {
         let mut entries = self.entries.borrow_mut();
         let own = entries.own_mut();
-        own.heartbeat += 1;
+        let since_start = self.clock.now().since(self.started).as_millis() as u64;
+        own.heartbeat = since_start.max(own.heartbeat + 1);
         own.published = self.publication.borrow().version();
         own.clone()
     }
@@ -207,6 +211,16 @@
         span.mul_f64(factor)
     }
 
+    /// Returns a pause between a half and one and a half of `span`, so that the entries of a fleet
+    /// that started at once do not go on sending at once.
+    pub(super) fn spread(
+        &self,
+        span: Duration,
+    ) -> Duration {
+        let factor = self.rng.borrow_mut().random_range(0.5..1.5);
+        span.mul_f64(factor)
+    }
+
     /// Returns a random number below `limit`.
     pub(super) fn random_below(
         &self,
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -27,6 +27,8 @@
 mod watch_task;
 mod watcher;
 
+pub(crate) use publish_task::load_interval_of;
+
 pub use {
     announcement::{Announcement, Pulse, ServingState},
     announcer::{Announcer, AnnouncerParts},
--- a/src/process/membership/publish_task.rs
+++ b/src/process/membership/publish_task.rs
@@ -30,7 +30,7 @@
         let now = membership.clock.now();
         if now >= loads_due {
             membership.publication.borrow_mut().take_loads();
-            loads_due = now + Millis::from(load_interval(&membership));
+            loads_due = now + Millis::from(membership.spread(load_interval(&membership)));
         }
         for delta in sent.next_deltas(&membership) {
             push(&membership, delta).await;
@@ -118,10 +118,14 @@
     }
 }
 
-/// Returns the pause between sendings of loads, which grows with the fleet.
 fn load_interval(membership: &Membership) -> Duration {
     let now = membership.clock.now();
-    let upstreams = membership.members.borrow().live(now).len() as u64;
+    let upstreams = membership.members.borrow().live(now).len();
+    load_interval_of(upstreams as u64)
+}
+
+/// Returns the mean pause between sendings of loads, which grows with the fleet.
+pub(crate) fn load_interval_of(upstreams: u64) -> Duration {
     let paced = Duration::from_millis(upstreams * LOAD_ROW_BYTES * 1000 / LOAD_BYTES_PER_SECOND);
     paced.max(MIN_LOAD_INTERVAL)
 }
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -10,3 +10,4 @@
 mod regions;
 mod replacement;
 mod upstreams;
+mod watchers;
--- /dev/null
+++ b/tests/membership/watchers.rs
@@ -0,0 +1,103 @@
+//! Watchers go, alone or with what they watch.
+
+use {
+    crate::{entries::PLACES, fleet::Fleet},
+    limpetquay::{prelude::*, process::clock::VirtualClock},
+};
+
+/// Runs a course of events on a settled fleet with two entries and three guards in each place.
+fn run<F>(
+    seed: u64,
+    course: F,
+) -> Vec<String>
+where
+    F: AsyncFnOnce(&mut Fleet) -> Vec<String> + 'static,
+{
+    let clock = VirtualClock::new();
+    let cx = clock.clone();
+    clock.block_on(async move {
+        let mut fleet = Fleet::new(cx, seed);
+        fleet.populate(&PLACES, 2, 3);
+        fleet.wait(Duration::from_secs(10)).await;
+        course(&mut fleet).await
+    })
+}
+
+/// Returns how often an entry missed an upstream, over a span with ten looks a second.
+async fn count_missing(
+    fleet: &Fleet,
+    span: Duration,
+) -> usize {
+    let truth = fleet.truth();
+    let mut missing = 0;
+    for _ in 0..span.as_secs() * 10 {
+        fleet.wait(Duration::from_millis(100)).await;
+        let known = fleet.entries.keys().map(|e| fleet.known(e));
+        missing += known.filter(|k| *k != truth).count();
+    }
+    missing
+}
+
+/// The upstreams of a dead watcher stay known, and get another one.
+#[test]
+fn a_dead_watcher_is_replaced() {
+    let seen = run(11, async |fleet| {
+        let watcher = fleet.guards["jozi-1-w0"].announcer.watchers()[0].to_string();
+        fleet.kill_entry(&watcher);
+        let missing = count_missing(fleet, Duration::from_secs(20)).await;
+        let now = fleet.guards["jozi-1-w0"].announcer.watchers()[0].to_string();
+        vec![
+            format!("looks that missed an upstream: {missing}"),
+            format!("has another watcher: {}", now != watcher),
+        ]
+    });
+    insta::assert_debug_snapshot!(seen);
+}
+
+/// The upstreams of a leaving watcher have others before it ends, and stay known.
+#[test]
+fn a_leaving_watcher_hands_over() {
+    let seen = run(12, async |fleet| {
+        let watcher = fleet.guards["jozi-1-w0"].announcer.watchers()[0].to_string();
+        let entry = fleet.entries.remove(&watcher).expect("an entry");
+        let start = fleet.clock.now();
+        entry.membership.leave().await;
+        let took = fleet.clock.now().since(start);
+        fleet.network.unbind(entry.address);
+        let left = entry.membership.watched();
+        let missing = count_missing(fleet, Duration::from_secs(20)).await;
+        vec![
+            format!("ended within 3 s: {}", took <= Duration::from_secs(3)),
+            format!("upstreams left: {left}"),
+            format!("looks that missed an upstream: {missing}"),
+        ]
+    });
+    insta::assert_debug_snapshot!(seen);
+}
+
+/// A data centre that dies with its entries is gone within the leases of the entries.
+#[test]
+fn a_dead_data_centre_is_dropped() {
+    let seen = run(13, async |fleet| {
+        for name in ["e-jozi-2-0", "e-jozi-2-1"] {
+            fleet.kill_entry(name);
+        }
+        for name in ["jozi-2-w0", "jozi-2-w1", "jozi-2-w2"] {
+            fleet.kill_guard(name);
+        }
+        let knows_none = |fleet: &Fleet, entry: &str| {
+            let known = fleet.known(entry);
+            !known.keys().any(|u| u.starts_with("jozi-2"))
+        };
+        fleet.wait(Duration::from_secs(6)).await;
+        let near = knows_none(fleet, "e-jozi-1-0") && knows_none(fleet, "e-jozi-1-1");
+        fleet.wait(Duration::from_secs(5)).await;
+        let far = knows_none(fleet, "e-kaap-1-0") && knows_none(fleet, "e-kaap-2-1");
+        vec![
+            format!("gone in its region within 6 s: {near}"),
+            format!("gone in the other within 11 s: {far}"),
+            format!("differences: {:?}", fleet.differences()),
+        ]
+    });
+    insta::assert_debug_snapshot!(seen);
+}
