Measure requests, and count only what others hold from announcements

Cause: an announcement that was on its way while a request ended was taken for the present load, so a slot stayed counted as used until the next one; with up to three candidates of equal cost the first by name was always chosen. Change: the load of an upstream is what this entry holds plus what others held when it announced, where slots that this entry held of late are not others'. Equal candidates are shuffled. bench requests covers added latency, overload, bursts, slow and killed upstreams, policies and regions.

--- a/src/process/admission/admission.rs
+++ b/src/process/admission/admission.rs
@@ -187,7 +187,8 @@
         account: &AccountName,
         kind: &KindName,
     ) {
-        self.loads.borrow_mut().give_back(upstream);
+        let now = self.clock.now();
+        self.loads.borrow_mut().give_back(now, upstream);
         self.in_flight.borrow_mut().leave(account, kind);
         self.changed.notify(1);
     }
--- a/src/process/admission/dispatch.rs
+++ b/src/process/admission/dispatch.rs
@@ -18,6 +18,9 @@
 /// without an event: an ejection, or an upstream that counts as full.
 const QUEUE_LOOK: Duration = Duration::from_millis(50);
 
+/// The shortest pause between two looks at what upstreams have announced.
+const ADOPT_SPACING: Duration = Duration::from_millis(10);
+
 /// A request that waits for its place.
 pub struct Waiting {
     id: RequestId,
@@ -131,6 +134,7 @@
     ) -> Option<(Waiting, RoutingDecision)> {
         let document = entry.document();
         let entries = entry.live_entries().len() as u32;
+        let routing = entry.routing.borrow().clone();
         let mut queue = self.queue.borrow_mut();
         let queued = queue.len() as f64;
         let in_flight = self.in_flight.borrow();
@@ -153,7 +157,7 @@
                 wait_saved_ms: saved_for_each * waiting.ask.run_ms,
                 ..waiting.ask.clone()
             };
-            let decision = entry.routing.choose(&ask, live, &loads);
+            let decision = routing.choose(&ask, live, &loads);
             decision.chosen.is_some().then_some(decision)
         })
     }
@@ -179,7 +183,7 @@
             chosen = upstream.upstream.as_str(),
             passed_over = %serde_json::to_string(&decision.passed_over).unwrap_or_default(),
         );
-        self.loads.borrow_mut().take(upstream);
+        self.loads.borrow_mut().take(now, upstream);
         self.in_flight
             .borrow_mut()
             .enter(&waiting.account, &waiting.kind);
@@ -197,8 +201,15 @@
 /// Gives places whenever something changes, for ever.
 pub async fn run_dispatch(entry: Rc<Entry>) {
     let heard = entry.members.borrow().changed();
+    let mut adopted = Millis::default();
     loop {
         let changed = select(entry.admission.listen(), heard.listen());
+        let now = entry.clock.now();
+        if now.since(adopted) >= ADOPT_SPACING {
+            adopted = now;
+            let live = entry.members.borrow().live(now);
+            entry.admission.loads.borrow_mut().adopt(now, &live);
+        }
         entry.admission.dispatch(&entry);
         if entry.admission.queued() == 0 {
             changed.await;
--- a/src/process/admission/load_table.rs
+++ b/src/process/admission/load_table.rs
@@ -1,7 +1,7 @@
 //! What an entry knows of the load of upstreams.
 
 use {
-    super::Standing,
+    super::{OwnSlots, Standing},
     crate::{
         prelude::*,
         process::membership::Announcement,
@@ -18,15 +18,15 @@
 struct UpstreamRecord {
     incarnation: u64,
     sequence: u64,
-    /// The slots taken less those given back by this entry since that announcement.
-    since: i64,
-    own: u32,
+    /// The slots that others have in use, as of that announcement.
+    others: u32,
+    own: OwnSlots,
     full_until: Millis,
     standing: Standing,
 }
 
-/// The loads of all upstreams: announcements may be old, so what this entry has changed since is
-/// added.
+/// The loads of all upstreams. Announcements may be old, so only what others hold is taken from
+/// them; what this entry holds it knows.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     records: BTreeMap<UpstreamName, UpstreamRecord>,
@@ -47,17 +47,10 @@
                 health: Health::Healthy,
             };
         };
-        let announced = i64::from(upstream.slots_in_use);
-        let since = if record.follows(upstream) {
-            record.since
-        } else {
-            0
-        };
-        let in_use = u32::try_from(announced + since).unwrap_or_default();
         let in_use = if now < record.full_until {
             upstream.slots
         } else {
-            in_use.max(record.own)
+            record.others + record.own.count
         };
         let health = match record.standing.health(now) {
             _ if self.panic => Health::Healthy,
@@ -86,25 +79,43 @@
         self.panic
     }
 
+    /// Takes over what upstreams have announced.
+    pub fn adopt(
+        &mut self,
+        now: Millis,
+        live: &[Rc<Announcement>],
+    ) {
+        for upstream in live {
+            if let Some(record) = self.records.get_mut(&upstream.upstream) {
+                record.adopt(now, upstream);
+            }
+        }
+    }
+
     /// Counts a slot that this entry takes.
     pub fn take(
         &mut self,
+        now: Millis,
         upstream: &Announcement,
     ) {
-        let record = self.records.entry(upstream.upstream.clone()).or_default();
-        record.adopt(upstream);
-        record.since += 1;
-        record.own += 1;
+        let record = self.records.entry(upstream.upstream.clone());
+        let record = record.or_insert_with(|| UpstreamRecord {
+            incarnation: upstream.incarnation,
+            sequence: upstream.sequence,
+            others: upstream.slots_in_use,
+            ..UpstreamRecord::default()
+        });
+        record.own.set(now, record.own.count + 1);
     }
 
     /// Counts a slot that this entry gives back.
     pub fn give_back(
         &mut self,
+        now: Millis,
         upstream: &UpstreamName,
     ) {
         if let Some(record) = self.records.get_mut(upstream) {
-            record.since -= 1;
-            record.own = record.own.saturating_sub(1);
+            record.own.set(now, record.own.count.saturating_sub(1));
         }
     }
 
@@ -146,26 +157,22 @@
 }
 
 impl UpstreamRecord {
-    fn follows(
-        &self,
-        upstream: &Announcement,
-    ) -> bool {
-        self.incarnation == upstream.incarnation && self.sequence == upstream.sequence
-    }
-
-    /// Starts counting anew from a newer announcement; a restarted upstream starts without a past.
+    /// Takes a newer announcement over; a restarted upstream starts without a past. Slots that
+    /// this entry held of late may be among the announced ones.
     fn adopt(
         &mut self,
+        now: Millis,
         upstream: &Announcement,
     ) {
+        if self.incarnation == upstream.incarnation && self.sequence == upstream.sequence {
+            return;
+        }
         if self.incarnation != upstream.incarnation {
             self.standing = Standing::default();
         }
-        if !self.follows(upstream) {
-            self.incarnation = upstream.incarnation;
-            self.sequence = upstream.sequence;
-            self.since = 0;
-            self.full_until = Millis::default();
-        }
+        self.incarnation = upstream.incarnation;
+        self.sequence = upstream.sequence;
+        self.others = upstream.slots_in_use.saturating_sub(self.own.peak(now));
+        self.full_until = Millis::default();
     }
 }
--- a/src/process/admission/mod.rs
+++ b/src/process/admission/mod.rs
@@ -10,6 +10,7 @@
 mod in_flight;
 mod kind_times;
 mod load_table;
+mod own_slots;
 mod place;
 mod standing;
 mod suspects;
@@ -22,6 +23,7 @@
     in_flight::InFlightCounts,
     kind_times::KindTimes,
     load_table::LoadTable,
+    own_slots::OwnSlots,
     place::Place,
     standing::Standing,
     suspects::Suspects,
--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -1,7 +1,7 @@
 //! The border of a measurement.
 
 use {
-    super::{Table, capacity::CapacityBench, placement::PlacementBench},
+    super::{Table, capacity::CapacityBench, placement::PlacementBench, requests::RequestsBench},
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
     std::{io, path::PathBuf},
@@ -55,5 +55,9 @@
 
 /// Returns all measurements.
 pub fn benches() -> Vec<Box<dyn Bench>> {
-    vec![Box::new(CapacityBench), Box::new(PlacementBench)]
+    vec![
+        Box::new(CapacityBench),
+        Box::new(PlacementBench),
+        Box::new(RequestsBench),
+    ]
 }
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 mod plot;
 mod process_usage;
+pub mod requests;
 mod table;
 
 pub use {
--- /dev/null
+++ b/src/process/bench/requests/requests_bench.rs
@@ -0,0 +1,43 @@
+//! `limpetquay bench requests`.
+
+use {
+    super::{added_latency, killed, overload, policies},
+    crate::{
+        prelude::*,
+        process::bench::{Bench, BenchCx, BenchError, Table},
+    },
+    compio::runtime::Runtime,
+};
+
+/// How long each case is loaded, in a full and in a quick run.
+const SPANS: [Duration; 2] = [Duration::from_secs(4), Duration::from_millis(400)];
+
+/// Measures the request path over loopback sockets, all in one process and thread.
+pub struct RequestsBench;
+
+impl Bench for RequestsBench {
+    fn name(&self) -> &'static str {
+        "requests"
+    }
+
+    fn summary(&self) -> &'static str {
+        "latency, overload, bursts, slow and killed upstreams, routing policies"
+    }
+
+    fn run(
+        &self,
+        cx: &BenchCx,
+    ) -> Result<Vec<Table>, BenchError> {
+        let span = SPANS[usize::from(cx.quick)];
+        Runtime::new()?.block_on(async {
+            Ok(vec![
+                added_latency::measure(span).await?,
+                overload::measure_classes(span, cx.seed).await?,
+                overload::measure_burst(span, cx.seed).await?,
+                policies::measure_slow(span, cx.seed).await?,
+                policies::measure_regions(span, cx.seed).await?,
+                killed::measure(span).await?,
+            ])
+        })
+    }
+}
--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -36,8 +36,8 @@
     pub link: LinkAccount,
     /// The links to guards.
     pub dialer: Rc<dyn Dialer>,
-    /// The choice of upstreams for requests.
-    pub routing: Box<dyn RoutingPolicy>,
+    /// The choice of upstreams for requests; measurements change it while the entry runs.
+    pub routing: RefCell<Rc<dyn RoutingPolicy>>,
     /// The choice of workers for gangs.
     pub placement: Box<dyn PlacementPolicy>,
     /// The source of identities.
--- a/src/process/entry/entry_parts.rs
+++ b/src/process/entry/entry_parts.rs
@@ -32,7 +32,7 @@
     /// The links to guards.
     pub dialer: Rc<dyn Dialer>,
     /// The choice of upstreams for requests.
-    pub routing: Box<dyn RoutingPolicy>,
+    pub routing: Rc<dyn RoutingPolicy>,
     /// The source of identities.
     pub ids: IdSource,
     /// The seed of the pauses before retries.
@@ -61,7 +61,7 @@
             settings: self.settings,
             metrics: self.metrics,
             state: Rc::new(self.state),
-            routing: self.routing,
+            routing: RefCell::new(self.routing),
             placement: Box::new(PackPlacement),
             ids: self.ids,
             admission: Admission::new(self.clock.clone(), self.seed),
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -142,7 +142,7 @@
         clock,
         metrics,
         state,
-        routing: Box::new(LeastWaitRouting::new(rand::random())),
+        routing: Rc::new(LeastWaitRouting::new(rand::random())),
         ids,
         seed: rand::random(),
     };
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -109,6 +109,11 @@
         &self.upstreams
     }
 
+    /// Returns where the stand-in upstreams take requests, in the order of the guards.
+    pub fn worker_addresses(&self) -> Vec<SocketAddr> {
+        self.guard_settings.iter().map(|s| s.worker).collect()
+    }
+
     /// Prints where callers send requests.
     pub fn print_addresses(&self) {
         for running in &self.entries {
--- a/src/process/stand_in/mod.rs
+++ b/src/process/stand_in/mod.rs
@@ -3,6 +3,7 @@
 mod log;
 mod log_faults;
 mod log_records;
+mod requests;
 mod tasks;
 mod upstream;
 
@@ -10,5 +11,6 @@
     log::StandInLog,
     log_faults::{LogFaults, LogLimits},
     log_records::LogRecords,
+    requests::{RunMode, StandInRequests},
     upstream::StandInUpstream,
 };
--- a/src/process/stand_in/upstream.rs
+++ b/src/process/stand_in/upstream.rs
@@ -1,9 +1,9 @@
 //! A stand-in for an upstream: runs requests and tasks.
 
 use {
-    super::{log::encode, tasks::Tasks},
+    super::{StandInRequests, log::encode, tasks::Tasks},
     crate::{
-        connection::{HttpHandler, HttpReply, HttpRequest, Problem, query_value},
+        connection::{HttpHandler, HttpReply, HttpRequest, Problem},
         prelude::*,
         process::{
             clock::with_timeout,
@@ -11,15 +11,11 @@
         },
     },
     event_listener::Event,
-    std::{cell::Cell, collections::BTreeMap},
 };
 
 /// The largest body, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
-/// How long a request runs when its body does not say, in milliseconds.
-const DEFAULT_RUN_MS: u64 = 5;
-
 /// An upstream that sleeps in place of working. A request body such as `run_ms=20` says for how
 /// long, a task payload such as `run_ms=2000` does the same.
 pub struct StandInUpstream {
@@ -27,9 +23,7 @@
     accelerators: AcceleratorSet,
     tasks: RefCell<Tasks>,
     changed: Event,
-    running: Cell<u32>,
-    most_running: Cell<u32>,
-    runs: RefCell<BTreeMap<String, u32>>,
+    requests: StandInRequests,
 }
 
 impl StandInUpstream {
@@ -43,38 +37,13 @@
             accelerators: AcceleratorSet::first(accelerators),
             tasks: RefCell::default(),
             changed: Event::new(),
-            running: Cell::new(0),
-            most_running: Cell::new(0),
-            runs: RefCell::default(),
+            requests: StandInRequests::default(),
         }
     }
 
-    /// Returns the largest number of requests that ran at once.
-    pub fn most_running(&self) -> u32 {
-        self.most_running.get()
-    }
-
-    /// Returns how often each request was run, by its identity.
-    pub fn runs(&self) -> BTreeMap<String, u32> {
-        self.runs.borrow().clone()
-    }
-
-    async fn run(
-        &self,
-        req: &HttpRequest,
-        kind: &str,
-    ) -> HttpReply {
-        let id = req.header("x-request-id").unwrap_or_default().to_owned();
-        *self.runs.borrow_mut().entry(id.clone()).or_default() += 1;
-        self.running.set(self.running.get() + 1);
-        self.most_running
-            .set(self.most_running.get().max(self.running.get()));
-        let text = String::from_utf8_lossy(&req.body).into_owned();
-        let run_ms = query_value(&text, "run_ms").and_then(|v| v.parse().ok());
-        let run_time = Duration::from_millis(run_ms.unwrap_or(DEFAULT_RUN_MS));
-        self.clock.sleep(run_time).await;
-        self.running.set(self.running.get() - 1);
-        HttpReply::text(200, &format!("{kind} done: {text}\n")).with_header("x-request-id", id)
+    /// Returns the request side.
+    pub fn requests(&self) -> &StandInRequests {
+        &self.requests
     }
 
     async fn call_task(
@@ -175,7 +144,7 @@
     ) -> LocalBoxFuture<'static, HttpReply> {
         Box::pin(async move {
             match req.segments().as_slice() {
-                ["run", kind] => self.run(&req, kind).await,
+                ["run", kind] => self.requests.run(&*self.clock, &req, kind).await,
                 ["tasks", path @ ..] => self.call_task(&req, path).await,
                 _ => Problem::not_found().into(),
             }
--- a/src/request/routing/least_wait.rs
+++ b/src/request/routing/least_wait.rs
@@ -6,7 +6,7 @@
         eligible::{reason_against, will_serve},
     },
     crate::{prelude::*, process::membership::Announcement},
-    rand::{RngExt, SeedableRng, rngs::StdRng},
+    rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom},
 };
 
 /// The added time of leaving the data centre, both ways, in milliseconds.
@@ -60,10 +60,12 @@
         &self,
         upstreams: &[&'a Rc<Announcement>],
     ) -> Vec<&'a Rc<Announcement>> {
+        let mut rng = self.rng.borrow_mut();
         if upstreams.len() <= DRAWS {
-            return upstreams.to_vec();
+            let mut all = upstreams.to_vec();
+            all.shuffle(&mut *rng);
+            return all;
         }
-        let mut rng = self.rng.borrow_mut();
         let draws = (0..DRAWS).map(|_| upstreams[rng.random_range(0..upstreams.len())]);
         draws.collect()
     }
--- a/tests/membership/replacement.rs
+++ b/tests/membership/replacement.rs
@@ -125,13 +125,17 @@
         let ran: u32 = system
             .upstreams()
             .iter()
-            .map(|u| u.runs().len() as u32)
+            .map(|u| u.requests().runs().len() as u32)
             .sum();
         let once = system
             .upstreams()
             .iter()
-            .all(|u| u.runs().values().all(|n| *n == 1));
-        let most = system.upstreams().iter().map(|u| u.most_running()).max();
+            .all(|u| u.requests().runs().values().all(|n| *n == 1));
+        let most = system
+            .upstreams()
+            .iter()
+            .map(|u| u.requests().most_running())
+            .max();
         insta::assert_debug_snapshot!([
             format!("at least 100 answered: {}", answered >= 100),
             format!("other results: {others:?}"),
--- a/tests/requests/world.rs
+++ b/tests/requests/world.rs
@@ -180,7 +180,7 @@
             clock,
             metrics,
             state,
-            routing: Box::new(LeastWaitRouting::new(epoch)),
+            routing: Rc::new(LeastWaitRouting::new(epoch)),
             ids: IdSource::with_epoch(epoch),
             seed: epoch,
         };
