--- a/src/process/entry/entry.rs
+++ b/src/process/entry/entry.rs
@@ -1,12 +1,13 @@
 //! The entry.
 
 use {
-    super::{ClaimEnds, Dialer},
+    super::{ClaimEnds, Dialer, FleetMemory},
     crate::{
         connection::GuardPeer,
         prelude::*,
         process::{
             admission::Admission,
+            job_queue::JobTurns,
             link::{CountedPeer, LinkAccount},
             membership::{EntryTable, MemberTable},
             metrics::Metrics,
@@ -34,12 +35,16 @@
     pub entries: Rc<RefCell<EntryTable>>,
     /// The count of what crosses the link between regions.
     pub link: LinkAccount,
+    /// The upstreams that were heard, also those that are silent now.
+    pub fleet: RefCell<FleetMemory>,
     /// The links to guards.
     pub dialer: Rc<dyn Dialer>,
     /// The choice of upstreams for requests; measurements change it while the entry runs.
     pub routing: RefCell<Rc<dyn RoutingPolicy>>,
     /// The choice of workers for gangs.
     pub placement: Box<dyn PlacementPolicy>,
+    /// The turns of its jobs.
+    pub turns: Rc<JobTurns>,
     /// The source of identities.
     pub ids: IdSource,
     /// The queue, limits and loads of requests.
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -9,9 +9,14 @@
 )]
 mod entry;
 mod entry_parts;
+mod fleet_memory;
+mod layout_proposal;
+mod layout_push;
 mod owned_jobs;
+mod placement_records;
 mod registration;
 mod running_entry;
+mod share_index;
 
 pub use {
     claim_ends::{ClaimEnds, run_claim_ends},
@@ -19,7 +24,12 @@
     document_push::push_documents,
     entry::Entry,
     entry_parts::EntryParts,
+    fleet_memory::FleetMemory,
+    layout_proposal::propose_layouts,
+    layout_push::push_layouts,
     owned_jobs::run_jobs,
+    placement_records::keep_placements,
     registration::{follow_registry, register},
     running_entry::RunningEntry,
+    share_index::ShareIndex,
 };
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Entry, EntryParts, LinkDialer, follow_registry, push_documents, register, run_claim_ends,
-        run_jobs,
+        Entry, EntryParts, LinkDialer, follow_registry, keep_placements, propose_layouts,
+        push_documents, push_layouts, register, run_claim_ends, run_jobs,
     },
     crate::{
         connection::{HttpClient, HttpServer},
@@ -158,6 +158,11 @@
     tasks.spawn(async move { state.follow_log().await });
     tasks.spawn(keep_snapshots(entry.clone()));
     tasks.spawn(run_jobs(entry.clone()));
+    tasks.spawn(propose_layouts(entry.clone()));
+    tasks.spawn(push_layouts(entry.clone()));
+    tasks.spawn(keep_placements(entry.clone()));
+    let turns = entry.clone();
+    tasks.spawn(async move { turns.turns.run(&turns).await });
     tasks.spawn(run_dispatch(entry.clone()));
     tasks.spawn(run_claim_ends(entry.clone()));
     tasks.spawn(push_documents(entry.clone(), membership.clone()));
--- a/src/request/job/gang/job_run.rs
+++ b/src/request/job/gang/job_run.rs
@@ -3,11 +3,12 @@
 use {
     super::{Followed, PlacedGang, Start},
     crate::{
-        connection::GangEnd,
+        connection::{GangEnd, Refusal},
         prelude::*,
         process::{
             clock::with_timeout,
             entry::Entry,
+            job_queue::JobTurn,
             platform::Term,
             state::{JobEnd, JobRecord, RecordBody},
         },
@@ -25,12 +26,20 @@
 /// The longest pause before an end is recorded again while the log is away.
 const RECORD_RETRY: Duration = Duration::from_secs(1);
 
+/// The age from which a job that this task begins to run may have been started before.
+const ADOPTION_AGE: Duration = Duration::from_secs(5);
+
+/// The unit in which starts are numbered by the job's age, in milliseconds.
+const START_UNIT_MS: u64 = 10;
+
 /// Why the task of a job leaves its present course.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Interrupt {
     /// The job was cancelled.
     Cancelled,
-    /// Another entry owns the job, or its end stands on the log.
+    /// The job's end stands on the log.
+    Ended,
+    /// Another entry owns the job.
     Superseded,
 }
 
@@ -46,9 +55,13 @@
     /// The starts in a row that failed before a task ran.
     misses: u32,
     /// The progress that the next start begins from, in milliseconds of run time.
-    progress_ms: u64,
+    pub(super) progress_ms: u64,
     /// The committed gang.
     pub(super) placed: Option<PlacedGang>,
+    /// The job's place in the queue.
+    pub(super) turn: JobTurn,
+    /// Since when the job has waited.
+    pub(super) waiting_since: Millis,
 }
 
 /// Runs a job to its end under one ownership and records how it ended. Stops without a record
@@ -59,6 +72,8 @@
     ownership: u32,
 ) {
     let mut run = JobRun {
+        turn: entry.turns.enter(spec.id),
+        waiting_since: entry.clock.now(),
         entry,
         spec,
         ownership,
@@ -68,7 +83,9 @@
         progress_ms: 0,
         placed: None,
     };
-    let Some(end) = run.drive().await else {
+    let end = run.drive().await;
+    run.turn.leave();
+    let Some(end) = end else {
         return;
     };
     run.record_end(end).await;
@@ -81,12 +98,18 @@
     /// Starts the gang until it finishes, is cancelled or has no attempts left; `None` when
     /// another entry owns the job.
     async fn drive(&mut self) -> Option<JobEnd> {
-        if self.ownership > 1 {
+        let age = self.entry.clock.wall().since(Millis(self.spec.accepted_ms));
+        if self.ownership > 1 || age >= ADOPTION_AGE {
             self.placed = self.adopt().await;
+            self.note_adopted();
         }
         loop {
             match self.interrupt() {
                 Some(Interrupt::Superseded) => return None,
+                Some(Interrupt::Ended) => {
+                    self.release_placed().await;
+                    return None;
+                }
                 Some(Interrupt::Cancelled) => {
                     self.release_placed().await;
                     return Some(JobEnd::Cancelled);
@@ -107,8 +130,17 @@
         }
     }
 
+    /// Numbers the next start. The number grows with the job's age, so an entry that lost its
+    /// memory does not use a number again.
+    fn next_start(&self) -> u32 {
+        let age = self.entry.clock.wall().since(Millis(self.spec.accepted_ms));
+        let by_age = Millis::from(age).0 / START_UNIT_MS;
+        let by_age = u32::try_from(by_age).unwrap_or(u32::MAX - 1);
+        by_age.max(self.start) + 1
+    }
+
     /// Returns the job's kind under the document in force.
-    fn kind(&self) -> Option<JobKind> {
+    pub(super) fn kind(&self) -> Option<JobKind> {
         self.entry
             .document()
             .job_kinds
@@ -121,7 +153,7 @@
         &mut self,
         kind: &JobKind,
     ) {
-        self.start += 1;
+        self.start = self.next_start();
         let term = Term {
             ownership: self.ownership,
             start: self.start,
@@ -133,18 +165,25 @@
             term,
         };
         self.placed = start.run(self, self.progress_ms).await;
+        if self.placed.is_none() {
+            self.turn.put_back(Duration::from_millis(self.progress_ms));
+        }
     }
 
     /// Follows the committed gang to its end; returns the job's end when that brings it.
     async fn follow_placed(&mut self) -> Option<JobEnd> {
         let followed = self.placed.as_ref()?.follow(self).await;
         let end = match followed {
-            Followed::Ended(GangEnd::Finished(result)) => return Some(JobEnd::Finished(result)),
+            Followed::Ended(GangEnd::Finished(result)) => {
+                self.turn.finished(self.entry.clock.now());
+                return Some(JobEnd::Finished(result));
+            }
             Followed::Ended(end) => self.note_end(end),
             Followed::Lost => self.note_failure("the lead guard was lost".to_owned()),
             Followed::Interrupted => return None,
         };
         self.release_placed().await;
+        self.turn.put_back(Duration::from_millis(self.progress_ms));
         end
     }
 
@@ -156,14 +195,25 @@
         tracing::info!(job = %self.spec.id, start = self.start, ?end, "a start has ended");
         match end {
             GangEnd::Evicted { progress_ms } => self.note_progress(progress_ms),
-            GangEnd::Failed { reason, .. } => return self.note_failure(reason),
+            GangEnd::Failed { reason, piece } => {
+                self.note_failed_piece(piece);
+                return self.note_failure(reason);
+            }
             GangEnd::Lost {
-                progress_ms, cause, ..
+                progress_ms,
+                cause,
+                piece,
             } => {
+                self.note_failed_piece(piece);
                 self.note_progress(progress_ms);
                 return self.note_failure(format!("a member was lost: {cause}"));
             }
-            GangEnd::NotStarted { .. } => self.misses += 1,
+            GangEnd::NotStarted { refusal, piece } => {
+                if refusal == Refusal::Worker {
+                    self.note_failed_piece(piece);
+                }
+                self.misses += 1;
+            }
             GangEnd::Finished(_) | GangEnd::Released => {}
         }
         None
@@ -203,7 +253,10 @@
     pub(super) fn interrupt(&self) -> Option<Interrupt> {
         let fold = self.entry.state.fold();
         let job = fold.job(self.spec.id)?;
-        if job.ownership > self.ownership || job.end.is_some() {
+        if job.end.is_some() {
+            return Some(Interrupt::Ended);
+        }
+        if job.ownership > self.ownership {
             return Some(Interrupt::Superseded);
         }
         job.cancelled.then_some(Interrupt::Cancelled)
@@ -219,12 +272,15 @@
         }
     }
 
-    /// Records the end until it stands on the log or another entry owns the job.
+    /// Records the end until one stands on the log or another entry owns the job.
     async fn record_end(
         &self,
         end: JobEnd,
     ) {
-        while self.interrupt() != Some(Interrupt::Superseded) {
+        while !matches!(
+            self.interrupt(),
+            Some(Interrupt::Ended | Interrupt::Superseded)
+        ) {
             let record = RecordBody::Job(JobRecord::Ended {
                 job: self.spec.id,
                 ownership: self.ownership,
