--- a/src/request/routing/least_wait.rs
+++ b/src/request/routing/least_wait.rs
@@ -75,6 +75,7 @@
 struct Candidate {
     upstream: UpstreamName,
     cost_ms: f64,
+    slowness: f64,
 }
 
 impl RoutingPolicy for LeastWaitRouting {
@@ -92,6 +93,12 @@
         let own = self.choose_at(ask, &at(Distance::DataCentre), loads, &mut decision);
         let region = self.choose_at(ask, &at(Distance::Region), loads, &mut decision);
         let mut best = cheaper(own, region, &mut decision);
+        if let Some(slow) = best.take_if(|c| c.slowness > 1.0) {
+            best = instead_of_slow(ask, upstreams, loads, slow, &mut decision);
+            if best.is_none() {
+                return decision;
+            }
+        }
         if best.is_none() {
             let elsewhere = at(Distance::Elsewhere);
             if is_worth_the_link(ask) || !home_will_serve(ask, upstreams, loads) {
@@ -123,9 +130,36 @@
     Some(Candidate {
         upstream: best.upstream.clone(),
         cost_ms: best.cost_ms,
+        slowness: best.slowness,
     })
 }
 
+/// Returns a fast upstream of the own region in place of a slow one. When none has a free slot,
+/// waiting for one goes before the slow one, as long as that costs the queue less.
+fn instead_of_slow(
+    ask: &RoutingAsk,
+    upstreams: &[Rc<Announcement>],
+    loads: &dyn LoadSource,
+    slow: Candidate,
+    decision: &mut RoutingDecision,
+) -> Option<Candidate> {
+    let is_fast =
+        |u: &&Rc<Announcement>| u.region == ask.region && loads.load_of(u).slowness <= 1.0;
+    let fast: Vec<&Rc<Announcement>> = upstreams.iter().filter(is_fast).collect();
+    let best = least_cost(ask, &fast, loads, &mut RoutingDecision::default());
+    if best.is_some() {
+        decision.pass_over(&slow.upstream, "slower than its peers");
+        return best;
+    }
+    let added_ms = (slow.slowness - 1.0) * ask.run_ms;
+    let is_worth_waiting = added_ms > ask.wait_saved_ms;
+    if is_worth_waiting && fast.iter().any(|u| will_serve(ask, u, &loads.load_of(u))) {
+        decision.pass_over(&slow.upstream, "slower than waiting for its peers");
+        return None;
+    }
+    Some(slow)
+}
+
 /// Tells whether an upstream of the own region will take the request once a slot is free.
 fn home_will_serve(
     ask: &RoutingAsk,
@@ -159,6 +193,7 @@
         let candidate = Candidate {
             upstream: upstream.upstream.clone(),
             cost_ms,
+            slowness: load.slowness,
         };
         best = match best.take() {
             Some(least) if least.cost_ms <= cost_ms => {
--- a/tests/requests/upstreams.rs
+++ b/tests/requests/upstreams.rs
@@ -104,3 +104,32 @@
     });
     insta::assert_debug_snapshot!(told);
 }
+
+/// With the faster upstreams nearly full, requests wait for them rather than take a free slot of
+/// an upstream that is ten times as slow.
+#[test]
+fn a_busy_fleet_waits_rather_than_use_a_slow_upstream() {
+    let clock = VirtualClock::new();
+    let cx = clock.clone();
+    let told = clock.block_on(async move {
+        let world = World::start(cx, 3, 4, DOCUMENT).await;
+        world.sites[1].worker.mode.set(WorkerMode::Slow);
+        send_each(&world, "check", 60).await;
+        world.runs.borrow_mut().clear();
+        let callers = (0..16).map(|caller| {
+            let world = world.clone();
+            compio::runtime::spawn(async move {
+                for i in 0..20 {
+                    let body = format!("{caller}.{i}");
+                    world.send(0, "alpha", "check", None, &body).await;
+                }
+            })
+        });
+        futures_util::future::join_all(callers.collect::<Vec<_>>()).await;
+        let runs = world.runs.borrow();
+        let slow = world.sites[1].worker.name.clone();
+        let at_slow = runs.values().flatten().filter(|u| **u == slow).count();
+        (runs.len(), at_slow)
+    });
+    insta::assert_debug_snapshot!(told);
+}
