--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Table, capacity::CapacityBench, log::LogBench, membership::MembershipBench,
-        placement::PlacementBench,
+        placement::PlacementBench, requests::RequestsBench,
     },
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
@@ -63,5 +63,6 @@
         Box::new(LogBench),
         Box::new(MembershipBench),
         Box::new(PlacementBench),
+        Box::new(RequestsBench),
     ]
 }
