--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 mod plot;
 mod process_usage;
+pub mod requests;
 mod table;
 
 pub use {
