--- a/src/process/cli/admin/list.rs
+++ b/src/process/cli/admin/list.rs
@@ -1,7 +1,7 @@
 //! Commands that print lists.
 
 use {
-    super::{AdminAction, AdminClient},
+    super::{AdminAction, AdminClient, admin_client::query_of},
     crate::{
         prelude::*,
         process::{bench::Table, cli::CliError},
@@ -102,6 +102,20 @@
         filters: &[],
     };
 
+    /// Lists how far entries have read the log.
+    pub(super) const READERS: Self = Self {
+        name: "readers",
+        summary: "list how far each entry has read the log",
+        path: "log/readers",
+        columns: &[
+            ("entry", "entry"),
+            ("log", "condition"),
+            ("read to", "next"),
+            ("version", "version"),
+        ],
+        filters: &[],
+    };
+
     /// Lists the changes by operators.
     pub(super) const AUDIT: Self = Self {
         name: "audit",
@@ -121,11 +135,7 @@
         client: &AdminClient,
         matches: &Matches,
     ) -> Result<String, CliError> {
-        let given = self.filters.iter().filter_map(|name| {
-            let value = matches.opt_str(name)?;
-            Some(format!("{name}={value}"))
-        });
-        let query = given.collect::<Vec<String>>().join("&");
+        let query = query_of(matches, self.filters);
         let items = client.get_pages(&format!("{}?{query}", self.path)).await?;
         if matches.opt_present("json") {
             return Ok(format!("{}\n", Value::Array(items)));
