Explain waiting jobs, show guarantees, and let only urgent work displace

Change: only urgent jobs ask, the smallest deferrable jobs give way first, and accounts' use counts in powers of eight. Jobs are explained, waited for with wait_ms, and refused when no known worker or rack could hold them; operators see laid and unmet guarantees, and a document that promises more than is there is refused.

--- a/src/process/job_queue/mod.rs
+++ b/src/process/job_queue/mod.rs
@@ -6,6 +6,7 @@
 mod expected_holds;
 mod explanation;
 pub mod fitness;
+mod giving_way;
 #[expect(
     clippy::module_inception,
     reason = "a file bears the name of its main type"
--- a/src/process/job_queue/queue_rules.rs
+++ b/src/process/job_queue/queue_rules.rs
@@ -9,6 +9,9 @@
 /// run, in powers of two of its size.
 const AGEING: f64 = 1.0;
 
+/// How many times as much use beyond its guarantee sets an account back by one level.
+const USE_LEVEL: f64 = 8.0;
+
 /// The least run time that a job is ordered by, in seconds.
 const MIN_RUN_S: f64 = 1.0;
 
@@ -40,7 +43,7 @@
     pub class: u8,
     /// Whether the job goes beyond its account's guarantee.
     pub beyond: bool,
-    /// The account's use beyond its guarantee for each share, in powers of two.
+    /// The account's use beyond its guarantee for each share, in powers of eight.
     pub use_level: i32,
     /// The weighed size of the job, less its wait.
     pub size: f64,
@@ -98,7 +101,7 @@
         Rank {
             class: class_rank(cx.job.kind.class),
             beyond: cx.usage.running + cx.job.kind.gang.total() > cx.guaranteed,
-            use_level: (1.0 + used).log2() as i32,
+            use_level: (1.0 + used).log(USE_LEVEL) as i32,
             size,
             since: cx.job.since,
             job: cx.job.id.0,
--- a/src/process/job_queue/turn.rs
+++ b/src/process/job_queue/turn.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         prelude::*,
-        request::{FleetView, PlacementAsk, PlacementDecision, Taken},
+        request::{FleetView, PlacementAsk, PlacementDecision},
         version::{Account, Class, Shape},
     },
     std::collections::BTreeMap,
@@ -18,15 +18,6 @@
 /// The most jobs that one turn has the policy place or fail to place.
 const MAX_TRIES: usize = 256;
 
-/// The most running jobs that one turn considers as ones that give way.
-const MAX_GIVING_WAY: usize = 64;
-
-/// How long work that may wait is left alone by a normal job.
-const NORMAL_PATIENCE: Duration = Duration::from_secs(120);
-
-/// How long giving way is expected to take.
-const GIVE_WAY_TIME: Duration = Duration::from_secs(5);
-
 /// The longest time that a normal job is held back for a better place.
 const MAX_NORMAL_HOLD: Duration = Duration::from_secs(30 * 60);
 
@@ -44,16 +35,16 @@
 }
 
 /// A turn under way.
-struct Turn<'a> {
-    queue: &'a mut JobQueue,
-    cx: TurnCx<'a>,
+pub(super) struct Turn<'a> {
+    pub(super) queue: &'a mut JobQueue,
+    pub(super) cx: TurnCx<'a>,
     /// The fleet beside all claims.
-    beside: FleetView,
+    pub(super) beside: FleetView,
     claims: Vec<Claim>,
     stuck: BTreeMap<AskKey, Explanation>,
     tries: usize,
     blocked: bool,
-    outcome: TurnOutcome,
+    pub(super) outcome: TurnOutcome,
 }
 
 impl JobQueue {
@@ -384,7 +375,8 @@
         WaitReason::Room { claimed_for_ms }
     }
 
-    fn hold_claim(
+    /// Keeps workers for a waiting job for the rest of the turn.
+    pub(super) fn hold_claim(
         &mut self,
         claim: Claim,
     ) {
@@ -393,100 +385,4 @@
         self.queue.claim = Some(claim);
         self.stuck.clear();
     }
-
-    /// Asks deferrable jobs to give their place to one that cannot wait; returns how many do.
-    fn make_way(
-        &mut self,
-        job: &WaitingJob,
-        ask: &PlacementAsk,
-    ) -> Option<usize> {
-        let waited = self.cx.now.since(job.since);
-        let pressing = match job.kind.class {
-            Class::Urgent => true,
-            Class::Normal => waited >= NORMAL_PATIENCE,
-            Class::Deferrable => false,
-        };
-        if !pressing || !self.cx.rules.gives_way() || self.queue.claim.is_some() {
-            return None;
-        }
-        let decision = self.place_after_way(ask)?;
-        let taken = decision
-            .taken
-            .iter()
-            .map(|t| self.cx.view.name_of(t.worker).clone());
-        let claim = Claim {
-            job: job.id,
-            workers: taken.collect(),
-            at: self.cx.now + Millis::from(GIVE_WAY_TIME),
-        };
-        let way = self.jobs_in_the_way(&decision);
-        for id in &way {
-            if let Some(running) = self.queue.running.get_mut(id)
-                && !running.gives_way
-            {
-                running.gives_way = true;
-                self.outcome.give_way.push(*id);
-            }
-        }
-        self.hold_claim(claim);
-        Some(way.len())
-    }
-
-    /// Places a job as if deferrable jobs had given way, the one that started last first.
-    fn place_after_way(
-        &self,
-        ask: &PlacementAsk,
-    ) -> Option<PlacementDecision> {
-        let mut deferrable: Vec<&RunningJob> = self
-            .queue
-            .running
-            .values()
-            .filter(|r| is_removable(r))
-            .collect();
-        deferrable.sort_by_key(|r| (!r.gives_way, std::cmp::Reverse(r.started), r.id));
-        let mut view = self.beside.clone();
-        for running in deferrable.into_iter().take(MAX_GIVING_WAY) {
-            view.give_back(&taken_by(running, &view));
-            let decision = self.cx.policy.place(ask, &view);
-            if decision.is_placed() {
-                return Some(decision);
-            }
-        }
-        None
-    }
-
-    /// Returns the deferrable jobs that hold something of a place.
-    fn jobs_in_the_way(
-        &self,
-        decision: &PlacementDecision,
-    ) -> Vec<JobId> {
-        let removable = self.queue.running.values().filter(|r| is_removable(r));
-        let in_the_way = removable.filter(|r| {
-            let parts = taken_by(r, &self.cx.view);
-            parts.iter().any(|part| {
-                let mut taken = decision.taken.iter().filter(|t| t.worker == part.worker);
-                taken.any(|t| t.accelerators.intersects(part.accelerators))
-            })
-        });
-        in_the_way.map(|r| r.id).collect()
-    }
-}
-
-/// Tells whether a running job may be asked to give way.
-fn is_removable(job: &RunningJob) -> bool {
-    job.kind.class == Class::Deferrable && job.kind.is_evictable()
-}
-
-/// Returns what a running job holds, by index in the fleet.
-fn taken_by(
-    job: &RunningJob,
-    view: &FleetView,
-) -> Vec<Taken> {
-    let held = job.held.iter().filter_map(|h| {
-        Some(Taken {
-            worker: view.fleet.index_of(&h.upstream)?,
-            accelerators: h.accelerators,
-        })
-    });
-    held.collect()
 }
--- a/src/request/api/admin_api.rs
+++ b/src/request/api/admin_api.rs
@@ -1,6 +1,7 @@
 //! Administration by operators.
 
 use {
+    super::guarantee_api::check_guarantees,
     crate::{
         connection::{HttpReply, HttpRequest, Problem},
         prelude::*,
@@ -41,7 +42,7 @@
 }
 
 /// Returns the operator whose key the request shows, when it has the role.
-fn authorise(
+pub(super) fn authorise(
     entry: &Entry,
     req: &HttpRequest,
     role: Role,
@@ -75,11 +76,17 @@
     let Ok(text) = std::str::from_utf8(&req.body) else {
         return Problem::new(400, "bad-document", "the document is not UTF-8").into();
     };
-    if let Err(faults) = Document::parse("document", text) {
-        let extra = json!({ "faults": faults.faults });
-        return Problem::new(422, "bad-document", "the document has faults")
-            .with_extra(extra)
-            .into();
+    let document = match Document::parse("document", text) {
+        Ok(document) => document,
+        Err(faults) => {
+            let extra = json!({ "faults": faults.faults });
+            return Problem::new(422, "bad-document", "the document has faults")
+                .with_extra(extra)
+                .into();
+        }
+    };
+    if let Err(problem) = check_guarantees(entry, &document) {
+        return problem.into();
     }
     let record = RecordBody::Document(DocumentRecord {
         follows,
--- a/src/request/api/entry_api.rs
+++ b/src/request/api/entry_api.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        admin_api::answer_admin, job_api::answer_jobs, request_api::answer_request,
-        state_api::answer_state,
+        admin_api::answer_admin, guarantee_api::answer_guarantees, job_api::answer_jobs,
+        request_api::answer_request, state_api::answer_state,
     },
     crate::{
         connection::{HttpHandler, HttpReply, HttpRequest, Problem},
@@ -11,6 +11,7 @@
         process::entry::Entry,
         version::Account,
     },
+    hyper::Method,
 };
 
 /// The largest body of a request outside the request kinds, in bytes.
@@ -39,6 +40,9 @@
             ["readyz"] => HttpReply::text(503, "not ready\n"),
             ["metrics"] => HttpReply::text(200, &entry.metrics.render()),
             ["v1", "state"] => answer_state(entry, &req),
+            ["v1", "admin", "guarantees"] if req.method == Method::GET => {
+                answer_guarantees(entry, &req)
+            }
             ["v1", "admin", rest @ ..] => answer_admin(entry, &req, rest).await,
             ["v1", "requests", kind] => match authorise(entry, &req) {
                 Ok(account) => answer_request(entry, &req, &account, kind).await,
--- a/src/request/api/job_api.rs
+++ b/src/request/api/job_api.rs
@@ -5,10 +5,15 @@
         connection::{HttpReply, HttpRequest, Problem},
         prelude::*,
         process::{
+            clock::with_timeout,
             entry::Entry,
             state::{JobEnd, JobEntry, JobRecord, RecordBody},
         },
-        request::{JobError, JobSubmission, submit_job},
+        request::{
+            JobError, JobSubmission,
+            api::job_explanation::{explain, is_placed},
+            submit_job,
+        },
         version::Account,
     },
     hyper::Method,
@@ -18,12 +23,17 @@
 /// The pause that a caller is told to make while the log is away.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// The longest wait for the end of a job in one request.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
 /// A job as its account sees it.
 #[derive(Debug, Serialize)]
 struct JobView {
     id: String,
     kind: KindName,
     status: String,
+    /// Whether its gang has a place now, as far as this entry knows.
+    placed: bool,
     accepted_ms: u64,
     owner: EntryName,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -31,7 +41,10 @@
 }
 
 impl JobView {
-    fn of(job: &JobEntry) -> Self {
+    fn of(
+        entry: &Entry,
+        job: &JobEntry,
+    ) -> Self {
         let failure = match &job.end {
             Some(JobEnd::Failed(reason)) => Some(reason.clone()),
             _ => None,
@@ -40,6 +53,7 @@
             id: job.spec.id.to_string(),
             kind: job.spec.kind.clone(),
             status: job.status().to_string(),
+            placed: job.is_open() && is_placed(entry, job),
             accepted_ms: job.spec.accepted_ms,
             owner: job.owner.clone(),
             failure,
@@ -57,8 +71,12 @@
     match (&req.method, path) {
         (&Method::POST, []) => submit(entry, req, account).await,
         (&Method::GET, []) => list(entry, account),
-        (&Method::GET, [id]) => match find(entry, account, id) {
-            Some(job) => HttpReply::json(200, &JobView::of(&job)),
+        (&Method::GET, [id]) => match wait_for(entry, req, account, id).await {
+            Some(job) => HttpReply::json(200, &JobView::of(entry, &job)),
+            None => Problem::not_found().into(),
+        },
+        (&Method::GET, [id, "explain"]) => match find(entry, account, id) {
+            Some(job) => HttpReply::json(200, &explain(entry, &job)),
             None => Problem::not_found().into(),
         },
         (&Method::GET, [id, "result"]) => match find(entry, account, id) {
@@ -95,7 +113,9 @@
 fn encode_error(e: &JobError) -> HttpReply {
     match e {
         JobError::UnknownKind(_) => Problem::new(404, "unknown-kind", e).into(),
-        JobError::OverQuota { .. } => Problem::new(422, "never-runs", e).into(),
+        JobError::OverQuota { .. } | JobError::NeverFits { .. } => {
+            Problem::new(422, "never-runs", e).into()
+        }
         JobError::TooManyJobs(_) => Problem::new(429, "too-many-jobs", e)
             .retry_after(RETRY_AFTER)
             .into(),
@@ -109,10 +129,32 @@
 ) -> HttpReply {
     let fold = entry.state.fold();
     let own = fold.jobs().filter(|j| j.spec.account == account.name);
-    let views: Vec<JobView> = own.map(JobView::of).collect();
+    let views: Vec<JobView> = own.map(|j| JobView::of(entry, j)).collect();
     HttpReply::json(200, &views)
 }
 
+/// Waits until a job has ended, for as long as the request's `wait_ms` says, and returns it.
+async fn wait_for(
+    entry: &Entry,
+    req: &HttpRequest,
+    account: &Account,
+    id: &str,
+) -> Option<JobEntry> {
+    let wait = req.query("wait_ms").and_then(|v| v.parse().ok());
+    let wait = Duration::from_millis(wait.unwrap_or_default()).min(MAX_WAIT);
+    let ended = async {
+        loop {
+            let changed = entry.state.change();
+            if !find(entry, account, id).is_some_and(|j| j.is_open()) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    with_timeout(&*entry.clock, wait, ended).await;
+    find(entry, account, id)
+}
+
 /// Finds a job of the account; another account's job is not found.
 fn find(
     entry: &Entry,
--- a/src/request/api/mod.rs
+++ b/src/request/api/mod.rs
@@ -2,7 +2,9 @@
 
 mod admin_api;
 mod entry_api;
+mod guarantee_api;
 mod job_api;
+mod job_explanation;
 mod request_api;
 mod state_api;
 
--- a/src/request/job/submission.rs
+++ b/src/request/job/submission.rs
@@ -5,9 +5,10 @@
         prelude::*,
         process::{
             entry::Entry,
+            job_queue::fitness::never_fits,
             state::{JobRecord, RecordBody, StateError},
         },
-        version::JobKind,
+        version::{JobKind, Shape, UnmetReason},
     },
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
@@ -58,6 +59,15 @@
         /// The account's quota.
         quota: u32,
     },
+    /// No worker or rack that is known could ever hold the gang.
+    #[display("the gang {gang} can never run here: {reason}")]
+    NeverFits {
+        /// The gang.
+        gang: Shape,
+        /// What is missing.
+        #[error(not(source))]
+        reason: UnmetReason,
+    },
     /// The job could not be recorded.
     #[display("{_0}")]
     State(StateError),
@@ -107,6 +117,12 @@
             quota: limits.quota_accelerators,
         });
     }
+    if let Some(reason) = never_fits(&entry.fleet.borrow().known(), &kind.gang) {
+        return Err(JobError::NeverFits {
+            gang: kind.gang,
+            reason,
+        });
+    }
     let open = entry.state.fold().unfinished_jobs(account);
     if open >= limits.max_jobs {
         return Err(JobError::TooManyJobs(open));
