--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -1,15 +1,15 @@
 //! The guard.
 
 use {
-    super::{GangKeeper, SlotBook},
+    super::{GangKeeper, RequestRunner, SlotBook},
     crate::{
-        connection::{GangRequest, GuardReply, GuardRequest, PeerHandler, Refusal, RunGrant},
+        connection::{GangRequest, GuardReply, GuardRequest, PeerHandler, Refusal},
         prelude::*,
         process::{
             entry::{Dialer, LinkDialer},
             membership::{Announcement, ServingState},
             metrics::Metrics,
-            platform::{RunCall, Worker, WorkerError},
+            platform::Worker,
             settings::GuardSettings,
         },
     },
@@ -25,8 +25,8 @@
     settings: GuardSettings,
     clock: Rc<dyn Clock>,
     metrics: Rc<Metrics>,
-    worker: Rc<dyn Worker>,
     slots: Rc<SlotBook>,
+    requests: RequestRunner,
     gangs: Rc<GangKeeper>,
     version: Cell<VersionNumber>,
     document: RefCell<Rc<Document>>,
@@ -66,21 +66,29 @@
         dialer: Rc<dyn Dialer>,
     ) -> Self {
         let changed = Rc::new(Event::new());
+        let slots = Rc::new(SlotBook::new(settings.slots, changed.clone()));
+        let requests = RequestRunner::new(
+            clock.clone(),
+            metrics.clone(),
+            worker.clone(),
+            slots.clone(),
+        );
         let gangs = GangKeeper::new(
             clock.clone(),
             metrics.clone(),
             worker.clone(),
             dialer,
             AcceleratorSet::first(settings.accelerators),
+            settings.plain_tasks,
             changed.clone(),
         );
         Self {
-            slots: Rc::new(SlotBook::new(settings.slots, changed.clone())),
+            slots,
+            requests,
             gangs: Rc::new(gangs),
             settings,
             clock,
             metrics,
-            worker,
             version: Cell::default(),
             document: RefCell::default(),
             incarnation,
@@ -128,6 +136,8 @@
             slots_in_use: self.slots.in_use(),
             accelerators: AcceleratorSet::first(self.settings.accelerators),
             accelerators_free: self.gangs.free(),
+            plain_tasks: self.settings.plain_tasks,
+            plain_free: self.gangs.plain_free(),
             evictable: self.gangs.borrowed(),
             guaranteed: self.gangs.guaranteed(),
             version: self.version.get(),
@@ -155,43 +165,6 @@
         }
     }
 
-    async fn run(
-        &self,
-        grant: RunGrant,
-    ) -> GuardReply {
-        let slot = match self.slots.take() {
-            Ok(slot) => slot,
-            Err(refusal) => return GuardReply::Refused(refusal),
-        };
-        self.metrics
-            .slots_in_use
-            .set(i64::from(self.slots.in_use()));
-        let call = RunCall {
-            id: grant.id,
-            kind: grant.kind,
-            body: grant.body,
-            timeout_ms: grant.timeout_ms,
-        };
-        let result = self.worker.run(call).await;
-        drop(slot);
-        self.metrics
-            .slots_in_use
-            .set(i64::from(self.slots.in_use()));
-        match result {
-            Ok(answer) => GuardReply::Answer {
-                id: answer.id,
-                status: answer.status,
-                body: answer.body,
-            },
-            Err(WorkerError::NotReached | WorkerError::Refused(_)) => {
-                GuardReply::Refused(Refusal::Worker)
-            }
-            Err(e @ WorkerError::AnswerLost(_)) => GuardReply::Unknown {
-                reason: e.to_string(),
-            },
-        }
-    }
-
     /// Does a call about a gang; a draining upstream takes no new ones.
     async fn call_gang(
         &self,
@@ -229,7 +202,7 @@
         req: GuardRequest,
     ) -> GuardReply {
         match req {
-            GuardRequest::Run(grant) => self.run(grant).await,
+            GuardRequest::Run(grant) => self.requests.run(grant).await,
             GuardRequest::Gang(req) => self.call_gang(req).await,
             GuardRequest::Document { version, text } => self.take_document(version, &text),
             GuardRequest::Layout { number, guaranteed } => {
--- a/src/process/job_queue/giving_way.rs
+++ b/src/process/job_queue/giving_way.rs
@@ -101,6 +101,7 @@
         Some(Taken {
             worker: view.fleet.index_of(&h.upstream)?,
             accelerators: h.accelerators,
+            plain_tasks: h.plain_tasks,
         })
     });
     held.collect()
--- a/src/process/job_queue/queue_rules.rs
+++ b/src/process/job_queue/queue_rules.rs
@@ -91,7 +91,7 @@
         &self,
         cx: &RankCx<'_>,
     ) -> Rank {
-        let gang = f64::from(cx.job.kind.gang.total());
+        let gang = f64::from(cx.job.kind.gang.total().max(1));
         let run_s = cx.estimate.typical.as_secs_f64().max(MIN_RUN_S);
         let aged = AGEING * cx.waited.as_secs_f64() / run_s;
         let size = cx.completion_weight * (run_s * gang).log2()
--- a/src/process/job_queue/turn.rs
+++ b/src/process/job_queue/turn.rs
@@ -291,6 +291,7 @@
         let held = decision.taken.iter().map(|t| HeldOn {
             upstream: self.cx.view.name_of(t.worker).clone(),
             accelerators: t.accelerators,
+            plain_tasks: t.plain_tasks,
         });
         let running = RunningJob {
             id: job.id,
@@ -360,7 +361,8 @@
         job: &WaitingJob,
         ask: &PlacementAsk,
     ) -> WaitReason {
-        let free = self.queue.claim.is_none() && job.kind.class != Class::Deferrable;
+        let claims = job.kind.class != Class::Deferrable && !job.kind.gang.is_plain();
+        let free = self.queue.claim.is_none() && claims;
         let running = self.queue.running.values().chain(&self.queue.others);
         let estimates = &self.queue.estimates;
         let claim = free
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -8,12 +8,15 @@
 
 pub use {
     api::EntryApi,
-    call::{CallerRequest, NotRun, Outcome, run_request},
+    call::{CallerRequest, Fingerprint, KeyConflict, NotRun, Outcome, run_request},
     id::{IdSource, JobId, RequestId},
     job::{
         FirstFitPlacement, FleetView, Fragmentation, JobError, JobSpec, JobSubmission, MixShape,
         PackPlacement, PassReason, PassedOver, PassedWorkers, PlacementAsk, PlacementDecision,
         PlacementPolicy, Room, ShapeMix, Taken, Tiers, WeighedPlacement, run_job, submit_job,
     },
-    routing::{LeastWaitRouting, RoutingAsk, RoutingDecision, RoutingPolicy},
+    routing::{
+        Health, LeastConnectionsRouting, LeastWaitRouting, LoadSource, RandomRouting,
+        RoundRobinRouting, RoutingAsk, RoutingDecision, RoutingPolicy, UpstreamLoad,
+    },
 };
