Test the queue by random courses, and mend the replay of kinds without accelerators

Cause: bench placement divided by zero once a document had a gang without accelerators, and the queue had no tests of its own. Random courses of a queue (adding, cancelling in waves, failing, losing workers, turns) are checked after each step: whole and near gangs, nothing held twice, shares never blocked by work that cannot be evicted, quotas, no start of an ended job, nothing left at the end.

--- a/src/process/bench/placement/mod.rs
+++ b/src/process/bench/placement/mod.rs
@@ -5,17 +5,23 @@
 mod deployment;
 mod first_come_rules;
 mod placement_bench;
+mod placement_results;
+mod placement_tables;
 mod replay;
+mod replay_event;
 mod replay_job;
 mod replay_report;
+mod replay_result;
 mod strategy;
 mod workload;
 
 pub use {
     deployment::Deployment,
     placement_bench::PlacementBench,
-    replay::{Replay, ReplayResult},
+    replay::Replay,
     replay_job::ReplayJob,
+    replay_report::{FragmentationReport, IdleSums},
+    replay_result::ReplayResult,
     strategy::Strategy,
     workload::{Workload, WorkloadSize},
 };
--- /dev/null
+++ b/src/process/bench/placement/placement_results.rs
@@ -0,0 +1,133 @@
+//! The results of all replays.
+
+use {
+    super::{
+        Deployment, Replay, ReplayJob, ReplayResult, Strategy, Workload, WorkloadSize,
+        bound::mean_completion_bound,
+    },
+    crate::prelude::*,
+    std::collections::BTreeSet,
+};
+
+/// Milliseconds of one hour.
+pub(super) const HOUR_MS: f64 = 3_600_000.0;
+
+/// The results of one strategy, over all seeds of a deployment.
+pub(super) struct StrategyResults {
+    pub(super) name: &'static str,
+    pub(super) replays: Vec<ReplayResult>,
+}
+
+/// The replays of one deployment.
+pub(super) struct DeploymentResults {
+    pub(super) service: Arc<str>,
+    pub(super) workloads: Vec<Workload>,
+    accelerators: u32,
+    document: Document,
+    pub(super) strategies: Vec<StrategyResults>,
+}
+
+/// Mean and percentiles of completion times, in hours.
+pub(super) struct Spread {
+    jobs: usize,
+    pub(super) mean: f64,
+    p50: f64,
+    p95: f64,
+    p99: f64,
+}
+
+/// Replays every workload with every strategy.
+pub(super) fn replay_all(
+    deployment: &Deployment,
+    size: WorkloadSize,
+    first_seed: u64,
+    seeds: u64,
+) -> DeploymentResults {
+    let seeds = first_seed..first_seed + seeds;
+    let workloads: Vec<Workload> = seeds.map(|s| Workload::draw(deployment, size, s)).collect();
+    let strategies = Strategy::all().into_iter().map(|strategy| StrategyResults {
+        name: strategy.name,
+        replays: workloads
+            .iter()
+            .map(|w| Replay::new(deployment, &strategy, w).run())
+            .collect(),
+    });
+    let workers = deployment.fleet.workers().iter();
+    DeploymentResults {
+        service: deployment.document.service.clone(),
+        strategies: strategies.collect(),
+        accelerators: workers.map(|w| w.accelerators.len()).sum(),
+        document: deployment.document.clone(),
+        workloads,
+    }
+}
+
+impl DeploymentResults {
+    /// Returns the jobs of one seed that every strategy finished, so that all are compared over
+    /// the same jobs.
+    pub(super) fn common_jobs(
+        &self,
+        seed: usize,
+    ) -> Vec<&ReplayJob> {
+        let finished = self.strategies.iter().map(|s| {
+            let completions = s.replays[seed].completions.keys();
+            completions.copied().collect::<BTreeSet<JobId>>()
+        });
+        let common = finished.reduce(|a, b| &a & &b).unwrap_or_default();
+        let jobs = self.workloads[seed].jobs.iter();
+        jobs.filter(|j| common.contains(&j.id)).collect()
+    }
+
+    /// Returns the completion times of a strategy over the common jobs of a group.
+    pub(super) fn spread<F>(
+        &self,
+        strategy: &StrategyResults,
+        belongs: F,
+    ) -> Option<Spread>
+    where
+        F: Fn(&ReplayJob) -> bool,
+    {
+        let mut hours = Vec::new();
+        for (seed, replay) in strategy.replays.iter().enumerate() {
+            let jobs = self.common_jobs(seed).into_iter().filter(|j| belongs(j));
+            hours.extend(jobs.map(|j| replay.completions[&j.id].as_millis() as f64 / HOUR_MS));
+        }
+        Spread::of(hours)
+    }
+
+    /// Returns the mean completion time that no scheduler beats, in hours.
+    pub(super) fn bound(&self) -> f64 {
+        let seeds = 0..self.workloads.len();
+        let bounds = seeds.map(|s| {
+            mean_completion_bound(&self.common_jobs(s), self.accelerators, &self.document)
+        });
+        let total: f64 = bounds.map(|b| b.as_millis() as f64 / HOUR_MS).sum();
+        total / self.workloads.len() as f64
+    }
+}
+
+impl Spread {
+    fn of(mut hours: Vec<f64>) -> Option<Self> {
+        if hours.is_empty() {
+            return None;
+        }
+        hours.sort_by(f64::total_cmp);
+        let percentile = |part: f64| hours[((hours.len() - 1) as f64 * part).round() as usize];
+        Some(Self {
+            jobs: hours.len(),
+            mean: hours.iter().sum::<f64>() / hours.len() as f64,
+            p50: percentile(0.50),
+            p95: percentile(0.95),
+            p99: percentile(0.99),
+        })
+    }
+
+    /// Returns the number of jobs, the mean and the percentiles.
+    pub(super) fn cells(&self) -> Vec<String> {
+        let times = [self.mean, self.p50, self.p95, self.p99];
+        let times = times.iter().map(|t| format!("{t:.2}"));
+        std::iter::once(self.jobs.to_string())
+            .chain(times)
+            .collect()
+    }
+}
--- a/src/process/bench/placement/replay.rs
+++ b/src/process/bench/placement/replay.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        Deployment, ReplayJob, Strategy, Workload,
+        Deployment, ReplayJob, ReplayResult, Strategy, Workload,
+        replay_event::{Event, EventTime},
         replay_job::{Course, Run},
-        replay_report::FragmentationReport,
     },
     crate::{
         connection::GuaranteedShare,
@@ -31,51 +31,6 @@
 /// How long after the last arrival a replay ends at the latest.
 const MAX_TAIL: Duration = Duration::from_secs(20 * 24 * 3600);
 
-/// Something that happens.
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    Arrives(usize),
-    Cancelled(JobId),
-    Finishes {
-        job: JobId,
-        start: u32,
-    },
-    Fails {
-        job: JobId,
-        start: u32,
-        worker: usize,
-    },
-    GivesWay {
-        job: JobId,
-        start: u32,
-    },
-    Tick,
-}
-
-/// When something happens; what comes first at one time happens first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct EventTime {
-    at: Millis,
-    number: u64,
-}
-
-/// What a replay brought.
-#[derive(Clone, Debug, Default)]
-pub struct ReplayResult {
-    /// The completion time of each job that finished, from its arrival, by job.
-    pub completions: BTreeMap<JobId, Duration>,
-    /// The number of jobs that were given up after failures though they can work.
-    pub given_up: u32,
-    /// The number of jobs that had not ended when the replay ended.
-    pub open: u32,
-    /// How often a job lost its place to the owner of a guarantee.
-    pub evictions: u32,
-    /// How often a deferrable job gave way.
-    pub gave_way: u32,
-    /// What was idle, and how much of it was of no use.
-    pub fragmentation: FragmentationReport,
-}
-
 /// A replay under way.
 pub struct Replay<'a> {
     document: Document,
--- a/src/process/bench/placement/workload.rs
+++ b/src/process/bench/placement/workload.rs
@@ -87,7 +87,8 @@
     }
 }
 
-/// Pairs accounts with the kinds that fit their quotas; run times are off by 3 to 10, either way.
+/// Pairs accounts with the kinds that hold accelerators and fit their quotas; run times are off by 3
+/// to 10, either way.
 fn draw_sources(
     document: &Document,
     rng: &mut StdRng,
@@ -95,7 +96,7 @@
     let mut sources = Vec::new();
     for account in document.accounts.values() {
         for kind in document.job_kinds.values() {
-            if kind.gang.total() > account.quota_accelerators {
+            if kind.gang.is_plain() || kind.gang.total() > account.quota_accelerators {
                 continue;
             }
             let off = rng.random_range(3.0..10.0);
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -3,3 +3,7 @@
 mod fuzz;
 mod layout;
 mod layout_fuzz;
+mod learning;
+mod queue;
+mod queue_fuzz;
+mod replay;
--- /dev/null
+++ b/tests/placement/replay.rs
@@ -0,0 +1,28 @@
+//! A short replay of arrivals through the queue and the policies.
+
+use limpetquay::process::bench::placement::{Deployment, Replay, Strategy, Workload, WorkloadSize};
+
+/// One day of arrivals ends with no job open, for both services and every strategy, and takes the
+/// same course each time.
+#[test]
+fn a_day_of_arrivals_is_served() {
+    let mut lines = Vec::new();
+    for deployment in Deployment::examples().expect("valid examples") {
+        let workload = Workload::draw(&deployment, WorkloadSize { days: 1 }, 7);
+        for strategy in Strategy::all() {
+            let result = Replay::new(&deployment, &strategy, &workload).run();
+            let again = Replay::new(&deployment, &strategy, &workload).run();
+            assert_eq!(result.completions, again.completions);
+            lines.push(format!(
+                "{} {}: {} of {} finished, {} open, {} given up",
+                deployment.document.service,
+                strategy.name,
+                result.completions.len(),
+                workload.jobs.len(),
+                result.open,
+                result.given_up,
+            ));
+        }
+    }
+    insta::assert_debug_snapshot!(lines);
+}
