--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -140,6 +140,7 @@
             plain_free: self.gangs.plain_free(),
             evictable: self.gangs.borrowed(),
             guaranteed: self.gangs.guaranteed(),
+            orphans: self.gangs.orphans(),
             version: self.version.get(),
         }
     }
--- a/src/request/api/guarantee_api.rs
+++ b/src/request/api/admin/guarantees.rs
@@ -1,12 +1,11 @@
 //! The guarantees and where they are laid, for operators.
 
 use {
-    super::admin_api::authorise,
     crate::{
-        connection::{HttpReply, HttpRequest, Problem},
+        connection::{HttpReply, Problem},
         prelude::*,
         process::entry::Entry,
-        version::{Guarantee, LaidShape, Role, UnmetShape, lay_out},
+        version::{Guarantee, LaidShape, UnmetShape, lay_out},
     },
     serde::Serialize,
     serde_json::json,
@@ -37,14 +36,8 @@
     reason: String,
 }
 
-/// Answers `GET /v1/admin/guarantees`.
-pub(super) fn answer_guarantees(
-    entry: &Entry,
-    req: &HttpRequest,
-) -> HttpReply {
-    if let Err(problem) = authorise(entry, req, Role::Read) {
-        return problem.into();
-    }
+/// Lists where the guarantees are laid, and which are not.
+pub(super) fn list_guarantees(entry: &Entry) -> HttpReply {
     let fold = entry.state.fold();
     let layouts = fold.layouts();
     let laid = layouts.layout().shapes.iter().map(|s| view_laid(entry, s));
--- a/src/request/api/mod.rs
+++ b/src/request/api/mod.rs
@@ -1,8 +1,7 @@
 //! The HTTP interface of an entry: turns requests into calls of the decisions, and back.
 
-mod admin_api;
+mod admin;
 mod entry_api;
-mod guarantee_api;
 mod job_api;
 mod job_explanation;
 mod request_api;
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -4,6 +4,7 @@
 mod layout;
 mod layout_fuzz;
 mod learning;
+mod local;
 mod queue;
 mod queue_fuzz;
 mod replay;
