--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -7,11 +7,13 @@
 mod bench;
 pub mod capacity;
 mod fit;
+mod log;
 pub mod membership;
 mod page;
 pub mod placement;
 mod plot;
 mod process_usage;
+pub mod requests;
 mod table;
 
 pub use {
--- a/src/process/bench/placement/decision_cost.rs
+++ b/src/process/bench/placement/decision_cost.rs
@@ -127,7 +127,7 @@
 }
 
 /// Returns a fleet of eight data centres in two regions on which much is held.
-fn crowded_view(
+pub(super) fn crowded_view(
     workers: u32,
     seed: u64,
 ) -> FleetView {
--- a/src/process/bench/placement/mod.rs
+++ b/src/process/bench/placement/mod.rs
@@ -13,6 +13,7 @@
 mod replay_report;
 mod replay_result;
 mod strategy;
+mod turn_cost;
 mod workload;
 
 pub use {
--- a/src/process/bench/placement/placement_bench.rs
+++ b/src/process/bench/placement/placement_bench.rs
@@ -10,6 +10,7 @@
             size_groups, weights_table,
         },
         replay_report::SLICE_MS,
+        turn_cost::measure_turn_cost,
     },
     crate::process::bench::{Bench, BenchCx, BenchError, Series, Table, write_plot},
 };
@@ -56,6 +57,7 @@
             course_table(&results),
             weights_table(&results),
             measure_decision_cost(cx),
+            measure_turn_cost(cx)?,
         ])
     }
 }
--- a/src/process/job_queue/job_turns.rs
+++ b/src/process/job_queue/job_turns.rs
@@ -24,6 +24,13 @@
 /// The shortest pause between two turns, so that a wave of changes is one turn.
 const TURN_SPACING: Duration = Duration::from_millis(10);
 
+/// How many times as long as a turn the pause after it is, so that turns take a small part of a
+/// core.
+const PAUSE_FACTOR: u32 = 20;
+
+/// The longest pause after a turn.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
 /// The queue of one entry with the tasks of its jobs.
 #[derive(Default)]
 pub struct JobTurns {
@@ -85,8 +92,11 @@
     ) {
         loop {
             let due = self.due.listen();
+            let began = entry.clock.now();
             self.take_turn(entry);
-            entry.clock.sleep(TURN_SPACING).await;
+            let took = entry.clock.now().since(began);
+            let pause = (took * PAUSE_FACTOR).clamp(TURN_SPACING, MAX_PAUSE);
+            entry.clock.sleep(pause).await;
             let changed = self.wait_for_members(entry);
             futures_util::pin_mut!(due, changed);
             futures_util::future::select(due, changed).await;
--- a/tests/gangs/world.rs
+++ b/tests/gangs/world.rs
@@ -188,7 +188,7 @@
             metrics: Rc::new(Metrics::default()),
             state,
             dialer: self.dialer(&node, address),
-            routing: Box::new(LeastWaitRouting::new(epoch)),
+            routing: Rc::new(LeastWaitRouting::new(epoch)),
             ids: IdSource::with_epoch(epoch),
             seed: epoch,
         };
