--- a/src/request/api/admin/documents.rs
+++ b/src/request/api/admin/documents.rs
@@ -1,7 +1,7 @@
 //! The document: read it, submit another one, see what was before, and return to it.
 
 use {
-    super::{authority::log_problem, page::answer_page},
+    super::{authority::log_problem, guarantees::check_guarantees, page::answer_page},
     crate::{
         connection::{HttpReply, HttpRequest, Problem},
         prelude::*,
@@ -142,16 +142,22 @@
     follows: VersionNumber,
     text: Arc<str>,
 ) -> HttpReply {
-    if let Err(faults) = Document::parse("document", &text) {
-        let problem = Problem::new(422, "bad-document", "the document has faults");
-        return problem
-            .with_extra(json!({ "faults": faults.faults }))
-            .into();
-    }
+    let document = match Document::parse("document", &text) {
+        Ok(document) => document,
+        Err(faults) => {
+            let problem = Problem::new(422, "bad-document", "the document has faults");
+            return problem
+                .with_extra(json!({ "faults": faults.faults }))
+                .into();
+        }
+    };
     let in_force = entry.state.fold().version();
     if in_force > follows {
         return conflict(entry, follows, &text).into();
     }
+    if let Err(problem) = check_guarantees(entry, &document) {
+        return problem.into();
+    }
     let record = RecordBody::Document(DocumentRecord {
         follows,
         text: text.clone(),
--- a/src/request/api/admin/mod.rs
+++ b/src/request/api/admin/mod.rs
@@ -4,6 +4,7 @@
 mod admin_api;
 mod authority;
 mod documents;
+mod guarantees;
 mod jobs;
 mod log_status;
 mod page;
--- a/src/request/api/mod.rs
+++ b/src/request/api/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod entry_api;
 mod job_api;
+mod job_explanation;
 mod request_api;
 mod state_api;
 
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -3,3 +3,8 @@
 mod fuzz;
 mod layout;
 mod layout_fuzz;
+mod learning;
+mod local;
+mod queue;
+mod queue_fuzz;
+mod replay;
