--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -1,7 +1,10 @@
 //! The border of a measurement.
 
 use {
-    super::{Table, capacity::CapacityBench, placement::PlacementBench, requests::RequestsBench},
+    super::{
+        Table, capacity::CapacityBench, membership::MembershipBench, placement::PlacementBench,
+        requests::RequestsBench,
+    },
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
     std::{io, path::PathBuf},
@@ -57,6 +60,7 @@
 pub fn benches() -> Vec<Box<dyn Bench>> {
     vec![
         Box::new(CapacityBench),
+        Box::new(MembershipBench),
         Box::new(PlacementBench),
         Box::new(RequestsBench),
     ]
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -1,7 +1,9 @@
 //! State on the platform's log, under faults of the log and of its readers and writers.
 
+mod admin;
 mod cases;
 mod fake_log;
 mod fuzz;
 mod model;
+mod recovery;
 mod world;
