Test keys, crossed answers and slots over HTTP

Cause: statuses and slots were tested only below HTTP. Change: three tests over a local system's sockets.

--- /dev/null
+++ b/tests/requests/http.rs
@@ -0,0 +1,141 @@
+//! What callers see over HTTP.
+
+use {
+    compio::runtime::Runtime,
+    hyper::Method,
+    limpetquay::{
+        connection::{HttpAnswer, HttpClient},
+        prelude::*,
+        process::{
+            clock::SystemClock,
+            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, example_key},
+            settings::LocalSettings,
+            stand_in::RunMode,
+        },
+    },
+};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The requests that are sent at once.
+const BURST: usize = 200;
+
+/// A local system with a client.
+struct Fixture {
+    system: LocalSystem,
+    client: HttpClient,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let settings = LocalSettings::parse("local.ini", EXAMPLE_SETTINGS).expect("valid settings");
+        let system = LocalSystem::start(&settings, EXAMPLE_DOCUMENT, clock.clone()).await;
+        Self {
+            system: system.expect("the system starts"),
+            client: HttpClient::new(clock),
+        }
+    }
+
+    async fn post(
+        &self,
+        entry: usize,
+        kind: &str,
+        header: (&str, &str),
+        body: &str,
+    ) -> HttpAnswer {
+        let address = self.system.entries()[entry].http_address();
+        let url = format!("http://{address}/v1/requests/{kind}");
+        let bearer = format!("Bearer {}", example_key("jozi-studios"));
+        let headers = [("authorization", bearer.as_str()), header];
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        let calling = self
+            .client
+            .call(Method::POST, &url, &headers, body, TIMEOUT);
+        calling.await.expect("the entry answers")
+    }
+}
+
+/// Returns the status and the kind of problem, or the answer.
+fn text(answer: &HttpAnswer) -> String {
+    let body = String::from_utf8_lossy(&answer.body);
+    let problem: Option<serde_json::Value> = serde_json::from_str(&body).ok();
+    let kind = problem.as_ref().and_then(|p| p["type"].as_str());
+    format!("{} {}", answer.status, kind.unwrap_or(body.trim()))
+}
+
+/// A key answers its repetition through another entry, and refuses another body or a bad key.
+#[test]
+fn keys_are_answered_with_their_statuses() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        let key = ("idempotency-key", "sweep-7");
+        let long = "k".repeat(129);
+        let kind = "duplicate-sweep";
+        let first = fixture.post(0, kind, key, "ticket=1").await;
+        let again = loop {
+            let again = fixture.post(1, kind, key, "ticket=1").await;
+            if again.status != 409 {
+                break again;
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        };
+        let other = fixture.post(2, kind, key, "ticket=2").await;
+        let bad = fixture.post(0, kind, ("idempotency-key", &long), "x").await;
+        let late = fixture.post(0, kind, ("x-deadline-ms", "soon"), "x").await;
+        let answers = [first, again, other, bad, late];
+        insta::assert_debug_snapshot!(answers.each_ref().map(text));
+        fixture.system.stop().await;
+    });
+}
+
+/// An answer that names another request is not passed on, and its request is not tried again.
+#[test]
+fn a_crossed_answer_is_not_passed_on() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        for upstream in fixture.system.upstreams() {
+            upstream.requests().set_mode(RunMode::Crossed);
+        }
+        let none = ("x-unused", "-");
+        let answer = fixture.post(0, "duplicate-sweep", none, "ticket=1").await;
+        let upstreams = fixture.system.upstreams().iter();
+        let runs: u32 = upstreams
+            .flat_map(|u| u.requests().runs().into_values())
+            .sum();
+        insta::assert_debug_snapshot!((text(&answer), runs));
+        fixture.system.stop().await;
+    });
+}
+
+/// No upstream runs more at once than it has slots, however many requests come through all
+/// entries, and each caller gets the answer to its own.
+#[test]
+fn slots_hold_over_all_entries() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        let entries = fixture.system.entries().len();
+        let none = ("x-unused", "-");
+        let calls = (0..BURST).map(|i| {
+            let fixture = &fixture;
+            async move {
+                let body = format!("run_ms=30&dump={i}");
+                let answer = fixture
+                    .post(i % entries, "crash-analysis", none, &body)
+                    .await;
+                answer.status != 200 || text(&answer).ends_with(&body)
+            }
+        });
+        let own = futures_util::future::join_all(calls).await;
+        let upstreams = fixture.system.upstreams().iter();
+        let most = upstreams.map(|u| u.requests().most_running()).max();
+        let is_within = most.is_some_and(|n| n <= 8);
+        insta::assert_debug_snapshot!((own.iter().all(|own| *own), is_within), @r"
+        (
+            true,
+            true,
+        )
+        ");
+        fixture.system.stop().await;
+    });
+}
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod fakes;
 mod fuzz;
+mod http;
 mod limits;
 mod network;
 mod oracle;
