Look at all upstreams of a short table

Cause: with six equal upstreams drawing three gave 8 % less throughput than round robin (1349 against 1472 a second) and p99 of 30.9 ms against 16.9 ms. Change: up to 16 upstreams of one distance are all looked at, in random order.

--- a/src/request/routing/least_wait.rs
+++ b/src/request/routing/least_wait.rs
@@ -18,6 +18,9 @@
 /// How many upstreams of each distance are drawn before all are looked at.
 const DRAWS: usize = 3;
 
+/// The most upstreams of one distance that are all looked at.
+const SHORT_TABLE: usize = 16;
+
 /// How far an upstream is from the entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Distance {
@@ -26,10 +29,11 @@
     Elsewhere,
 }
 
-/// Draws a few upstreams at random and takes the one with the least expected time: the own data
-/// centre before the own region, and another region only when no slot is free in the own and the
-/// wait saved is worth the bytes. Drawing, after Mitzenmacher's power of two choices (2001), keeps
-/// entries with the same old announcements from all choosing the same upstream.
+/// Looks at the upstreams in random order, or at a few drawn ones where there are many, and takes
+/// the one with the least expected time: the own data centre before the own region, and another
+/// region only when no slot is free in the own and the wait saved is worth the bytes. Drawing,
+/// after Mitzenmacher's power of two choices (2001), keeps entries with the same old announcements
+/// from all choosing the same upstream.
 #[derive(Debug)]
 pub struct LeastWaitRouting {
     rng: RefCell<StdRng>,
@@ -61,7 +65,7 @@
         upstreams: &[&'a Rc<Announcement>],
     ) -> Vec<&'a Rc<Announcement>> {
         let mut rng = self.rng.borrow_mut();
-        if upstreams.len() <= DRAWS {
+        if upstreams.len() <= SHORT_TABLE {
             let mut all = upstreams.to_vec();
             all.shuffle(&mut *rng);
             return all;
