--- a/src/process/bench/membership/light_generator.rs
+++ b/src/process/bench/membership/light_generator.rs
@@ -36,11 +36,12 @@
         slots: 8,
         slots_in_use: 0,
         accelerators: AcceleratorSet::first(2),
-        accelerators_free: AcceleratorSet::first(2),
         plain_tasks: 32,
+        accelerators_free: AcceleratorSet::first(2),
         plain_free: 14,
         evictable: AcceleratorSet::empty(),
         guaranteed: Vec::new(),
+        orphans: Vec::new(),
         version: VersionNumber::default(),
     }
 }
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -7,6 +7,7 @@
 mod bench;
 pub mod capacity;
 mod fit;
+mod log;
 pub mod membership;
 mod page;
 pub mod placement;
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         Entry, EntryParts, LinkDialer, follow_registry, keep_placements, propose_layouts,
-        push_documents, push_drains, push_layouts, register, run_claim_ends, run_jobs,
-        take_over_jobs,
+        push_documents, push_drains, push_layouts, register, release_orphans, run_claim_ends,
+        run_jobs, take_over_jobs,
     },
     crate::{
         connection::{HttpClient, HttpServer},
@@ -171,6 +171,7 @@
     tasks.spawn(push_documents(entry.clone(), membership.clone()));
     tasks.spawn(register(entry.clone()));
     tasks.spawn(follow_registry(entry.clone()));
+    tasks.spawn(release_orphans(entry.clone()));
     tasks
 }
 
