--- a/src/process/bench/membership/fleet_run.rs
+++ b/src/process/bench/membership/fleet_run.rs
@@ -44,6 +44,10 @@
     pub idle: Cost,
     /// The entry while the load of every upstream changes five times a second.
     pub loaded: Cost,
+    /// The busiest of the other entries while nothing changes, in kilobytes a second.
+    pub busiest_idle: f64,
+    /// The busiest of the other entries while loads change, in kilobytes a second.
+    pub busiest_loaded: f64,
     /// One guard while nothing changes, in kilobytes a second.
     pub guard_idle: f64,
     /// One guard while loads change, in kilobytes a second.
@@ -108,6 +112,7 @@
     guard_bytes: u64,
     guard_cpu_us: u64,
     link_bytes: u64,
+    entry_bytes: Vec<u64>,
 }
 
 async fn measure(
@@ -180,7 +185,7 @@
     ) -> Result<FleetCosts, BenchError> {
         let plan = self.stage.plan;
         self.wait_for(plan.upstreams).await?;
-        self.clock.sleep(REST * 3).await;
+        self.clock.sleep(REST * 6).await;
         let idle = self.watch(watched).await;
         self.stage.set_phase(Phase::Loaded);
         self.clock.sleep(REST).await;
@@ -198,6 +203,8 @@
             watched: watches,
             idle: idle.entry,
             loaded: loaded.entry,
+            busiest_idle: idle.busiest_kilobytes,
+            busiest_loaded: loaded.busiest_kilobytes,
             guard_idle: idle.guards_kilobytes / guards,
             guard_loaded: loaded.guards_kilobytes / guards,
             guard_core_percent: idle.guards_core_percent / guards,
@@ -290,6 +297,11 @@
             guard_bytes: stage.guard_bytes.load(Ordering::Relaxed),
             guard_cpu_us: stage.guard_cpu_us.load(Ordering::Relaxed),
             link_bytes: stage.link_bytes.load(Ordering::Relaxed) + link_bytes(&self.entry),
+            entry_bytes: stage
+                .entry_bytes
+                .lock()
+                .map(|b| b.clone())
+                .unwrap_or_default(),
         }
     }
 }
@@ -297,6 +309,7 @@
 /// What the parts of a fleet cost.
 struct FleetCost {
     entry: Cost,
+    busiest_kilobytes: f64,
     guards_kilobytes: f64,
     guards_core_percent: f64,
     link_kilobytes: f64,
@@ -310,7 +323,10 @@
         let seconds = later.at.since(self.at).as_secs_f64();
         let kilobytes = |from: u64, to: u64| to.saturating_sub(from) as f64 / 1000.0 / seconds;
         let cpu_us = later.guard_cpu_us.saturating_sub(self.guard_cpu_us);
+        let entries = self.entry_bytes.iter().zip(&later.entry_bytes);
+        let busiest = entries.map(|(from, to)| kilobytes(*from, *to));
         FleetCost {
+            busiest_kilobytes: busiest.fold(0.0, f64::max),
             entry: self.entry.cost_until(&later.entry),
             guards_kilobytes: kilobytes(self.guard_bytes, later.guard_bytes),
             guards_core_percent: 100.0 * cpu_us as f64 / 1e6 / seconds,
--- a/src/process/bench/membership/fleet_stage.rs
+++ b/src/process/bench/membership/fleet_stage.rs
@@ -47,6 +47,8 @@
     pub(super) guard_cpu_us: AtomicU64,
     /// The bytes that the other entries have sent across the link.
     pub(super) link_bytes: AtomicU64,
+    /// The bytes that each of the other entries has sent and received.
+    pub(super) entry_bytes: Mutex<Vec<u64>>,
 }
 
 impl FleetPlan {
@@ -77,6 +79,7 @@
             guard_bytes: AtomicU64::new(0),
             guard_cpu_us: AtomicU64::new(0),
             link_bytes: AtomicU64::new(0),
+            entry_bytes: Mutex::default(),
         }
     }
 
--- a/src/process/bench/membership/membership_bench.rs
+++ b/src/process/bench/membership/membership_bench.rs
@@ -98,6 +98,7 @@
             "loads",
             "entry core %",
             "entry KB/s",
+            "busiest KB/s",
             "entry datagrams/s",
             "guard KB/s",
             "guard core %",
@@ -107,15 +108,22 @@
     for fleet in fleets {
         let plan = fleet.plan;
         let rows = [
-            ("still", fleet.idle, fleet.guard_idle, fleet.link_idle),
+            (
+                "still",
+                fleet.idle,
+                fleet.busiest_idle,
+                fleet.guard_idle,
+                fleet.link_idle,
+            ),
             (
                 "changing",
                 fleet.loaded,
+                fleet.busiest_loaded,
                 fleet.guard_loaded,
                 fleet.link_loaded,
             ),
         ];
-        for (loads, entry, guard, link) in rows {
+        for (loads, entry, busiest, guard, link) in rows {
             table.push(vec![
                 plan.upstreams.to_string(),
                 (plan.entries * plan.data_centres).to_string(),
@@ -123,6 +131,7 @@
                 loads.to_owned(),
                 format!("{:.2}", entry.core_percent),
                 format!("{:.2}", entry.kilobytes),
+                format!("{busiest:.2}"),
                 format!("{:.1}", entry.datagrams),
                 format!("{guard:.3}"),
                 format!("{:.4}", fleet.guard_core_percent),
@@ -197,6 +206,14 @@
         "fleet, changing: entry KB/s",
         by_fleet(|f| f.loaded.kilobytes),
     );
+    add(
+        "fleet, still: busiest entry KB/s",
+        by_fleet(|f| f.busiest_idle),
+    );
+    add(
+        "fleet, changing: busiest entry KB/s",
+        by_fleet(|f| f.busiest_loaded),
+    );
     add("fleet, still: link KB/s", by_fleet(|f| f.link_idle));
     add("fleet, changing: link KB/s", by_fleet(|f| f.link_loaded));
     table
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -41,3 +41,5 @@
     membership::{Membership, MembershipParts},
     publisher::Behind,
 };
+
+pub(crate) use rendezvous::rendezvous_rank;
--- /dev/null
+++ b/src/request/api/admin/log_status.rs
@@ -0,0 +1,96 @@
+//! Entries, the log and how far it is read, and what operators changed.
+
+use {
+    super::page::answer_page,
+    crate::{
+        connection::{HttpReply, HttpRequest},
+        prelude::*,
+        process::{
+            entry::Entry,
+            membership::ServingState,
+            platform::Offset,
+            state::{AuditEntry, LogView, SnapshotMark},
+        },
+    },
+    serde::Serialize,
+};
+
+/// A live entry.
+#[derive(Serialize)]
+struct EntryView {
+    entry: EntryName,
+    region: Region,
+    data_centre: DataCentre,
+    serving: ServingState,
+}
+
+/// The log as this entry sees it, and how many upstreams have the document in force.
+#[derive(Serialize)]
+struct LogStatusView {
+    entry: EntryName,
+    version: VersionNumber,
+    #[serde(flatten)]
+    view: LogView,
+    next: Offset,
+    waiting_records: usize,
+    snapshot: Option<SnapshotMark>,
+    upstreams: usize,
+    upstreams_current: usize,
+}
+
+/// One change, with its place in the list.
+#[derive(Serialize)]
+struct AuditView {
+    number: usize,
+    #[serde(flatten)]
+    entry: AuditEntry,
+}
+
+/// Lists the live entries by name.
+pub(super) fn list_entries(
+    entry: &Entry,
+    req: &HttpRequest,
+) -> HttpReply {
+    let live = entry.entries.borrow().live(entry.clock.now());
+    let views = live.iter().map(|e| EntryView {
+        entry: e.name.clone(),
+        region: e.region.clone(),
+        data_centre: e.data_centre.clone(),
+        serving: e.serving,
+    });
+    answer_page(req, views.collect(), |v: &EntryView| v.entry.to_string())
+}
+
+/// Answers with the state of the log.
+pub(super) fn show_log(entry: &Entry) -> HttpReply {
+    let fold = entry.state.fold();
+    let live = entry.members.borrow().live(entry.clock.now());
+    let current = live.iter().filter(|u| u.version == fold.version());
+    let view = LogStatusView {
+        entry: entry.settings.name.clone(),
+        version: fold.version(),
+        view: entry.state.view(),
+        next: fold.next(),
+        waiting_records: entry.state.waiting_records(),
+        snapshot: fold.snapshots().latest(),
+        upstreams: live.len(),
+        upstreams_current: current.count(),
+    };
+    HttpReply::json(200, &view)
+}
+
+/// Lists the changes that operators made; documents are in their history.
+pub(super) fn list_audit(
+    entry: &Entry,
+    req: &HttpRequest,
+) -> HttpReply {
+    let fold = entry.state.fold();
+    let numbered = fold.audit().iter().enumerate();
+    let views = numbered.map(|(number, e)| AuditView {
+        number,
+        entry: e.clone(),
+    });
+    answer_page(req, views.collect(), |v: &AuditView| {
+        format!("{:020}", v.number)
+    })
+}
