--- a/src/process/bench/membership/mod.rs
+++ b/src/process/bench/membership/mod.rs
@@ -7,6 +7,7 @@
 mod light_generator;
 mod membership_bench;
 mod sample;
+mod tables;
 mod watched_run;
 
 pub use {
--- a/tests/membership/course.rs
+++ b/tests/membership/course.rs
@@ -1,16 +1,16 @@
-//! One course of faults, and the oracle that looks on.
+//! One course of faults.
 
 use {
     crate::{
         entries::PLACES,
         fleet::{Fleet, Place},
         network::Weather,
+        op::Op,
     },
     limpetquay::{
         prelude::*,
         process::{clock::VirtualClock, membership::ServingState},
     },
-    proptest::prelude::*,
     std::collections::BTreeMap,
 };
 
@@ -26,76 +26,29 @@
 /// How long after its death an upstream may still be known.
 const DEATH_BOUND: Duration = Duration::from_secs(6);
 
-/// How long after faults of the network or of entries the bounds hold again.
-const CALM_AFTER: Duration = Duration::from_secs(25);
-
 /// How long after the end of all faults every table equals the truth.
 const QUIET: Duration = Duration::from_secs(30);
 
 /// How often the oracle looks.
 const LOOK: Duration = Duration::from_millis(250);
 
-/// One step of a course. Numbers choose among what there is.
-#[derive(Clone, Debug)]
-pub enum Op {
-    Wait(u64),
-    KillGuard(usize),
-    LeaveGuard(usize),
-    StartGuard(usize),
-    /// Another upstream takes the address of a dead one.
-    SwapIdentity(usize),
-    Drain(usize, bool),
-    Load(usize, u32),
-    KillEntry(usize),
-    LeaveEntry(usize),
-    StartEntry(usize, bool),
-    Cut(bool),
-    PauseGuard(usize, u64),
-    PauseEntry(usize, u64),
-    BreakWay(usize, usize),
-    Weather(u32, u32, u64),
-}
-
-/// Returns a strategy for courses of up to `steps` steps.
-pub fn ops(steps: usize) -> impl Strategy<Value = Vec<Op>> {
-    let pick = 0..usize::MAX;
-    let op = prop_oneof![
-        6 => (100..9000u64).prop_map(Op::Wait),
-        3 => pick.clone().prop_map(Op::KillGuard),
-        2 => pick.clone().prop_map(Op::LeaveGuard),
-        4 => pick.clone().prop_map(Op::StartGuard),
-        1 => pick.clone().prop_map(Op::SwapIdentity),
-        2 => (pick.clone(), any::<bool>()).prop_map(|(g, on)| Op::Drain(g, on)),
-        2 => (pick.clone(), 0..9u32).prop_map(|(g, n)| Op::Load(g, n)),
-        1 => pick.clone().prop_map(Op::KillEntry),
-        1 => pick.clone().prop_map(Op::LeaveEntry),
-        2 => (pick.clone(), any::<bool>()).prop_map(|(e, moved)| Op::StartEntry(e, moved)),
-        1 => any::<bool>().prop_map(Op::Cut),
-        1 => (pick.clone(), 500..15_000u64).prop_map(|(g, ms)| Op::PauseGuard(g, ms)),
-        1 => (pick.clone(), 500..15_000u64).prop_map(|(e, ms)| Op::PauseEntry(e, ms)),
-        1 => (pick.clone(), pick).prop_map(|(g, e)| Op::BreakWay(g, e)),
-        1 => (0..16u32, 0..10u32, 0..200u64).prop_map(|(l, d, ms)| Op::Weather(l, d, ms)),
-    ];
-    prop::collection::vec(op, 1..=steps)
-}
-
 /// How an upstream ended.
 #[derive(Clone, Copy, Debug)]
-struct Ended {
-    incarnation: u64,
-    at: Millis,
-    bound: Duration,
+pub struct Ended {
+    pub incarnation: u64,
+    pub at: Millis,
+    pub bound: Duration,
 }
 
 /// A course under way.
 pub struct Course {
-    fleet: Fleet,
-    ended: BTreeMap<String, Ended>,
+    pub fleet: Fleet,
+    pub ended: BTreeMap<String, Ended>,
     /// When the last fault of the network or of an entry was.
-    disturbed: Millis,
+    pub disturbed: Millis,
     /// The latest start of each upstream that each start of an entry has known as live.
-    seen: BTreeMap<(String, u64, String), u64>,
-    is_calm: bool,
+    pub seen: BTreeMap<(String, u64, String), u64>,
+    pub is_calm: bool,
 }
 
 impl Course {
@@ -186,7 +139,7 @@
         Ok(())
     }
 
-    fn now(&self) -> Millis {
+    pub fn now(&self) -> Millis {
         self.fleet.clock.now()
     }
 
@@ -386,89 +339,6 @@
             self.disturb(false);
         }
     }
-
-    /// Looks for what must never be.
-    fn look(&mut self) -> Result<(), String> {
-        let entries: Vec<String> = self.fleet.entries.keys().cloned().collect();
-        for entry in entries {
-            let known = self.fleet.known(&entry);
-            let start = self.fleet.entries[&entry].table.borrow().own().incarnation;
-            for (upstream, (incarnation, _)) in &known {
-                self.look_for_older_start(&entry, start, upstream, *incarnation)?;
-                self.look_for_ended(&entry, upstream, *incarnation)?;
-            }
-            self.look_for_empty_table(&entry, known.len())?;
-        }
-        Ok(())
-    }
-
-    fn look_for_older_start(
-        &mut self,
-        entry: &str,
-        start: u64,
-        upstream: &str,
-        incarnation: u64,
-    ) -> Result<(), String> {
-        let key = (entry.to_owned(), start, upstream.to_owned());
-        let newest = self.seen.entry(key).or_insert(incarnation);
-        if incarnation < *newest {
-            return Err(format!("{entry} went back to an older start of {upstream}"));
-        }
-        *newest = incarnation;
-        Ok(())
-    }
-
-    fn look_for_ended(
-        &self,
-        entry: &str,
-        upstream: &str,
-        incarnation: u64,
-    ) -> Result<(), String> {
-        let ended = self.ended.get(upstream);
-        let Some(ended) = ended.filter(|e| e.incarnation == incarnation) else {
-            return Ok(());
-        };
-        if self.is_bound_over(ended) {
-            let span = self.now().since(ended.at);
-            return Err(format!("{entry} knows {upstream} {span:?} after its end"));
-        }
-        Ok(())
-    }
-
-    /// Tells whether an ended upstream has to be gone: its bound is over, and neither the network
-    /// nor an entry has failed since shortly before its end.
-    fn is_bound_over(
-        &self,
-        ended: &Ended,
-    ) -> bool {
-        let calm_at_end = ended.at.since(self.disturbed) >= CALM_AFTER;
-        let bound = if calm_at_end && self.disturbed < ended.at {
-            ended.bound
-        } else {
-            CALM_AFTER
-        };
-        let since = self.now().since(ended.at.max(self.disturbed));
-        self.is_calm && since > bound
-    }
-
-    /// An entry that has been there for a while in a calm network knows some upstream.
-    fn look_for_empty_table(
-        &self,
-        entry: &str,
-        known: usize,
-    ) -> Result<(), String> {
-        let quiet = self.now().since(self.disturbed) > CALM_AFTER;
-        let grown = |incarnation: u64| {
-            let started = Millis(incarnation >> 16);
-            self.fleet.clock.wall().since(started) > Duration::from_secs(5)
-        };
-        let guards = self.fleet.guards.values();
-        let mut starts = guards.map(|g| g.announcement.borrow().incarnation);
-        if self.is_calm && quiet && known == 0 && starts.any(grown) {
-            return Err(format!("{entry} knows no upstream"));
-        }
-        Ok(())
-    }
 }
 
 /// Returns the member of a map that a number chooses.
--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -1,7 +1,10 @@
 //! Entries and guards over the network in virtual time, and the truth about them.
 
 use {
-    crate::network::{Network, balancer},
+    crate::{
+        entries::PLACES,
+        network::{Network, balancer},
+    },
     event_listener::Event,
     limpetquay::{
         prelude::*,
@@ -317,3 +320,21 @@
         differences
     }
 }
+
+/// Runs a course of events on a settled fleet with two entries and three guards in each place.
+pub fn run_settled<F>(
+    seed: u64,
+    course: F,
+) -> Vec<String>
+where
+    F: AsyncFnOnce(&mut Fleet) -> Vec<String> + 'static,
+{
+    let clock = VirtualClock::new();
+    let cx = clock.clone();
+    clock.block_on(async move {
+        let mut fleet = Fleet::new(cx, seed);
+        fleet.populate(&PLACES, 2, 3);
+        fleet.wait(Duration::from_secs(10)).await;
+        course(&mut fleet).await
+    })
+}
--- a/tests/membership/found.rs
+++ b/tests/membership/found.rs
@@ -1,6 +1,6 @@
 //! Courses in which the fuzz found a fault.
 
-use crate::{course::Op, fuzz::run_course};
+use crate::{fuzz::run_course, op::Op};
 
 /// An upstream whose address another one took, and whose watcher published it for ever.
 #[test]
--- a/tests/membership/fuzz.rs
+++ b/tests/membership/fuzz.rs
@@ -3,7 +3,10 @@
 //! `LIMPETQUAY_FUZZ_CASES` and `LIMPETQUAY_FUZZ_SEED` make longer runs with other seeds.
 
 use {
-    crate::course::{Course, Op, ops},
+    crate::{
+        course::Course,
+        op::{Op, ops},
+    },
     limpetquay::process::clock::VirtualClock,
     proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
     std::env,
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -7,6 +7,8 @@
 mod found;
 mod fuzz;
 mod network;
+mod op;
+mod oracle;
 mod regions;
 mod replacement;
 mod upstreams;
--- a/tests/membership/upstreams.rs
+++ b/tests/membership/upstreams.rs
@@ -1,7 +1,11 @@
 //! Every entry knows every upstream, whoever watches it.
 
 use {
-    crate::{entries::PLACES, fleet::Fleet, network::Weather},
+    crate::{
+        entries::PLACES,
+        fleet::{Fleet, run_settled},
+        network::Weather,
+    },
     limpetquay::{
         prelude::*,
         process::{clock::VirtualClock, membership::ServingState},
@@ -36,24 +40,6 @@
     insta::assert_debug_snapshot!(seen);
 }
 
-/// Runs a course of events on a settled fleet with two entries and three guards in each place.
-fn run<F>(
-    seed: u64,
-    course: F,
-) -> Vec<String>
-where
-    F: AsyncFnOnce(&mut Fleet) -> Vec<String> + 'static,
-{
-    let clock = VirtualClock::new();
-    let cx = clock.clone();
-    clock.block_on(async move {
-        let mut fleet = Fleet::new(cx, seed);
-        fleet.populate(&PLACES, 2, 3);
-        fleet.wait(Duration::from_secs(10)).await;
-        course(&mut fleet).await
-    })
-}
-
 /// Returns the entry that watches a guard for the others.
 fn primary(
     fleet: &Fleet,
@@ -65,7 +51,7 @@
 /// A guard whose way to its watcher is broken stays known, and soon has another watcher.
 #[test]
 fn a_broken_way_loses_no_upstream() {
-    let seen = run(2, async |fleet| {
+    let seen = run_settled(2, async |fleet| {
         let watcher = primary(fleet, "jozi-1-w1");
         let ends = (
             fleet.guards["jozi-1-w1"].address,
@@ -91,7 +77,7 @@
 /// ones have the old addresses or not.
 #[test]
 fn restarted_entries_learn_the_fleet() {
-    let seen = run(3, async |fleet| {
+    let seen = run_settled(3, async |fleet| {
         let mut seen = Vec::new();
         for (round, moved) in [("same addresses", false), ("new addresses", true)] {
             let names: Vec<String> = fleet.entries.keys().cloned().collect();
@@ -122,7 +108,7 @@
 /// changes nothing.
 #[test]
 fn an_address_changes_hands() {
-    let seen = run(4, async |fleet| {
+    let seen = run_settled(4, async |fleet| {
         let old = fleet.kill_guard("kaap-2-w0").expect("a guard");
         fleet.start_guard("kaap-2-w7", PLACES[3], old.address);
         let limit = Duration::from_secs(3);
@@ -143,7 +129,7 @@
 /// A guard that starts again under its name replaces itself, and its earlier start stays gone.
 #[test]
 fn a_restarted_guard_replaces_itself() {
-    let seen = run(5, async |fleet| {
+    let seen = run_settled(5, async |fleet| {
         let old = fleet.kill_guard("jozi-2-w0").expect("a guard");
         let address = fleet.fresh_address();
         fleet.start_guard("jozi-2-w0", PLACES[1], address);
@@ -168,7 +154,7 @@
 /// Paused hosts are lost and come back, or were never missed.
 #[test]
 fn paused_hosts_come_back() {
-    let seen = run(6, async |fleet| {
+    let seen = run_settled(6, async |fleet| {
         let guard = fleet.guards["jozi-1-w2"].address;
         let entry = fleet.entries["e-kaap-1-0"].address;
         for address in [guard, entry] {
@@ -194,7 +180,7 @@
 /// no table.
 #[test]
 fn loss_empties_no_table() {
-    let seen = run(9, async |fleet| {
+    let seen = run_settled(9, async |fleet| {
         fleet.network.set_weather(Weather {
             loss: 20,
             doubled: 5,
--- a/tests/membership/watchers.rs
+++ b/tests/membership/watchers.rs
@@ -1,28 +1,10 @@
 //! Watchers go, alone or with what they watch.
 
 use {
-    crate::{entries::PLACES, fleet::Fleet},
-    limpetquay::{prelude::*, process::clock::VirtualClock},
+    crate::fleet::{Fleet, run_settled},
+    limpetquay::prelude::*,
 };
 
-/// Runs a course of events on a settled fleet with two entries and three guards in each place.
-fn run<F>(
-    seed: u64,
-    course: F,
-) -> Vec<String>
-where
-    F: AsyncFnOnce(&mut Fleet) -> Vec<String> + 'static,
-{
-    let clock = VirtualClock::new();
-    let cx = clock.clone();
-    clock.block_on(async move {
-        let mut fleet = Fleet::new(cx, seed);
-        fleet.populate(&PLACES, 2, 3);
-        fleet.wait(Duration::from_secs(10)).await;
-        course(&mut fleet).await
-    })
-}
-
 /// Returns how often an entry missed an upstream, over a span with ten looks a second.
 async fn count_missing(
     fleet: &Fleet,
@@ -41,7 +23,7 @@
 /// The upstreams of a dead watcher stay known, and get another one.
 #[test]
 fn a_dead_watcher_is_replaced() {
-    let seen = run(11, async |fleet| {
+    let seen = run_settled(11, async |fleet| {
         let watcher = fleet.guards["jozi-1-w0"].announcer.watchers()[0].to_string();
         fleet.kill_entry(&watcher);
         let missing = count_missing(fleet, Duration::from_secs(20)).await;
@@ -57,7 +39,7 @@
 /// The upstreams of a leaving watcher have others before it ends, and stay known.
 #[test]
 fn a_leaving_watcher_hands_over() {
-    let seen = run(12, async |fleet| {
+    let seen = run_settled(12, async |fleet| {
         let watcher = fleet.guards["jozi-1-w0"].announcer.watchers()[0].to_string();
         let entry = fleet.entries.remove(&watcher).expect("an entry");
         let start = fleet.clock.now();
@@ -78,7 +60,7 @@
 /// A data centre that dies with its entries is gone within the leases of the entries.
 #[test]
 fn a_dead_data_centre_is_dropped() {
-    let seen = run(13, async |fleet| {
+    let seen = run_settled(13, async |fleet| {
         for name in ["e-jozi-2-0", "e-jozi-2-1"] {
             fleet.kill_entry(name);
         }
