--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -60,6 +60,7 @@
     pub entries: BTreeMap<String, FleetEntry>,
     pub guards: BTreeMap<String, FleetGuard>,
     next_port: Cell<u16>,
+    next_start: Cell<u64>,
     seed: u64,
 }
 
@@ -74,6 +75,7 @@
             entries: BTreeMap::new(),
             guards: BTreeMap::new(),
             next_port: Cell::new(1),
+            next_start: Cell::new(0),
             seed,
         }
     }
@@ -85,6 +87,13 @@
         SocketAddr::from(([10, 0, 0, 1], port))
     }
 
+    /// Returns the incarnation of a start; the low bits tell starts of the same millisecond apart.
+    fn new_incarnation(&self) -> u64 {
+        let start = self.next_start.get();
+        self.next_start.set(start + 1);
+        (self.clock.wall().0 << INCARNATION_BITS) | start
+    }
+
     /// Starts entries and guards in each place.
     pub fn populate(
         &mut self,
@@ -120,7 +129,7 @@
             region: place.region.into(),
             data_centre: place.data_centre.into(),
             address,
-            incarnation: self.clock.wall().0 << INCARNATION_BITS,
+            incarnation: self.new_incarnation(),
             heartbeat: 0,
             serving: ServingState::Serving,
             published: PublicationVersion::default(),
@@ -155,7 +164,7 @@
     ) {
         let announcement = Announcement {
             upstream: name.into(),
-            incarnation: self.clock.wall().0 << INCARNATION_BITS,
+            incarnation: self.new_incarnation(),
             sequence: 0,
             guard_address: address,
             region: place.region.into(),
