--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -179,6 +179,7 @@
             plain_free: 0,
             evictable: AcceleratorSet::empty(),
             guaranteed: Vec::new(),
+            orphans: Vec::new(),
             version: VersionNumber::default(),
         };
         let announcement = Rc::new(RefCell::new(announcement));
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -2,8 +2,10 @@
 
 mod admin;
 mod cases;
+mod commands;
 mod fake_log;
 mod fuzz;
 mod model;
 mod recovery;
+mod retention;
 mod world;
