--- a/src/process/bench/membership/fleet_peers.rs
+++ b/src/process/bench/membership/fleet_peers.rs
@@ -132,6 +132,9 @@
         clock.sleep(LOOK).await;
         let link_bytes = entries.iter().map(link_bytes).sum();
         stage.link_bytes.store(link_bytes, Ordering::Relaxed);
+        if let Ok(mut bytes) = stage.entry_bytes.lock() {
+            *bytes = entries.iter().map(all_bytes).collect();
+        }
         if stage.phase() == Phase::Restarted && !is_restarted {
             is_restarted = true;
             restart(&clock, &stage, &mut entries).await?;
@@ -180,6 +183,15 @@
     Ok(())
 }
 
+/// Returns the bytes that an entry has sent and received.
+fn all_bytes(entry: &MeasuredEntry) -> u64 {
+    let bytes = |direction: &str| {
+        let counters = &entry.metrics.membership_bytes;
+        counters.with_label_values(&[direction]).get()
+    };
+    bytes("sent") + bytes("received")
+}
+
 /// Returns the bytes that an entry has counted on the link.
 pub(super) fn link_bytes(entry: &MeasuredEntry) -> u64 {
     let purpose = LinkPurpose::Membership.to_string();
--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -1,7 +1,10 @@
 //! Entries and guards over the network in virtual time, and the truth about them.
 
 use {
-    crate::network::{Network, balancer},
+    crate::{
+        entries::PLACES,
+        network::{Network, balancer},
+    },
     event_listener::Event,
     limpetquay::{
         prelude::*,
@@ -57,6 +60,7 @@
     pub entries: BTreeMap<String, FleetEntry>,
     pub guards: BTreeMap<String, FleetGuard>,
     next_port: Cell<u16>,
+    next_start: Cell<u64>,
     seed: u64,
 }
 
@@ -71,6 +75,7 @@
             entries: BTreeMap::new(),
             guards: BTreeMap::new(),
             next_port: Cell::new(1),
+            next_start: Cell::new(0),
             seed,
         }
     }
@@ -82,6 +87,13 @@
         SocketAddr::from(([10, 0, 0, 1], port))
     }
 
+    /// Returns the incarnation of a start; the low bits tell starts of the same millisecond apart.
+    fn new_incarnation(&self) -> u64 {
+        let start = self.next_start.get();
+        self.next_start.set(start + 1);
+        (self.clock.wall().0 << INCARNATION_BITS) | start
+    }
+
     /// Starts entries and guards in each place.
     pub fn populate(
         &mut self,
@@ -117,7 +129,7 @@
             region: place.region.into(),
             data_centre: place.data_centre.into(),
             address,
-            incarnation: self.clock.wall().0 << INCARNATION_BITS,
+            incarnation: self.new_incarnation(),
             heartbeat: 0,
             serving: ServingState::Serving,
             published: PublicationVersion::default(),
@@ -152,7 +164,7 @@
     ) {
         let announcement = Announcement {
             upstream: name.into(),
-            incarnation: self.clock.wall().0 << INCARNATION_BITS,
+            incarnation: self.new_incarnation(),
             sequence: 0,
             guard_address: address,
             region: place.region.into(),
@@ -318,3 +330,21 @@
         differences
     }
 }
+
+/// Runs a course of events on a settled fleet with two entries and three guards in each place.
+pub fn run_settled<F>(
+    seed: u64,
+    course: F,
+) -> Vec<String>
+where
+    F: AsyncFnOnce(&mut Fleet) -> Vec<String> + 'static,
+{
+    let clock = VirtualClock::new();
+    let cx = clock.clone();
+    clock.block_on(async move {
+        let mut fleet = Fleet::new(cx, seed);
+        fleet.populate(&PLACES, 2, 3);
+        fleet.wait(Duration::from_secs(10)).await;
+        course(&mut fleet).await
+    })
+}
