--- /dev/null
+++ b/src/process/bench/gangs/mod.rs
@@ -0,0 +1,8 @@
+//! How fast gangs start and shares are reclaimed, and what holding a gang together costs.
+
+mod bench_guard;
+mod gangs_bench;
+mod measurements;
+mod sample;
+
+pub use gangs_bench::GangsBench;
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -7,6 +7,8 @@
 mod bench;
 pub mod capacity;
 mod fit;
+pub mod gangs;
+pub mod membership;
 mod page;
 pub mod placement;
 mod plot;
--- a/src/process/guard/gang/gang_keeper.rs
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -11,7 +11,10 @@
             StopCause,
         },
         prelude::*,
-        process::{entry::Dialer, guard::AcceleratorBook, metrics::Metrics, platform::Worker},
+        process::{
+            entry::Dialer, guard::AcceleratorBook, metrics::Metrics, platform::Worker,
+            task_group::TaskGroup,
+        },
     },
     event_listener::Event,
     std::collections::BTreeMap,
@@ -29,6 +32,8 @@
     pub(super) led: RefCell<BTreeMap<GangId, Rc<LedGang>>>,
     /// Notified when accelerators change hands.
     pub(super) changed: Rc<Event>,
+    /// The tasks of pieces and led gangs.
+    pub(super) tasks: TaskGroup,
 }
 
 impl GangKeeper {
@@ -40,6 +45,7 @@
         worker: Rc<dyn Worker>,
         dialer: Rc<dyn Dialer>,
         all: AcceleratorSet,
+        plain_tasks: u32,
         changed: Rc<Event>,
     ) -> Self {
         let usable_from = clock.now() + Millis::from(QUARANTINE);
@@ -48,19 +54,30 @@
             metrics,
             worker,
             dialer,
-            book: RefCell::new(AcceleratorBook::new(all, usable_from)),
+            book: RefCell::new(AcceleratorBook::new(all, plain_tasks, usable_from)),
             fences: RefCell::default(),
             pieces: RefCell::default(),
             led: RefCell::default(),
             changed,
+            tasks: TaskGroup::default(),
         }
     }
 
+    /// Ends all tasks at once, as the death of the process would.
+    pub fn kill(&self) {
+        self.tasks.cancel();
+    }
+
     /// Returns the accelerators that nothing holds.
     pub fn free(&self) -> AcceleratorSet {
         self.book.borrow().free(self.clock.now())
     }
 
+    /// Returns how many tasks without accelerators could still be started.
+    pub fn plain_free(&self) -> u32 {
+        self.book.borrow().plain_free(self.clock.now())
+    }
+
     /// Returns the guaranteed accelerators that their account can reclaim from others' work.
     pub fn borrowed(&self) -> AcceleratorSet {
         self.book.borrow().borrowed()
--- a/src/process/guard/gang/piece_calls.rs
+++ b/src/process/guard/gang/piece_calls.rs
@@ -7,7 +7,6 @@
         prelude::*,
         process::clock::with_timeout,
     },
-    compio::runtime::spawn,
 };
 
 /// The longest time that a call to stop waits until nothing runs any more.
@@ -25,7 +24,7 @@
             self.book.borrow_mut().start(self.clock.now(), call.gang)?;
             piece.set_started(call);
             let run = PieceRun::new(self.clone(), piece.clone(), call);
-            spawn(run.run()).detach();
+            self.tasks.spawn(run.run());
         }
         loop {
             let changed = piece.listen();
--- /dev/null
+++ b/src/request/api/admin/jobs.rs
@@ -0,0 +1,213 @@
+//! Jobs of all accounts.
+
+use {
+    super::{authority::audit, page::answer_page},
+    crate::{
+        connection::{HttpReply, HttpRequest, Problem},
+        prelude::*,
+        process::{
+            entry::Entry,
+            state::{JobEntry, JobRecord, JobStatus, RecordBody, StateError},
+        },
+    },
+    futures_util::future::join_all,
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+};
+
+/// The pause that an operator is told to make while the log is away.
+const RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// A job as operators see it.
+#[derive(Serialize)]
+struct JobView {
+    id: String,
+    account: AccountName,
+    kind: KindName,
+    status: JobStatus,
+    owner: EntryName,
+    ownership: u32,
+    accepted_ms: u64,
+}
+
+impl JobView {
+    fn of(job: &JobEntry) -> Self {
+        Self {
+            id: job.spec.id.to_string(),
+            account: job.spec.account.clone(),
+            kind: job.spec.kind.clone(),
+            status: job.status(),
+            owner: job.owner.clone(),
+            ownership: job.ownership,
+            accepted_ms: job.spec.accepted_ms,
+        }
+    }
+}
+
+/// Which jobs are meant; what is left out does not matter.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct JobFilter {
+    account: Option<AccountName>,
+    kind: Option<KindName>,
+    status: Option<String>,
+    owner: Option<EntryName>,
+}
+
+impl JobFilter {
+    fn of_query(req: &HttpRequest) -> Self {
+        Self {
+            account: req.query("account").map(Into::into),
+            kind: req.query("kind").map(Into::into),
+            status: req.query("status").map(str::to_owned),
+            owner: req.query("owner").map(Into::into),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.account.is_none()
+            && self.kind.is_none()
+            && self.status.is_none()
+            && self.owner.is_none()
+    }
+
+    fn matches(
+        &self,
+        job: &JobEntry,
+    ) -> bool {
+        let status = job.status().to_string();
+        self.account.as_ref().is_none_or(|a| *a == job.spec.account)
+            && self.kind.as_ref().is_none_or(|k| *k == job.spec.kind)
+            && self.status.as_ref().is_none_or(|s| *s == status)
+            && self.owner.as_ref().is_none_or(|o| *o == job.owner)
+    }
+}
+
+/// Which jobs to cancel, or only to show.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CancelMany {
+    filter: JobFilter,
+    /// Whether to show the jobs without cancelling them.
+    #[serde(default)]
+    preview: bool,
+    /// The number of jobs that the preview showed; another number cancels nothing.
+    expected: Option<usize>,
+}
+
+/// Lists the jobs that the query names, by identity.
+pub(super) fn list_jobs(
+    entry: &Entry,
+    req: &HttpRequest,
+) -> HttpReply {
+    let filter = JobFilter::of_query(req);
+    let fold = entry.state.fold();
+    let matching = fold.jobs().filter(|j| filter.matches(j));
+    let views = matching.map(JobView::of).collect();
+    answer_page(req, views, |v: &JobView| v.id.clone())
+}
+
+/// Answers with one job.
+pub(super) fn get_job(
+    entry: &Entry,
+    id: &str,
+) -> HttpReply {
+    match find_job(entry, id) {
+        Some(job) => HttpReply::json(200, &JobView::of(&job)),
+        None => Problem::not_found().into(),
+    }
+}
+
+/// Answers why a job waits, or where it runs. Only its owner knows.
+pub(super) fn explain_job(
+    entry: &Entry,
+    id: &str,
+) -> HttpReply {
+    let Some(job) = find_job(entry, id) else {
+        return Problem::not_found().into();
+    };
+    if !job.is_open() {
+        return HttpReply::json(200, &json!({ "status": job.status() }));
+    }
+    match entry.turns.explain(job.spec.id) {
+        Some(explanation) => HttpReply::json(200, &explanation),
+        None => {
+            let detail = format!("{} owns the job and can tell", job.owner);
+            let extra = json!({ "owner": job.owner });
+            Problem::new(409, "other-owner", detail)
+                .with_extra(extra)
+                .into()
+        }
+    }
+}
+
+/// Cancels the open jobs that a filter matches, or shows them.
+pub(super) async fn cancel_many(
+    entry: &Entry,
+    req: &HttpRequest,
+    operator: &OperatorName,
+) -> HttpReply {
+    let ask: CancelMany = match serde_json::from_slice(&req.body) {
+        Ok(ask) => ask,
+        Err(e) => return Problem::new(400, "bad-filter", e).into(),
+    };
+    if ask.filter.is_empty() {
+        let detail = "the filter has to name an account, kind, status or owner";
+        return Problem::new(400, "bad-filter", detail).into();
+    }
+    let jobs = open_jobs(entry, &ask.filter);
+    let views: Vec<JobView> = jobs.iter().map(JobView::of).collect();
+    if ask.preview {
+        let body = json!({ "matching": jobs.len(), "jobs": views });
+        return HttpReply::json(200, &body);
+    }
+    if ask.expected.is_some_and(|n| n != jobs.len()) {
+        let detail = format!("{} jobs match now; nothing was cancelled", jobs.len());
+        return Problem::new(409, "changed", detail).into();
+    }
+    let action = format!("cancel {} jobs by {:?}", jobs.len(), ask.filter);
+    if let Err(e) = audit(entry, operator, action).await {
+        return Problem::new(503, "log", e).retry_after(RETRY_AFTER).into();
+    }
+    record_cancellations(entry, &jobs).await
+}
+
+async fn record_cancellations(
+    entry: &Entry,
+    jobs: &[JobEntry],
+) -> HttpReply {
+    let records = jobs
+        .iter()
+        .map(|j| RecordBody::Job(JobRecord::Cancelled { job: j.spec.id }));
+    let results = join_all(records.map(|r| entry.state.append(r))).await;
+    let count = |wanted: Result<(), StateError>| results.iter().filter(|r| **r == wanted).count();
+    let body = json!({
+        "cancelled": count(Ok(())),
+        "not_recorded": count(Err(StateError::NotRecorded)),
+        "unknown": count(Err(StateError::Unknown)),
+    });
+    if count(Ok(())) == jobs.len() {
+        return HttpReply::json(200, &body);
+    }
+    let detail = "not every cancellation is known to be recorded";
+    Problem::new(503, "log", detail)
+        .with_extra(body)
+        .retry_after(RETRY_AFTER)
+        .into()
+}
+
+fn open_jobs(
+    entry: &Entry,
+    filter: &JobFilter,
+) -> Vec<JobEntry> {
+    let fold = entry.state.fold();
+    let matching = fold.jobs().filter(|j| j.is_open() && filter.matches(j));
+    matching.cloned().collect()
+}
+
+fn find_job(
+    entry: &Entry,
+    id: &str,
+) -> Option<JobEntry> {
+    entry.state.fold().job(id.parse().ok()?).cloned()
+}
--- a/src/request/api/entry_api.rs
+++ b/src/request/api/entry_api.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        admin_api::answer_admin, job_api::answer_jobs, request_api::answer_request,
+        admin::answer_admin, job_api::answer_jobs, request_api::answer_request,
         state_api::answer_state,
     },
     crate::{
--- a/tests/gangs/main.rs
+++ b/tests/gangs/main.rs
@@ -1,10 +1,12 @@
 //! Gangs and guarantees: real guards and job tasks in virtual time, between fakes that fail.
 
+mod book;
 mod fake_log;
 mod fake_net;
 mod fake_worker;
 mod fuzz;
 mod node;
 mod oracle;
+mod overruns;
 mod step;
 mod world;
