--- a/src/process/cli/local_command.rs
+++ b/src/process/cli/local_command.rs
@@ -5,7 +5,9 @@
     crate::{
         prelude::*,
         process::{
-            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, demonstrate},
+            local::{
+                EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, demonstrate, demonstrate_reclaim,
+            },
             settings::LocalSettings,
         },
     },
@@ -61,6 +63,7 @@
                 wait_for_stop().await;
             } else {
                 demonstrate(&system).await?;
+                demonstrate_reclaim(&system).await?;
             }
             system.stop().await;
             Ok(())
--- a/src/process/local/mod.rs
+++ b/src/process/local/mod.rs
@@ -4,11 +4,12 @@
 mod example_keys;
 mod local_error;
 mod local_system;
+mod reclaim_demonstration;
 mod replacement;
 
 pub use {
     demonstration::demonstrate, example_keys::example_key, local_error::LocalError,
-    local_system::LocalSystem,
+    local_system::LocalSystem, reclaim_demonstration::demonstrate_reclaim,
 };
 
 /// The service document that a local system has when none is named.
