--- a/src/process/bench/bench.rs
+++ b/src/process/bench/bench.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Table, capacity::CapacityBench, log::LogBench, membership::MembershipBench,
-        placement::PlacementBench, requests::RequestsBench,
+        Table, capacity::CapacityBench, gangs::GangsBench, log::LogBench,
+        membership::MembershipBench, placement::PlacementBench, requests::RequestsBench,
     },
     crate::process::local::LocalError,
     derive_more::{Display, Error, From},
@@ -61,6 +61,7 @@
     vec![
         Box::new(CapacityBench),
         Box::new(LogBench),
+        Box::new(GangsBench),
         Box::new(MembershipBench),
         Box::new(PlacementBench),
         Box::new(RequestsBench),
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -7,6 +7,7 @@
 mod bench;
 pub mod capacity;
 mod fit;
+pub mod gangs;
 mod log;
 pub mod membership;
 mod page;
--- a/src/process/guard/gang/gang_keeper.rs
+++ b/src/process/guard/gang/gang_keeper.rs
@@ -11,7 +11,10 @@
             StopCause,
         },
         prelude::*,
-        process::{entry::Dialer, guard::AcceleratorBook, metrics::Metrics, platform::Worker},
+        process::{
+            entry::Dialer, guard::AcceleratorBook, metrics::Metrics, platform::Worker,
+            task_group::TaskGroup,
+        },
     },
     event_listener::Event,
     std::collections::BTreeMap,
@@ -29,6 +32,8 @@
     pub(super) led: RefCell<BTreeMap<GangId, Rc<LedGang>>>,
     /// Notified when accelerators change hands.
     pub(super) changed: Rc<Event>,
+    /// The tasks of pieces and led gangs.
+    pub(super) tasks: TaskGroup,
 }
 
 impl GangKeeper {
@@ -54,9 +59,15 @@
             pieces: RefCell::default(),
             led: RefCell::default(),
             changed,
+            tasks: TaskGroup::default(),
         }
     }
 
+    /// Ends all tasks at once, as the death of the process would.
+    pub fn kill(&self) {
+        self.tasks.cancel();
+    }
+
     /// Returns the accelerators that nothing holds.
     pub fn free(&self) -> AcceleratorSet {
         self.book.borrow().free(self.clock.now())
--- a/src/process/guard/gang/lead_calls.rs
+++ b/src/process/guard/gang/lead_calls.rs
@@ -9,7 +9,6 @@
         prelude::*,
         process::clock::with_timeout,
     },
-    compio::runtime::spawn,
 };
 
 /// The longest time that a release waits until nothing runs any more.
@@ -38,7 +37,7 @@
         let progress_ms = piece.call.work.progress_ms;
         let led = Rc::new(LedGang::new(now, call.gang, call.pieces, progress_ms));
         self.led.borrow_mut().insert(call.gang, led.clone());
-        spawn(GangRun::new(self.clone(), led).run()).detach();
+        self.tasks.spawn(GangRun::new(self.clone(), led).run());
         Ok(GangReply::Done)
     }
 
--- a/src/process/guard/running_guard.rs
+++ b/src/process/guard/running_guard.rs
@@ -117,5 +117,6 @@
     fn drop(&mut self) {
         self.announcer.kill();
         self.tasks.cancel();
+        self.guard.gangs().kill();
     }
 }
