--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -8,11 +8,13 @@
 pub mod capacity;
 mod fit;
 pub mod gangs;
+mod log;
 pub mod membership;
 mod page;
 pub mod placement;
 mod plot;
 mod process_usage;
+pub mod requests;
 mod table;
 
 pub use {
