Measure placement, gangs, the log and membership in bench capacity

Cause: bench capacity knew the fold and idle guards only; the other figures of the capacity page needed four other commands and handwork.

--- a/src/process/bench/capacity/capacity_bench.rs
+++ b/src/process/bench/capacity/capacity_bench.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{Figure, Probe, Quantity, fold_probe::FoldProbe, guard_probe::GuardProbe},
-    crate::process::bench::{Bench, BenchCx, BenchError, Series, Table, write_plot},
+    crate::process::bench::{
+        Bench, BenchCx, BenchError, Series, Table, gangs::GangsProbe, log::LogProbe,
+        membership::MembershipProbe, placement::PlacementProbe, write_plot,
+    },
     std::{fs, path::Path},
 };
 
@@ -39,7 +42,14 @@
 }
 
 fn probes() -> Vec<Box<dyn Probe>> {
-    vec![Box::new(FoldProbe), Box::new(GuardProbe)]
+    vec![
+        Box::new(FoldProbe),
+        Box::new(GuardProbe),
+        Box::new(PlacementProbe),
+        Box::new(GangsProbe),
+        Box::new(LogProbe),
+        Box::new(MembershipProbe),
+    ]
 }
 
 /// Draws a quantity's points to `ROLE-NAME.svg`.
--- a/src/process/bench/gangs/measurements.rs
+++ b/src/process/bench/gangs/measurements.rs
@@ -113,6 +113,26 @@
         }
     }
 
+    /// Starts a gang of tasks without accelerators on the first guard.
+    ///
+    /// # Errors
+    /// [`BenchError::Failed`] when the gang does not start.
+    pub(super) async fn start_plain_tasks(
+        &self,
+        tasks: u32,
+    ) -> Result<GangId, BenchError> {
+        let gang = self.new_gang();
+        let guard = self.guards[0].address;
+        let members: Vec<u32> = (0..tasks).collect();
+        let call = reserve_call(gang, "borrower", &members, 0);
+        if !is_reserved(&self.call(guard, call.into()).await) {
+            return Err(failed("the tasks were not reserved"));
+        }
+        let pieces = vec![PieceAddress { guard, members }];
+        self.call(guard, CommitCall { gang, pieces }.into()).await;
+        Ok(gang)
+    }
+
     /// Ends a gang of `size` members.
     pub(super) async fn release(
         &self,
--- a/src/process/bench/log/in_force.rs
+++ b/src/process/bench/log/in_force.rs
@@ -50,8 +50,33 @@
 pub(super) async fn start_system() -> Result<LocalSystem, BenchError> {
     let settings = LocalSettings::parse("local.ini", EXAMPLE_SETTINGS);
     let settings = settings.map_err(|e| BenchError::Failed(e.to_string()))?;
+    start_system_of(&settings).await
+}
+
+/// Starts a local system with the shipped document.
+pub(super) async fn start_system_of(settings: &LocalSettings) -> Result<LocalSystem, BenchError> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
-    Ok(LocalSystem::start(&settings, EXAMPLE_DOCUMENT, clock).await?)
+    Ok(LocalSystem::start(settings, EXAMPLE_DOCUMENT, clock).await?)
+}
+
+/// Submits paced changes and returns the mean time from acceptance until all nodes have them in
+/// force, in milliseconds.
+pub(super) async fn mean_spread_ms(
+    system: &LocalSystem,
+    changes: usize,
+) -> Result<f64, BenchError> {
+    let courses = submit_all(system, 0, changes, PACE).await?;
+    let spans = courses.iter().filter_map(|c| {
+        let everywhere = c.on_guards?;
+        Some(
+            everywhere
+                .saturating_duration_since(c.accepted)
+                .as_secs_f64()
+                * 1e3,
+        )
+    });
+    let spans: Vec<f64> = spans.collect();
+    Ok(spans.iter().sum::<f64>() / spans.len().max(1) as f64)
 }
 
 /// Submits changes one after the other and follows each to every node.
--- a/src/process/bench/log/mod.rs
+++ b/src/process/bench/log/mod.rs
@@ -4,9 +4,10 @@
 mod job_cost;
 mod log_bench;
 mod log_client;
+mod log_probe;
 mod outage;
 mod recovery;
 mod spread;
 mod start;
 
-pub(super) use log_bench::LogBench;
+pub(super) use {log_bench::LogBench, log_probe::LogProbe};
--- a/src/process/bench/log/start.rs
+++ b/src/process/bench/log/start.rs
@@ -23,15 +23,24 @@
 
 /// Measures the time until a new reader has folded logs of several lengths.
 pub(super) async fn measure_starts(cx: &BenchCx) -> Result<Table, BenchError> {
-    let lengths = if cx.quick {
-        &LENGTHS[..2]
-    } else {
-        &LENGTHS[..]
-    };
+    let points = measure_start_points(cx.quick).await?;
+    let mut table = Table::new("start", &["records", "ms to read"]);
+    for (length, ms) in &points {
+        table.push(vec![length.to_string(), format!("{ms:.1}")]);
+    }
+    if let Some(fit) = fit_line(&points) {
+        let slope = format!("{:.2} ms for 1000 more", fit.slope * 1e3);
+        table.push(vec!["slope".to_owned(), slope]);
+    }
+    Ok(table)
+}
+
+/// Returns the lengths of logs, in records, with the time to read each, in milliseconds.
+pub(super) async fn measure_start_points(quick: bool) -> Result<Vec<(f64, f64)>, BenchError> {
+    let lengths = if quick { &LENGTHS[..2] } else { &LENGTHS[..] };
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
     let served = ServedLog::start(clock).await?;
     let writer = served.follow("entry-1");
-    let mut table = Table::new("start", &["records", "ms to read"]);
     let mut points = Vec::new();
     let mut written = 0;
     for length in lengths {
@@ -40,15 +49,9 @@
         let start = Instant::now();
         let reader = served.follow("entry-2");
         wait_until_read(&reader, *length).await;
-        let ms = start.elapsed().as_secs_f64() * 1e3;
-        table.push(vec![length.to_string(), format!("{ms:.1}")]);
-        points.push((*length as f64, ms));
+        points.push((*length as f64, start.elapsed().as_secs_f64() * 1e3));
     }
-    if let Some(fit) = fit_line(&points) {
-        let slope = format!("{:.2} ms for 1000 more", fit.slope * 1e3);
-        table.push(vec!["slope".to_owned(), slope]);
-    }
-    Ok(table)
+    Ok(points)
 }
 
 async fn wait_until_read(
--- a/src/process/bench/membership/mod.rs
+++ b/src/process/bench/membership/mod.rs
@@ -6,10 +6,12 @@
 mod fleet_stage;
 mod light_generator;
 mod membership_bench;
+mod membership_probe;
 mod sample;
 mod tables;
 mod watched_run;
 
+pub(super) use membership_probe::MembershipProbe;
 pub use {
     fleet_run::{FleetCosts, run_fleet},
     membership_bench::MembershipBench,
--- a/src/process/bench/placement/decision_cost.rs
+++ b/src/process/bench/placement/decision_cost.rs
@@ -84,7 +84,7 @@
 }
 
 /// Returns the mean time of a decision, in microseconds.
-fn time_decisions(
+pub(super) fn time_decisions(
     view: &FleetView,
     gang: Shape,
     decisions: u32,
--- a/src/process/bench/placement/mod.rs
+++ b/src/process/bench/placement/mod.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod first_come_rules;
 mod placement_bench;
+mod placement_probe;
 mod placement_results;
 mod placement_tables;
 mod replay;
@@ -16,6 +17,7 @@
 mod turn_cost;
 mod workload;
 
+pub(super) use placement_probe::PlacementProbe;
 pub use {
     deployment::Deployment,
     placement_bench::PlacementBench,
--- a/src/process/bench/placement/turn_cost.rs
+++ b/src/process/bench/placement/turn_cost.rs
@@ -63,6 +63,22 @@
     Ok(table)
 }
 
+/// Returns the time of a first turn with the target's running tasks, in milliseconds.
+///
+/// # Errors
+/// [`BenchError::Failed`] when the document is not valid.
+pub(super) fn time_first_turn(
+    waiting: u32,
+    seed: u64,
+) -> Result<f64, BenchError> {
+    let document = Document::parse("target.ini", &document_text());
+    let document = document.map_err(|e| BenchError::Failed(e.to_string()))?;
+    let view = crowded_view(WORKERS, seed);
+    let running = RUNNING[RUNNING.len() - 1];
+    let mut queue = filled_queue(&document, &view, running, waiting);
+    Ok(time_turn(&mut queue, &document, view))
+}
+
 /// Returns a document with the target's accounts and three kinds of jobs.
 fn document_text() -> String {
     let mut text = "[service]\nname = target\ncompletion_weight = 0.5\n\
