Let guards tell their health and metrics, and every process its own cost

Cause: guards count slots, gangs and reclaims, but had no address at which anyone could read it, and no process told its processor time and memory. Change: an optional http address in a guard's settings with /healthz, /readyz and /metrics; gauges of the process's processor time and resident memory. Before: nothing listened. After: a test reads all three paths over a socket. Conclusion: people on call can watch guards as they watch entries.

--- a/src/process/bench/capacity/fold_probe.rs
+++ b/src/process/bench/capacity/fold_probe.rs
@@ -5,7 +5,8 @@
     crate::{
         prelude::*,
         process::{
-            bench::{BenchCx, BenchError, ProcessUsage},
+            bench::{BenchCx, BenchError},
+            metrics::ProcessUsage,
             platform::{LogRecord, Offset},
             state::{Fold, JobRecord, Record, RecordBody, RecordKey},
         },
--- a/src/process/bench/capacity/guard_probe.rs
+++ b/src/process/bench/capacity/guard_probe.rs
@@ -5,9 +5,10 @@
     crate::{
         prelude::*,
         process::{
-            bench::{BenchCx, BenchError, ProcessUsage},
+            bench::{BenchCx, BenchError},
             clock::SystemClock,
             guard::RunningGuard,
+            metrics::ProcessUsage,
             settings::GuardSettings,
         },
     },
@@ -136,6 +137,7 @@
         connections: 64,
         accelerators: 8,
         plain_tasks: 32,
+        http: None,
         drain_timeout: Duration::from_secs(1),
     }
 }
--- a/src/process/bench/gangs/gangs_probe.rs
+++ b/src/process/bench/gangs/gangs_probe.rs
@@ -4,9 +4,12 @@
     super::measurements::{Fleet, sample},
     crate::{
         prelude::*,
-        process::bench::{
-            BenchCx, BenchError, ProcessUsage,
-            capacity::{Point, Probe, Quantity, measure_in_thread, target},
+        process::{
+            bench::{
+                BenchCx, BenchError,
+                capacity::{Point, Probe, Quantity, measure_in_thread, target},
+            },
+            metrics::ProcessUsage,
         },
     },
 };
--- a/src/process/bench/membership/fleet_peers.rs
+++ b/src/process/bench/membership/fleet_peers.rs
@@ -10,12 +10,13 @@
     crate::{
         prelude::*,
         process::{
-            bench::{BenchError, ProcessUsage},
+            bench::BenchError,
             clock::SystemClock,
             link::LinkPurpose,
             membership::{
                 Announcement, Announcer, AnnouncerParts, DatagramLink, UdpLink, new_incarnation,
             },
+            metrics::ProcessUsage,
         },
     },
     event_listener::Event,
--- a/src/process/bench/membership/sample.rs
+++ b/src/process/bench/membership/sample.rs
@@ -2,7 +2,7 @@
 
 use {
     super::counting_link::Traffic,
-    crate::{prelude::*, process::bench::ProcessUsage},
+    crate::{prelude::*, process::metrics::ProcessUsage},
 };
 
 /// What a role costs.
--- a/src/process/bench/membership/watched_run.rs
+++ b/src/process/bench/membership/watched_run.rs
@@ -10,13 +10,13 @@
     crate::{
         prelude::*,
         process::{
-            bench::{BenchError, ProcessUsage, capacity::measure_in_thread},
+            bench::{BenchError, capacity::measure_in_thread},
             clock::SystemClock,
             membership::{
                 EntryRow, EntryTable, MemberTable, Membership, MembershipParts, PublicationVersion,
                 ServingState, UdpLink, new_incarnation,
             },
-            metrics::Metrics,
+            metrics::{Metrics, ProcessUsage},
         },
     },
     compio::runtime::Runtime,
--- a/src/process/bench/mod.rs
+++ b/src/process/bench/mod.rs
@@ -13,7 +13,6 @@
 mod page;
 pub mod placement;
 mod plot;
-mod process_usage;
 pub mod requests;
 mod table;
 
@@ -22,6 +21,5 @@
     fit::{LineFit, fit_line},
     page::update_page,
     plot::{Series, write_plot},
-    process_usage::ProcessUsage,
     table::Table,
 };
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -153,6 +153,11 @@
         self.slots.set_draining(draining);
     }
 
+    /// Tells whether it gives out work: it has a document and is not draining.
+    pub fn is_ready(&self) -> bool {
+        self.version.get() > VersionNumber::default() && !self.slots.is_draining()
+    }
+
     /// Tells whether no request is in progress.
     pub fn is_idle(&self) -> bool {
         self.slots.in_use() == 0
--- /dev/null
+++ b/src/process/guard/guard_status.rs
@@ -0,0 +1,58 @@
+//! What a guard tells operators over HTTP.
+
+use {
+    super::Guard,
+    crate::{
+        connection::{HttpHandler, HttpReply, HttpRequest, Problem},
+        prelude::*,
+        process::metrics::Metrics,
+    },
+};
+
+/// The largest body of a request, in bytes; none of the paths takes one.
+const MAX_BODY_BYTES: usize = 1024;
+
+/// Answers `/healthz`, `/readyz` and `/metrics` of a guard.
+pub struct GuardStatus {
+    guard: Rc<Guard>,
+    metrics: Rc<Metrics>,
+}
+
+impl GuardStatus {
+    /// Creates the status of a guard.
+    pub fn new(
+        guard: Rc<Guard>,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        Self { guard, metrics }
+    }
+
+    fn answer(
+        &self,
+        req: &HttpRequest,
+    ) -> HttpReply {
+        match req.segments().as_slice() {
+            ["healthz"] => HttpReply::text(200, "ok\n"),
+            ["readyz"] if self.guard.is_ready() => HttpReply::text(200, "ready\n"),
+            ["readyz"] => HttpReply::text(503, "not ready\n"),
+            ["metrics"] => HttpReply::text(200, &self.metrics.render()),
+            _ => Problem::not_found().into(),
+        }
+    }
+}
+
+impl HttpHandler for GuardStatus {
+    fn handle(
+        self: Rc<Self>,
+        req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move { self.answer(&req) })
+    }
+
+    fn max_body(
+        &self,
+        _path: &str,
+    ) -> usize {
+        MAX_BODY_BYTES
+    }
+}
--- a/src/process/guard/mod.rs
+++ b/src/process/guard/mod.rs
@@ -7,6 +7,7 @@
     reason = "a file bears the name of its main type"
 )]
 mod guard;
+mod guard_status;
 mod lateness;
 mod recent_requests;
 mod run_requests;
@@ -17,6 +18,7 @@
     accelerator_book::{AcceleratorBook, Claim, Hold, Holding},
     gang::{Fences, GangKeeper, LedGang, Measure, Overrun, Piece, Stage, bounds},
     guard::Guard,
+    guard_status::GuardStatus,
     lateness::Lateness,
     recent_requests::{Admittance, RecentRequests, RecentState},
     run_requests::RequestRunner,
--- a/src/process/guard/running_guard.rs
+++ b/src/process/guard/running_guard.rs
@@ -1,9 +1,9 @@
 //! A guard with its sockets and tasks.
 
 use {
-    super::Guard,
+    super::{Guard, GuardStatus},
     crate::{
-        connection::{HttpClient, PeerServer},
+        connection::{HttpClient, HttpServer, PeerServer},
         prelude::*,
         process::{
             clock::with_timeout,
@@ -14,7 +14,7 @@
             task_group::TaskGroup,
         },
     },
-    std::io,
+    std::{future::pending, io},
 };
 
 /// How often a stopping guard looks whether its requests have ended.
@@ -28,6 +28,7 @@
     guard: Rc<Guard>,
     announcer: Rc<Announcer>,
     address: SocketAddr,
+    http_address: Option<SocketAddr>,
     clock: Rc<dyn Clock>,
     drain_timeout: Duration,
     tasks: TaskGroup,
@@ -46,6 +47,7 @@
         let client = HttpClient::new(clock.clone());
         let worker = Rc::new(HttpWorker::new(client, settings.worker));
         let listen = settings.listen;
+        let http = settings.http;
         let drain_timeout = settings.drain_timeout;
         let seeds = settings.entries.clone();
         let guard = Rc::new(Guard::new(
@@ -55,12 +57,19 @@
             worker,
             new_incarnation(&*clock),
         ));
-        let server = PeerServer::bind(listen, guard.clone(), metrics).await?;
+        let server = PeerServer::bind(listen, guard.clone(), metrics.clone()).await?;
         let address = server.local_addr()?;
         let link = UdpLink::bind(SocketAddr::new(listen.ip(), 0), clock.clone()).await?;
         let tasks = TaskGroup::default();
         tasks.spawn(server.run());
         tasks.spawn(guard.clone().run_expiry());
+        let mut http_address = None;
+        if let Some(http) = http {
+            let status = GuardStatus::new(guard.clone(), metrics);
+            let server = HttpServer::bind(http, Rc::new(status)).await?;
+            http_address = Some(server.local_addr()?);
+            tasks.spawn(server.run(pending()));
+        }
         let described = guard.clone();
         let announcer = Announcer::start(AnnouncerParts {
             clock: clock.clone(),
@@ -74,6 +83,7 @@
             guard,
             announcer,
             address,
+            http_address,
             clock,
             drain_timeout,
             tasks,
@@ -90,6 +100,11 @@
         self.address
     }
 
+    /// Returns where it tells operators of its health and metrics.
+    pub fn http_address(&self) -> Option<SocketAddr> {
+        self.http_address
+    }
+
     /// Takes no new work, waits until the requests in progress have ended, tells the entries that
     /// the upstream leaves, and stops.
     pub async fn stop(self) {
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -231,6 +231,7 @@
                 connections: workers.connections,
                 accelerators: workers.accelerators,
                 plain_tasks: workers.plain_tasks,
+                http: Some(ANY_PORT),
                 drain_timeout: DRAIN_TIMEOUT,
             };
             self.guard_settings.push(settings.clone());
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -1,8 +1,8 @@
 //! The metrics of one process.
 
 use {
-    super::GangMetrics,
-    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
+    super::{GangMetrics, ProcessUsage},
+    prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
 };
 
 /// All metrics with their registry.
@@ -52,6 +52,8 @@
     pub accelerators_in_use: IntGauge,
     /// Gangs and guarantees.
     pub gangs: GangMetrics,
+    cpu_seconds: Gauge,
+    resident_bytes: IntGauge,
 }
 
 impl Default for Metrics {
@@ -164,6 +166,16 @@
                 "limpetquay_accelerators_in_use",
                 "Accelerators in use.",
             ),
+            cpu_seconds: {
+                let help = "Processor time of the process since its start.";
+                let gauge = Gauge::new("limpetquay_process_cpu_seconds", help);
+                register(&registry, gauge.expect("the name is valid"))
+            },
+            resident_bytes: gauge(
+                &registry,
+                "limpetquay_process_resident_bytes",
+                "Resident memory of the process.",
+            ),
             gangs: GangMetrics::new(&registry),
             registry,
         }
@@ -173,6 +185,9 @@
 impl Metrics {
     /// Returns all metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
+        let usage = ProcessUsage::of_self();
+        self.cpu_seconds.set(usage.cpu.as_secs_f64());
+        self.resident_bytes.set(usage.resident_bytes as i64);
         let families = self.registry.gather();
         TextEncoder::new()
             .encode_to_string(&families)
--- a/src/process/metrics/mod.rs
+++ b/src/process/metrics/mod.rs
@@ -6,5 +6,6 @@
     reason = "a file bears the name of its main type"
 )]
 mod metrics;
+mod process_usage;
 
-pub use {gang_metrics::GangMetrics, metrics::Metrics};
+pub use {gang_metrics::GangMetrics, metrics::Metrics, process_usage::ProcessUsage};
--- a/src/process/settings/guard_settings.rs
+++ b/src/process/settings/guard_settings.rs
@@ -23,6 +23,8 @@
     pub rack: RackName,
     /// Where it takes calls from entries.
     pub listen: SocketAddr,
+    /// Where it tells operators of its health and metrics; nowhere without it.
+    pub http: Option<SocketAddr>,
     /// Where its upstream takes requests and tasks.
     pub worker: SocketAddr,
     /// Addresses behind which entries hear announcements; one that a balancer spreads is enough.
@@ -61,6 +63,8 @@
         let data_centre = read_name(file, section, "data_centre");
         let rack = read_name(file, section, "rack");
         let listen = read_address(file, section, "listen");
+        let expected = "an IP address and port such as 10.0.0.5:7002";
+        let http = file.optional(section, "http", expected, |v| v.parse().ok());
         let worker = read_address(file, section, "worker");
         let expected = "addresses such as 10.0.0.5:7001, 10.0.0.6:7001";
         let entries = read_list(file, section, "entries", expected);
@@ -89,6 +93,7 @@
             data_centre: data_centre?,
             rack: rack?,
             listen: listen?,
+            http,
             worker: worker?,
             entries: entries?,
             slots: slots?,
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod driver;
+mod guard_status;
 mod malformed;
 mod plain_tasks;
 mod whole_path;
--- a/tests/requests/network.rs
+++ b/tests/requests/network.rs
@@ -81,6 +81,7 @@
             connections: 64,
             accelerators: 0,
             plain_tasks: 0,
+            http: None,
             drain_timeout: Duration::from_secs(1),
         };
         let guard = Guard::new(
