--- a/src/process/job_queue/job_turns.rs
+++ b/src/process/job_queue/job_turns.rs
@@ -7,11 +7,11 @@
     },
     crate::{
         prelude::*,
-        process::{entry::Entry, membership::Announcement},
+        process::{clock::with_timeout, entry::Entry, membership::Announcement},
         request::{FleetView, PlacementDecision, ShapeMix},
-        version::Fleet,
+        version::{Class, Fleet},
     },
-    event_listener::Event,
+    event_listener::{Event, EventListener},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -28,7 +28,10 @@
 /// core.
 const PAUSE_FACTOR: u32 = 20;
 
-/// The longest pause after a turn.
+/// The shortest pause between two turns when urgent jobs come.
+const URGENT_SPACING: Duration = Duration::from_millis(100);
+
+/// The longest pause after a turn, unless an urgent job comes.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// The queue of one entry with the tasks of its jobs.
@@ -41,6 +44,7 @@
     fleet: RefCell<Rc<Fleet>>,
     live: RefCell<Vec<Rc<Announcement>>>,
     due: Event,
+    urgent: Event,
     decided: Event,
 }
 
@@ -92,11 +96,14 @@
     ) {
         loop {
             let due = self.due.listen();
+            let urgent = self.urgent.listen();
             let began = entry.clock.now();
             self.take_turn(entry);
             let took = entry.clock.now().since(began);
             let pause = (took * PAUSE_FACTOR).clamp(TURN_SPACING, MAX_PAUSE);
-            entry.clock.sleep(pause).await;
+            if pause_unless_urgent(entry, pause, urgent).await {
+                continue;
+            }
             let changed = self.wait_for_members(entry);
             futures_util::pin_mut!(due, changed);
             futures_util::future::select(due, changed).await;
@@ -215,12 +222,27 @@
     }
 }
 
+/// Pauses after a turn. An urgent job ends the pause early; tells whether one came.
+async fn pause_unless_urgent(
+    entry: &Entry,
+    pause: Duration,
+    urgent: EventListener,
+) -> bool {
+    let shortest = pause.min(URGENT_SPACING);
+    entry.clock.sleep(shortest).await;
+    let rest = pause - shortest;
+    !rest.is_zero() && with_timeout(&*entry.clock, rest, urgent).await.is_some()
+}
+
 impl JobTurn {
     /// Waits for the job's turn and returns its workers.
     pub async fn place(
         &self,
         job: WaitingJob,
     ) -> PlacementDecision {
+        if job.kind.class == Class::Urgent {
+            self.turns.urgent.notify(usize::MAX);
+        }
         self.turns.queue.borrow_mut().add(job);
         self.turns.due.notify(usize::MAX);
         loop {
--- a/src/process/link/link_account.rs
+++ b/src/process/link/link_account.rs
@@ -25,6 +25,17 @@
     State,
 }
 
+impl LinkPurpose {
+    /// All purposes.
+    pub const ALL: [Self; 5] = [
+        Self::Requests,
+        Self::Gang,
+        Self::Membership,
+        Self::Documents,
+        Self::State,
+    ];
+}
+
 /// Counts the bytes of one process that cross the link, sent and received, by purpose.
 #[derive(Clone)]
 pub struct LinkAccount {
--- a/src/process/local/demonstration.rs
+++ b/src/process/local/demonstration.rs
@@ -1,7 +1,7 @@
 //! A short run of requests and jobs, with a table of what happened.
 
 use {
-    super::{LocalError, LocalSystem, example_key},
+    super::{LocalError, LocalSystem, example_key, system_state::print_system_state},
     crate::{
         connection::{HttpAnswer, HttpClient},
         prelude::*,
@@ -58,6 +58,7 @@
         rows.push(run_job(system, &client, &document, kind).await?);
     }
     print_table(&rows);
+    print_system_state(system);
     Ok(())
 }
 
--- a/src/process/local/mod.rs
+++ b/src/process/local/mod.rs
@@ -6,6 +6,7 @@
 mod local_system;
 mod reclaim_demonstration;
 mod replacement;
+mod system_state;
 
 pub use {
     demonstration::demonstrate, example_keys::example_key, local_error::LocalError,
--- /dev/null
+++ b/src/process/local/system_state.rs
@@ -0,0 +1,39 @@
+//! What a local system looks like after a demonstration.
+
+use {
+    super::LocalSystem,
+    crate::{
+        prelude::*,
+        process::{entry::Entry, link::LinkPurpose},
+        request::{FleetView, Fragmentation, ShapeMix},
+        version::Fleet,
+    },
+};
+
+/// Prints how much of the idle accelerators no declared shape can use, and what crossed the link
+/// between regions, by purpose.
+pub(super) fn print_system_state(system: &LocalSystem) {
+    if let Some(first) = system.entries().first() {
+        print_fragmentation(first.entry());
+    }
+    for purpose in LinkPurpose::ALL {
+        let entries = system.entries().iter();
+        let bytes: u64 = entries.map(|e| e.entry().link.bytes(purpose)).sum();
+        println!("bytes across regions for {purpose}: {bytes}");
+    }
+}
+
+fn print_fragmentation(entry: &Entry) {
+    let live = entry.members.borrow().live(entry.clock.now());
+    let view = FleetView {
+        fleet: Rc::new(Fleet::new(live.iter().map(|u| u.fleet_worker()).collect())),
+        rooms: live.iter().map(|u| u.room()).collect(),
+    };
+    let mix = Rc::new(ShapeMix::of(&entry.document()));
+    let fragmentation = Fragmentation::of(&view, mix);
+    println!(
+        "fragmentation: {:.1} of {} idle accelerators are of no use to the declared shapes",
+        fragmentation.unusable(),
+        fragmentation.idle(),
+    );
+}
--- a/src/process/membership/hear_announce.rs
+++ b/src/process/membership/hear_announce.rs
@@ -15,7 +15,7 @@
 const MIN_LOAD_SPACING: Duration = Duration::from_millis(50);
 
 /// The bytes a second that an entry receives of the loads of upstreams that it watches.
-const LOAD_BYTES_PER_SECOND: u64 = 2400;
+const LOAD_BYTES_PER_SECOND: u64 = 1800;
 
 /// The bytes of a pulse with its headers.
 const PULSE_BYTES: u64 = 64;
--- a/src/process/membership/publish_task.rs
+++ b/src/process/membership/publish_task.rs
@@ -13,7 +13,7 @@
 const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The bytes a second that an entry receives of others' loads.
-const LOAD_BYTES_PER_SECOND: u64 = 1000;
+const LOAD_BYTES_PER_SECOND: u64 = 800;
 
 /// The bytes of one upstream's load in a delta.
 const LOAD_ROW_BYTES: u64 = 32;
