--- a/src/connection/http/handler.rs
+++ b/src/connection/http/handler.rs
@@ -132,6 +132,9 @@
         req: HttpRequest,
     ) -> LocalBoxFuture<'static, HttpReply>;
 
+    /// Notes a connection that was closed because its request was malformed or too slow.
+    fn note_malformed(&self) {}
+
     /// Returns the largest body that the server reads for a path, in bytes.
     fn max_body(
         &self,
--- a/src/connection/http/server.rs
+++ b/src/connection/http/server.rs
@@ -129,7 +129,8 @@
     stop: Stop,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| answer(handler.clone(), req));
+    let answering = handler.clone();
+    let service = service_fn(move |req| answer(answering.clone(), req));
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(HEAD_TIMEOUT)
@@ -146,6 +147,9 @@
     };
     if let Err(e) = result {
         tracing::debug!(error = %e, "connection closed");
+        if e.is_parse() || e.is_timeout() {
+            handler.note_malformed();
+        }
     }
 }
 
--- a/src/connection/peer/message.rs
+++ b/src/connection/peer/message.rs
@@ -14,12 +14,11 @@
     Run(RunGrant),
     /// A call about a gang.
     Gang(GangRequest),
-    /// Take over a document version.
+    /// Take note of the document version in force. What a guard needs of the document comes with
+    /// each call and with the layout.
     Document {
-        /// The version.
+        /// The version; an older one changes nothing.
         version: VersionNumber,
-        /// The document's text.
-        text: Arc<str>,
     },
     /// Take over which accelerators are guaranteed to whom.
     Layout {
--- a/src/process/bench/capacity/capacity_bench.rs
+++ b/src/process/bench/capacity/capacity_bench.rs
@@ -58,7 +58,8 @@
     quantity: &Quantity,
 ) -> Result<(), BenchError> {
     fs::create_dir_all(folder)?;
-    let name = format!("{}-{}", quantity.role, quantity.name).replace(' ', "-");
+    let name = format!("{}-{}", quantity.role, quantity.name);
+    let name = name.replace(',', "").replace(' ', "-");
     let series = Series {
         name: quantity.name.to_owned(),
         points: quantity.points.iter().map(|p| (p.x, p.y)).collect(),
--- a/src/process/bench/log/in_force.rs
+++ b/src/process/bench/log/in_force.rs
@@ -27,6 +27,7 @@
 
 /// When one change was where.
 struct Course {
+    version: VersionNumber,
     submitted: Instant,
     accepted: Instant,
     on_entries: Option<Instant>,
@@ -108,7 +109,7 @@
 ) -> Result<Course, BenchError> {
     let entry = system.entries()[number % system.entries().len()].entry();
     let submitted = Instant::now();
-    let accepted = loop {
+    let (version, accepted) = loop {
         let record = RecordBody::Document(DocumentRecord {
             follows: entry.state.fold().version(),
             text: format!("{EXAMPLE_DOCUMENT}\n; change {number}\n").into(),
@@ -116,12 +117,13 @@
             submitted_ms: entry.clock.wall().0,
         });
         match entry.state.append_for_outcome(record).await {
-            Ok(RecordOutcome::Accepted(_)) => break Instant::now(),
+            Ok(RecordOutcome::Accepted(version)) => break (version, Instant::now()),
             Ok(_) => {}
             Err(e) => return Err(BenchError::Failed(e.to_string())),
         }
     };
     Ok(Course {
+        version,
         submitted,
         accepted,
         on_entries: None,
@@ -140,18 +142,23 @@
     loop {
         let entries = system.entries().iter().map(|e| e.entry().document());
         let on_entries = entries.map(|d| change_of(&d)).min().unwrap_or_default();
-        let guards = system.guards().iter().map(|g| g.guard().document());
-        let on_guards = guards.map(|d| change_of(&d)).min().unwrap_or_default();
+        let guards = system.guards().iter().map(|g| g.guard().version());
+        let on_guards = guards.min().unwrap_or_default();
         let now = Instant::now();
         for (number, course) in (first..).zip(courses.borrow_mut().iter_mut()) {
             if on_entries > number {
                 course.on_entries.get_or_insert(now);
             }
-            if on_entries.min(on_guards) > number {
+            if on_entries > number && on_guards >= course.version {
                 course.on_guards.get_or_insert(now);
             }
         }
-        if on_entries.min(on_guards) >= first + count {
+        let everywhere = courses
+            .borrow()
+            .iter()
+            .filter(|c| c.on_guards.is_some())
+            .count();
+        if everywhere == count {
             return Ok(());
         }
         if start.elapsed() > GIVE_UP + PACE * count as u32 {
--- a/src/process/entry/document_push.rs
+++ b/src/process/entry/document_push.rs
@@ -1,4 +1,4 @@
-//! Brings guards to the document in force.
+//! Tells guards the document version in force.
 
 use {
     super::Entry,
@@ -29,7 +29,7 @@
 /// Since when guards have had an older document than the one in force.
 type Lagging = BTreeMap<UpstreamName, Millis>;
 
-/// Sends the document in force to guards that announce an older version, for ever. The primary
+/// Tells the version in force to guards that announce an older one, for ever. The primary
 /// watcher does so at once, and others step in when it has not.
 pub async fn push_documents(
     entry: Rc<Entry>,
@@ -92,12 +92,11 @@
     let Some(peer) = entry.peer_of(&upstream.upstream) else {
         return;
     };
-    let text = entry.document().text.clone();
-    let call = peer.call(GuardRequest::Document { version, text });
+    let call = peer.call(GuardRequest::Document { version });
     match with_timeout(&*entry.clock, PUSH_TIMEOUT, call).await {
         Some(Ok(GuardReply::Done)) => {}
         other => {
-            tracing::warn!(upstream = %upstream.upstream, ?other, "a guard did not take the document");
+            tracing::warn!(upstream = %upstream.upstream, ?other, "a guard did not take the version");
         }
     }
 }
--- a/src/process/guard/guard.rs
+++ b/src/process/guard/guard.rs
@@ -29,7 +29,6 @@
     requests: RequestRunner,
     gangs: Rc<GangKeeper>,
     version: Cell<VersionNumber>,
-    document: RefCell<Rc<Document>>,
     incarnation: u64,
     sequence: Cell<u64>,
     changed: Rc<Event>,
@@ -90,7 +89,6 @@
             clock,
             metrics,
             version: Cell::default(),
-            document: RefCell::default(),
             incarnation,
             sequence: Cell::new(0),
             changed,
@@ -107,9 +105,9 @@
         self.changed.clone()
     }
 
-    /// Returns the document in force.
-    pub fn document(&self) -> Rc<Document> {
-        self.document.borrow().clone()
+    /// Returns the document version in force.
+    pub fn version(&self) -> VersionNumber {
+        self.version.get()
     }
 
     /// Describes the upstream for its next announcement.
@@ -153,7 +151,7 @@
         self.slots.set_draining(draining);
     }
 
-    /// Tells whether it gives out work: it has a document and is not draining.
+    /// Tells whether it gives out work: it knows a document version and is not draining.
     pub fn is_ready(&self) -> bool {
         self.version.get() > VersionNumber::default() && !self.slots.is_draining()
     }
@@ -183,22 +181,15 @@
         self.gangs.clone().answer(req).await
     }
 
-    /// Takes a document over unless a newer one is in force.
-    fn take_document(
+    /// Takes note of the document version in force unless a newer one is known.
+    fn take_version(
         &self,
         version: VersionNumber,
-        text: &str,
     ) -> GuardReply {
         if version > self.version.get() {
-            match Document::parse("document", text) {
-                Ok(document) => {
-                    *self.document.borrow_mut() = Rc::new(document);
-                    self.version.set(version);
-                    self.metrics.document_version.set(version.0 as i64);
-                    self.changed.notify(usize::MAX);
-                }
-                Err(e) => tracing::error!(%version, error = %e, "a document was not taken over"),
-            }
+            self.version.set(version);
+            self.metrics.document_version.set(version.0 as i64);
+            self.changed.notify(usize::MAX);
         }
         GuardReply::Done
     }
@@ -210,7 +201,7 @@
         match req {
             GuardRequest::Run(grant) => self.requests.run(grant).await,
             GuardRequest::Gang(req) => self.call_gang(req).await,
-            GuardRequest::Document { version, text } => self.take_document(version, &text),
+            GuardRequest::Document { version } => self.take_version(version),
             GuardRequest::Layout { number, guaranteed } => {
                 self.gangs.set_guaranteed(number, guaranteed);
                 GuardReply::Done
--- a/src/process/local/demonstration.rs
+++ b/src/process/local/demonstration.rs
@@ -54,6 +54,7 @@
     for kind in document.request_kinds.values() {
         rows.push(send_requests(system, &client, &document, kind).await?);
     }
+    wait_for_accelerators(system).await;
     for kind in document.job_kinds.values() {
         rows.push(run_job(system, &client, &document, kind).await?);
     }
@@ -62,6 +63,20 @@
     Ok(())
 }
 
+/// Waits until every worker gives out accelerators; new guards do not for some seconds, because
+/// tasks of a guard before them might still run.
+async fn wait_for_accelerators(system: &LocalSystem) {
+    let all_free = || {
+        let guards = system.guards().iter();
+        guards
+            .map(|g| g.guard().gangs())
+            .all(|g| !g.free().is_empty())
+    };
+    while !all_free() {
+        system.clock().sleep(JOB_POLL).await;
+    }
+}
+
 /// Sends requests of one kind, by all accounts in turn, through all entries in turn.
 async fn send_requests(
     system: &LocalSystem,
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -28,6 +28,8 @@
     pub malformed_frames: IntCounter,
     /// Datagrams that broke the protocol.
     pub malformed_datagrams: IntCounter,
+    /// HTTP connections that were closed for a malformed or slow request.
+    pub malformed_requests: IntCounter,
     /// Announcements heard.
     pub announcements: IntCounter,
     /// Bytes that crossed the link between regions, by purpose.
@@ -107,6 +109,11 @@
                 "limpetquay_malformed_frames_total",
                 "Frames that broke the protocol.",
             ),
+            malformed_requests: counter(
+                &registry,
+                "limpetquay_malformed_requests_total",
+                "HTTP connections closed for a malformed or slow request.",
+            ),
             malformed_datagrams: counter(
                 &registry,
                 "limpetquay_malformed_datagrams_total",
--- a/src/request/api/entry_api.rs
+++ b/src/request/api/entry_api.rs
@@ -75,6 +75,10 @@
         Box::pin(async move { self.answer(req).await })
     }
 
+    fn note_malformed(&self) {
+        self.entry.metrics.malformed_requests.inc();
+    }
+
     fn max_body(
         &self,
         path: &str,
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -3,6 +3,8 @@
 mod clock;
 mod driver;
 mod guard_status;
+#[path = "../support/local_fixture.rs"]
+mod local_fixture;
 mod malformed;
 mod plain_tasks;
 mod whole_path;
--- a/tests/path/malformed.rs
+++ b/tests/path/malformed.rs
@@ -82,6 +82,14 @@
         head.extend(b"\r\n\r\n");
         let long_header = exchange(&*clock, entry, head).await;
         insta::assert_debug_snapshot!([garbage, many_headers, long_header]);
+        let metrics = system.entries()[0].entry().metrics.clone();
+        let counted = async {
+            while metrics.malformed_requests.get() < 3 {
+                clock.sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let all = with_timeout(&*clock, TIMEOUT, counted).await;
+        assert!(all.is_some(), "each closed connection is counted");
         system.stop().await;
     });
 }
--- a/tests/path/whole_path.rs
+++ b/tests/path/whole_path.rs
@@ -1,35 +1,24 @@
 //! A request and a gang job, from HTTP to the stand-in workers and back.
 
 use {
+    crate::local_fixture::LocalFixture,
     compio::runtime::Runtime,
     hyper::Method,
-    limpetquay::{
-        connection::{HttpAnswer, HttpClient},
-        prelude::*,
-        process::{
-            clock::SystemClock,
-            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, example_key},
-            settings::LocalSettings,
-        },
-    },
+    limpetquay::{connection::HttpAnswer, prelude::*},
 };
 
-const TIMEOUT: Duration = Duration::from_secs(20);
+/// A header that changes nothing, for calls that need none.
+const NO_HEADER: (&str, &str) = ("accept", "*/*");
 
-/// A local system with a client.
+/// A local system whose first entry is called.
 struct Fixture {
-    system: LocalSystem,
-    client: HttpClient,
+    local: LocalFixture,
 }
 
 impl Fixture {
     async fn start() -> Self {
-        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
-        let settings = LocalSettings::parse("local.ini", EXAMPLE_SETTINGS).expect("valid settings");
-        let system = LocalSystem::start(&settings, EXAMPLE_DOCUMENT, clock.clone()).await;
         Self {
-            system: system.expect("the system starts"),
-            client: HttpClient::new(clock),
+            local: LocalFixture::start().await,
         }
     }
 
@@ -40,16 +29,9 @@
         path: &str,
         body: &str,
     ) -> HttpAnswer {
-        let entry = self.system.entries()[0].http_address();
-        let bearer = format!("Bearer {}", example_key(account));
-        let headers = [("authorization", bearer.as_str())];
-        let url = format!("http://{entry}{path}");
-        let body = Bytes::copy_from_slice(body.as_bytes());
-        let answer = self
-            .client
-            .call(method, &url, &headers, body, TIMEOUT)
-            .await;
-        answer.expect("the entry answers")
+        self.local
+            .call(0, account, method, path, NO_HEADER, body)
+            .await
     }
 
     /// Waits until a submitted job has ended, and returns the answer about its result.
@@ -95,7 +77,7 @@
         let kind = "/v1/requests/no-such-kind";
         let unknown = fixture.call("jozi-studios", Method::POST, kind, "x").await;
         insta::assert_debug_snapshot!([text(&own), text(&stranger), text(&unknown)]);
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
 
@@ -110,7 +92,7 @@
             .await;
         let result = fixture.wait_for_result("producers", &submitted).await;
         insta::assert_debug_snapshot!(text(&result), @r#""200 log-sweep member 0 finished""#);
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
 
@@ -131,6 +113,6 @@
             text(&result),
             text(&stranger)
         ]);
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
--- a/tests/placement/local.rs
+++ b/tests/placement/local.rs
@@ -1,38 +1,28 @@
 //! Guarantees and jobs through the interface of a local system.
 
 use {
+    crate::local_fixture::LocalFixture,
     compio::runtime::Runtime,
     hyper::Method,
-    limpetquay::{
-        connection::{HttpAnswer, HttpClient},
-        prelude::*,
-        process::{
-            clock::SystemClock,
-            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, example_key},
-            settings::LocalSettings,
-        },
-    },
+    limpetquay::{connection::HttpAnswer, prelude::*, process::local::EXAMPLE_DOCUMENT},
     serde_json::Value,
 };
 
-const TIMEOUT: Duration = Duration::from_secs(20);
-
 /// How often the interface is looked at.
 const POLL: Duration = Duration::from_millis(100);
 
+/// The header by which documents name the version that they follow.
+const FOLLOWS_FIRST: (&str, &str) = ("if-match", "\"1\"");
+
+/// A local system whose first entry is called.
 struct Fixture {
-    system: LocalSystem,
-    client: HttpClient,
+    local: LocalFixture,
 }
 
 impl Fixture {
     async fn start() -> Self {
-        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
-        let settings = LocalSettings::parse("local.ini", EXAMPLE_SETTINGS).expect("valid settings");
-        let system = LocalSystem::start(&settings, EXAMPLE_DOCUMENT, clock.clone()).await;
         Self {
-            system: system.expect("the system starts"),
-            client: HttpClient::new(clock),
+            local: LocalFixture::start().await,
         }
     }
 
@@ -43,13 +33,9 @@
         path: &str,
         body: &str,
     ) -> HttpAnswer {
-        let entry = self.system.entries()[0].http_address();
-        let bearer = format!("Bearer {}", example_key(who));
-        let headers = [("authorization", bearer.as_str()), ("if-match", "\"1\"")];
-        let url = format!("http://{entry}{path}");
-        let body = Bytes::copy_from_slice(body.as_bytes());
-        let answer = self.client.call(method, &url, &headers, body, TIMEOUT);
-        answer.await.expect("the entry answers")
+        self.local
+            .call(0, who, method, path, FOLLOWS_FIRST, body)
+            .await
     }
 
     async fn json(
@@ -75,7 +61,7 @@
         }
         guarantees["layout"] = "some number".into();
         insta::assert_snapshot!(serde_json::to_string_pretty(&guarantees).expect("JSON"));
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
 
@@ -93,7 +79,7 @@
         let answer = fixture.call("ayanda", Method::PUT, path, &more).await;
         let body: Value = serde_json::from_slice(&answer.body).expect("JSON");
         insta::assert_debug_snapshot!((answer.status, &body["unmet"]));
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
 
@@ -126,6 +112,6 @@
             &ended["status"],
             never.status,
         ));
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
--- a/tests/requests/http.rs
+++ b/tests/requests/http.rs
@@ -1,39 +1,24 @@
 //! What callers see over HTTP.
 
 use {
+    crate::local_fixture::LocalFixture,
     compio::runtime::Runtime,
     hyper::Method,
-    limpetquay::{
-        connection::{HttpAnswer, HttpClient},
-        prelude::*,
-        process::{
-            clock::SystemClock,
-            local::{EXAMPLE_DOCUMENT, EXAMPLE_SETTINGS, LocalSystem, example_key},
-            settings::LocalSettings,
-            stand_in::RunMode,
-        },
-    },
+    limpetquay::{connection::HttpAnswer, prelude::*, process::stand_in::RunMode},
 };
 
-const TIMEOUT: Duration = Duration::from_secs(20);
-
 /// The requests that are sent at once.
 const BURST: usize = 200;
 
-/// A local system with a client.
+/// A local system to which one account sends requests.
 struct Fixture {
-    system: LocalSystem,
-    client: HttpClient,
+    local: LocalFixture,
 }
 
 impl Fixture {
     async fn start() -> Self {
-        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
-        let settings = LocalSettings::parse("local.ini", EXAMPLE_SETTINGS).expect("valid settings");
-        let system = LocalSystem::start(&settings, EXAMPLE_DOCUMENT, clock.clone()).await;
         Self {
-            system: system.expect("the system starts"),
-            client: HttpClient::new(clock),
+            local: LocalFixture::start().await,
         }
     }
 
@@ -44,15 +29,11 @@
         header: (&str, &str),
         body: &str,
     ) -> HttpAnswer {
-        let address = self.system.entries()[entry].http_address();
-        let url = format!("http://{address}/v1/requests/{kind}");
-        let bearer = format!("Bearer {}", example_key("jozi-studios"));
-        let headers = [("authorization", bearer.as_str()), header];
-        let body = Bytes::copy_from_slice(body.as_bytes());
-        let calling = self
-            .client
-            .call(Method::POST, &url, &headers, body, TIMEOUT);
-        calling.await.expect("the entry answers")
+        let path = format!("/v1/requests/{kind}");
+        let answer = self
+            .local
+            .call(entry, "jozi-studios", Method::POST, &path, header, body);
+        answer.await
     }
 }
 
@@ -85,7 +66,7 @@
         let late = fixture.post(0, kind, ("x-deadline-ms", "soon"), "x").await;
         let answers = [first, again, other, bad, late];
         insta::assert_debug_snapshot!(answers.each_ref().map(text));
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
 
@@ -94,17 +75,17 @@
 fn a_crossed_answer_is_not_passed_on() {
     Runtime::new().expect("a runtime").block_on(async {
         let fixture = Fixture::start().await;
-        for upstream in fixture.system.upstreams() {
+        for upstream in fixture.local.system.upstreams() {
             upstream.requests().set_mode(RunMode::Crossed);
         }
         let none = ("x-unused", "-");
         let answer = fixture.post(0, "duplicate-sweep", none, "ticket=1").await;
-        let upstreams = fixture.system.upstreams().iter();
+        let upstreams = fixture.local.system.upstreams().iter();
         let runs: u32 = upstreams
             .flat_map(|u| u.requests().runs().into_values())
             .sum();
         insta::assert_debug_snapshot!((text(&answer), runs));
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
 
@@ -114,7 +95,7 @@
 fn slots_hold_over_all_entries() {
     Runtime::new().expect("a runtime").block_on(async {
         let fixture = Fixture::start().await;
-        let entries = fixture.system.entries().len();
+        let entries = fixture.local.system.entries().len();
         let none = ("x-unused", "-");
         let calls = (0..BURST).map(|i| {
             let fixture = &fixture;
@@ -127,7 +108,7 @@
             }
         });
         let own = futures_util::future::join_all(calls).await;
-        let upstreams = fixture.system.upstreams().iter();
+        let upstreams = fixture.local.system.upstreams().iter();
         let most = upstreams.map(|u| u.requests().most_running()).max();
         let is_within = most.is_some_and(|n| n <= 8);
         insta::assert_debug_snapshot!((own.iter().all(|own| *own), is_within), @r"
@@ -136,6 +117,6 @@
             true,
         )
         ");
-        fixture.system.stop().await;
+        fixture.local.system.stop().await;
     });
 }
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -5,6 +5,8 @@
 mod fuzz;
 mod http;
 mod limits;
+#[path = "../support/local_fixture.rs"]
+mod local_fixture;
 mod network;
 mod oracle;
 mod steps;
