--- a/src/process/job_queue/job_turns.rs
+++ b/src/process/job_queue/job_turns.rs
@@ -26,13 +26,13 @@
 
 /// How many times as long as a turn the pause after it is, so that turns take a small part of a
 /// core.
-const PAUSE_FACTOR: u32 = 20;
+const PAUSE_FACTOR: u32 = 24;
 
 /// The shortest pause between two turns when urgent jobs come.
 const URGENT_SPACING: Duration = Duration::from_millis(100);
 
 /// The longest pause after a turn, unless an urgent job comes.
-const MAX_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE: Duration = Duration::from_secs(5);
 
 /// The queue of one entry with the tasks of its jobs.
 #[derive(Default)]
