Print to readers that go without a panic

Cause: a command whose output was piped to head panicked with a broken pipe and ended with exit code 101. Change: all commands print through one function for which a reader that has gone is no failure. Before: decisions into a closed pipe ended with 101 and a backtrace. After: 0, with nothing on standard error; local prints as before. Conclusion: tables can be piped to head.

--- a/src/process/cli/admin/admin_command.rs
+++ b/src/process/cli/admin/admin_command.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{AdminAction, AdminClient, admin_action::add_common_options},
+    crate::process::output::print_text,
     crate::{
         prelude::*,
         process::{
@@ -57,7 +58,7 @@
             let client = AdminClient::new(Rc::new(SystemClock::default()), entry, &key);
             self.0.run(&client, matches).await
         })?;
-        print!("{printed}");
+        print_text(&printed)?;
         Ok(())
     }
 }
--- a/src/process/cli/bench_command.rs
+++ b/src/process/cli/bench_command.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{CliError, Command, command::only_argument},
+    crate::process::output::print_text,
     crate::process::{
         bench::{Bench, BenchCx, BenchError, benches, update_page},
         logging,
@@ -84,7 +85,7 @@
     cx: &BenchCx,
 ) -> Result<(), BenchError> {
     for table in bench.run(cx)? {
-        println!("{}", table.render());
+        print_text(&format!("{}\n", table.render()))?;
         if let Some(out) = &cx.out {
             table.write_csv(out)?;
         }
--- a/src/process/cli/check_command.rs
+++ b/src/process/cli/check_command.rs
@@ -5,6 +5,7 @@
         CliError, Command,
         command::{only_argument, read_file},
     },
+    crate::process::output::print_text,
     crate::{
         process::settings::{
             EntrySettings, GuardSettings, LocalSettings, StandInLogSettings,
@@ -38,7 +39,7 @@
         let path = only_argument(matches, "the file to check")?;
         let text = read_file(&path)?;
         let what = check_text(&path, &text)?;
-        println!("{path}: a valid {what}");
+        print_text(&format!("{path}: a valid {what}\n"))?;
         Ok(())
     }
 }
--- a/src/process/cli/decisions_command.rs
+++ b/src/process/cli/decisions_command.rs
@@ -3,6 +3,7 @@
 use {
     super::{CliError, Command},
     crate::process::decision_report::DecisionReport,
+    crate::process::output::print_text,
     getopts::Matches,
     std::{
         fs::File,
@@ -41,8 +42,11 @@
             })?;
             read_lines(&mut report, BufReader::new(file))?;
         }
-        print!("{}", report.table().render());
-        println!("{} lines told of no decision", report.other_lines());
+        print_text(&report.table().render())?;
+        print_text(&format!(
+            "{} lines told of no decision\n",
+            report.other_lines()
+        ))?;
         Ok(())
     }
 }
--- a/src/process/cli/key_hash_command.rs
+++ b/src/process/cli/key_hash_command.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{CliError, Command},
+    crate::process::output::print_text,
     crate::version::KeyHash,
     getopts::Matches,
     std::io,
@@ -25,7 +26,10 @@
     ) -> Result<(), CliError> {
         let mut line = String::new();
         io::stdin().read_line(&mut line)?;
-        println!("{}", KeyHash::of(line.trim_end_matches(['\r', '\n'])));
+        print_text(&format!(
+            "{}\n",
+            KeyHash::of(line.trim_end_matches(['\r', '\n']))
+        ))?;
         Ok(())
     }
 }
--- a/src/process/cli/load_command.rs
+++ b/src/process/cli/load_command.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{CliError, Command, role::run_async},
+    crate::process::output::print_text,
     crate::{
         prelude::*,
         process::load::{LoadPlan, LoadPlanError, run_load},
@@ -73,7 +74,7 @@
         plan.check()?;
         run_async(async move |clock| {
             let report = run_load(plan, clock).await?;
-            print!("{}", report.table().render());
+            print_text(&report.table().render())?;
             Ok(())
         })
     }
--- a/src/process/cli/local_command.rs
+++ b/src/process/cli/local_command.rs
@@ -58,7 +58,7 @@
         let serve = matches.opt_present("serve");
         run_async(async move |clock| {
             let system = LocalSystem::start(&settings, &text, clock).await?;
-            system.print_addresses();
+            system.print_addresses()?;
             if serve {
                 wait_for_stop().await;
             } else {
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -13,6 +13,7 @@
         role::RoleCommand,
         roles::{EntryRole, GuardRole, StandInLogRole, StandInUpstreamRole},
     },
+    crate::process::output::print_text,
     getopts::Options,
     std::process::ExitCode,
 };
@@ -50,11 +51,11 @@
 fn run_command(args: &[String]) -> Result<(), CliError> {
     match args.first().map(String::as_str) {
         None | Some("-h" | "--help" | "help") => {
-            print!("{}", usage());
+            print_text(&usage())?;
             return Ok(());
         }
         Some("-V" | "--version") => {
-            println!("limpetquay {}", env!("CARGO_PKG_VERSION"));
+            print_text(&format!("limpetquay {}\n", env!("CARGO_PKG_VERSION")))?;
             return Ok(());
         }
         Some(_) => {}
@@ -84,11 +85,11 @@
         .parse(args)
         .map_err(|e| CliError::Usage(e.to_string()))?;
     if matches.opt_present("help") {
-        print!("{}", help_of(command, &opts));
+        print_text(&help_of(command, &opts))?;
         return Ok(());
     }
     if matches.opt_present("version") {
-        println!("limpetquay {}", env!("CARGO_PKG_VERSION"));
+        print_text(&format!("limpetquay {}\n", env!("CARGO_PKG_VERSION")))?;
         return Ok(());
     }
     command.run(&matches)
--- a/src/process/local/demonstration.rs
+++ b/src/process/local/demonstration.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{LocalError, LocalSystem, example_key, system_state::print_system_state},
+    crate::process::output::print_text,
     crate::{
         connection::{HttpAnswer, HttpClient},
         prelude::*,
@@ -9,6 +10,7 @@
     },
     hyper::Method,
     serde::Deserialize,
+    std::io,
 };
 
 /// The longest time that one call may take.
@@ -58,8 +60,8 @@
     for kind in document.job_kinds.values() {
         rows.push(run_job(system, &client, &document, kind).await?);
     }
-    print_table(&rows);
-    print_system_state(system);
+    print_table(&rows)?;
+    print_system_state(system)?;
     Ok(())
 }
 
@@ -177,18 +179,19 @@
     }
 }
 
-fn print_table(rows: &[Row]) {
-    println!(
-        "{:<52} {:>8} {:>7} {:>9}",
+fn print_table(rows: &[Row]) -> io::Result<()> {
+    let mut text = format!(
+        "{:<52} {:>8} {:>7} {:>9}\n",
         "what", "answered", "refused", "slowest"
     );
     for row in rows {
-        println!(
-            "{:<52} {:>8} {:>7} {:>6} ms",
+        text += &format!(
+            "{:<52} {:>8} {:>7} {:>6} ms\n",
             row.what,
             row.answered,
             row.refused,
             row.slowest.as_millis(),
         );
     }
+    print_text(&text)
 }
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -2,6 +2,7 @@
 
 use {
     super::LocalError,
+    crate::process::output::print_text,
     crate::{
         connection::{HttpHandler, HttpServer},
         prelude::*,
@@ -18,6 +19,7 @@
         },
     },
     compio::runtime::spawn,
+    std::io,
 };
 
 /// Where every socket is bound: a free port of the loopback interface.
@@ -139,17 +141,21 @@
     }
 
     /// Prints where callers send requests.
-    pub fn print_addresses(&self) {
+    ///
+    /// # Errors
+    /// The error of writing.
+    pub fn print_addresses(&self) -> io::Result<()> {
         for running in &self.entries {
             let settings = &running.entry().settings;
-            println!(
-                "{} ({}, {}) takes requests at http://{}",
+            print_text(&format!(
+                "{} ({}, {}) takes requests at http://{}\n",
                 settings.name,
                 settings.data_centre,
                 settings.region,
                 running.http_address(),
-            );
+            ))?;
         }
+        Ok(())
     }
 
     /// Stops entries, guards and stand-ins, in this order, and lets requests finish.
--- a/src/process/local/reclaim_demonstration.rs
+++ b/src/process/local/reclaim_demonstration.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{LocalError, LocalSystem},
+    crate::process::output::print_text,
     crate::{
         connection::{
             CommitCall, Eviction, GangId, GangPhase, GangReply, GangRequest, GuaranteedShare,
@@ -43,11 +44,11 @@
         let ownership = 1;
         call(guard, GangRequest::Release { gang, ownership }).await;
     }
-    println!(
+    print_text(&format!(
         "{lent} accelerators guaranteed to {} were reclaimed from a running task in {took:?} \
-         (bound {RECLAIM_BOUND:?})",
+         (bound {RECLAIM_BOUND:?})\n",
         share.account,
-    );
+    ))?;
     Ok(())
 }
 
--- a/src/process/local/system_state.rs
+++ b/src/process/local/system_state.rs
@@ -2,28 +2,31 @@
 
 use {
     super::LocalSystem,
+    crate::process::output::print_text,
     crate::{
         prelude::*,
         process::{entry::Entry, link::LinkPurpose},
         request::{FleetView, Fragmentation, ShapeMix},
         version::Fleet,
     },
+    std::io,
 };
 
 /// Prints how much of the idle accelerators no declared shape can use, and what crossed the link
 /// between regions, by purpose.
-pub(super) fn print_system_state(system: &LocalSystem) {
+pub(super) fn print_system_state(system: &LocalSystem) -> io::Result<()> {
     if let Some(first) = system.entries().first() {
-        print_fragmentation(first.entry());
+        print_fragmentation(first.entry())?;
     }
     for purpose in LinkPurpose::ALL {
         let entries = system.entries().iter();
         let bytes: u64 = entries.map(|e| e.entry().link.bytes(purpose)).sum();
-        println!("bytes across regions for {purpose}: {bytes}");
+        print_text(&format!("bytes across regions for {purpose}: {bytes}\n"))?;
     }
+    Ok(())
 }
 
-fn print_fragmentation(entry: &Entry) {
+fn print_fragmentation(entry: &Entry) -> io::Result<()> {
     let live = entry.members.borrow().live(entry.clock.now());
     let view = FleetView {
         fleet: Rc::new(Fleet::new(live.iter().map(|u| u.fleet_worker()).collect())),
@@ -31,9 +34,9 @@
     };
     let mix = Rc::new(ShapeMix::of(&entry.document()));
     let fragmentation = Fragmentation::of(&view, mix);
-    println!(
-        "fragmentation: {:.1} of {} idle accelerators are of no use to the declared shapes",
+    print_text(&format!(
+        "fragmentation: {:.1} of {} idle accelerators are of no use to the declared shapes\n",
         fragmentation.unusable(),
         fragmentation.idle(),
-    );
+    ))
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+mod output;
 pub mod platform;
 pub mod settings;
 pub mod shutdown;
