--- a/src/process/entry/document_push.rs
+++ b/src/process/entry/document_push.rs
@@ -14,7 +14,7 @@
     std::collections::BTreeMap,
 };
 
-/// How often guards are looked at for an old document when the state does not change.
+/// How often guards are looked at for an old version when the state does not change.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The most guards that are told at once.
@@ -26,7 +26,7 @@
 /// How much longer an entry leaves a guard to others for each step that it is further from it.
 const STEP_DELAY: Duration = Duration::from_secs(2);
 
-/// Since when guards have had an older document than the one in force.
+/// Since when guards have had an older version than the one in force.
 type Lagging = BTreeMap<UpstreamName, Millis>;
 
 /// Tells the version in force to guards that announce an older one, for ever. The primary
--- a/src/process/link/link_account.rs
+++ b/src/process/link/link_account.rs
@@ -17,7 +17,7 @@
     /// Announcements, heartbeats and summaries of upstreams.
     #[display("membership")]
     Membership,
-    /// Service documents and layouts for guards.
+    /// Document versions and layouts for guards.
     #[display("documents")]
     Documents,
     /// State that one entry gives another, and calls to the platform's log.
--- a/tests/gangs/oracle.rs
+++ b/tests/gangs/oracle.rs
@@ -204,8 +204,8 @@
         }
     }
 
-    /// The owner of a share gets as many unused accelerators within the bound, unless work that is never evicted was
-    /// there before the layout; afterwards it gives the share back.
+    /// The owner of a share gets as many unused accelerators within the bound, unless work that is
+    /// never evicted was there before the layout; afterwards it gives the share back.
     pub async fn probe_share(
         &self,
         site: usize,
