--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,9 +9,11 @@
         Problem, query_value,
     },
     peer::{
-        Beat, CommitCall, Eviction, FrameError, GangEnd, GangId, GangPhase, GangReply, GangRequest,
-        GuaranteedShare, GuardPeer, GuardReply, GuardRequest, KnownGang, LinkError, PeerHandler,
-        PeerLink, PeerServer, PieceAddress, PieceEnd, PieceState, Refusal, ReserveCall, RunGrant,
-        StartCall, StopCause, Work, read_frame, write_frame,
+        Beat, CommitCall, EndKind, Eviction, FrameError, GangEnd, GangId, GangPhase, GangReply,
+        GangRequest, GuaranteedShare, GuardOrders, GuardPeer, GuardReply, GuardReport,
+        GuardRequest, KnownGang, LinkError, PeerHandler, PeerLink, PeerServer, PieceAddress,
+        PieceEnd, PieceState, Refusal, RefusedStart, ReserveCall, RunEnd, RunGrant, RunPhase,
+        RunStart, RunStatus, StartCall, StartRefusal, StopCause, Work, WorkerLife, WorkerReport,
+        read_frame, write_frame,
     },
 };
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod peer_link;
 mod peer_server;
+mod run_message;
 
 pub use {
     frame::{FrameError, read_frame, write_frame},
@@ -17,4 +18,8 @@
     message::{GuaranteedShare, GuardReply, GuardRequest, Refusal, RunGrant},
     peer_link::PeerLink,
     peer_server::{PeerHandler, PeerServer},
+    run_message::{
+        EndKind, GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStart, RunStatus,
+        StartRefusal, WorkerLife, WorkerReport,
+    },
 };
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,199 @@
+//! The operator's configuration.
+
+use {
+    crate::{
+        prelude::*,
+        process::ledger::{KeyedPage, KeyedStore, StoreError},
+        version::{ApiAccount, CallerLimits, Queue, QueueName, QueueTable},
+    },
+    derive_more::{Display, Error},
+    serde::Deserialize,
+    std::collections::BTreeMap,
+};
+
+/// The topic that the operator writes to.
+const TOPIC: &str = "keyed.op";
+
+/// The key of the configuration.
+const CONFIG_KEY: &str = "config";
+
+/// How long one read waits for a change.
+const READ_WAIT: Duration = Duration::from_millis(1000);
+
+/// The pause after a failed read.
+const READ_RETRY: Duration = Duration::from_millis(200);
+
+/// Why a configuration cannot be used.
+#[derive(Debug, Display, Error)]
+#[display("malformed configuration: {_0}")]
+pub struct ConfigError(serde_json::Error);
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+/// A queue for jobs; the platform calls it a route.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRoute {
+    name: QueueName,
+    host: Arc<str>,
+    path_prefix: Arc<str>,
+    service: Arc<str>,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    attempts: Option<u32>,
+    #[serde(default)]
+    stretch: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    advice: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct WireLimits {
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+impl Default for WireLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 262_144,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTenant {
+    name: AccountName,
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    #[serde(default)]
+    guaranteed: WireGuarantee,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct WireGuarantee {
+    gpu: u64,
+}
+
+/// Decodes a configuration.
+///
+/// # Errors
+/// [`ConfigError`] when it is not one.
+pub fn decode_config(body: &[u8]) -> Result<QueueTable, ConfigError> {
+    let wire: WireConfig = serde_json::from_slice(body).map_err(ConfigError)?;
+    let mut accounts = BTreeMap::new();
+    let mut keys = BTreeMap::new();
+    for tenant in wire.tenants {
+        for key in tenant.api_keys {
+            keys.insert(key, tenant.name.clone());
+        }
+        let account = ApiAccount {
+            name: tenant.name.clone(),
+            guaranteed: tenant.guaranteed.gpu,
+        };
+        accounts.insert(tenant.name, account);
+    }
+    let queues = wire.routes.into_iter().map(|r| (r.name.clone(), queue(r)));
+    Ok(QueueTable {
+        version: wire.version,
+        queues: queues.collect(),
+        accounts,
+        keys,
+        limits: CallerLimits {
+            body_bytes: wire.limits.max_body_bytes,
+            head_timeout: Duration::from_millis(wire.limits.header_timeout_ms),
+            idle_timeout: Duration::from_millis(wire.limits.idle_timeout_ms),
+        },
+    })
+}
+
+fn queue(route: WireRoute) -> Queue {
+    Queue {
+        name: route.name,
+        host: route.host,
+        prefix: route.path_prefix,
+        service: route.service,
+        priority: route.priority,
+        attempts: route.attempts.unwrap_or(1),
+        stretch: route.stretch,
+        target_ms: route.target_latency_ms as u64,
+        public: route.public,
+        unsupported: route
+            .advice
+            .map(|_| "queues whose workers are chosen by advice"),
+    }
+}
+
+/// Follows the configuration for ever; `table` holds the newest one that could be read.
+pub async fn follow_config(
+    store: Rc<dyn KeyedStore>,
+    clock: Rc<dyn Clock>,
+    table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+) {
+    let mut next = None;
+    loop {
+        let result = match next {
+            None => store.newest(TOPIC).await,
+            Some(from) => store.read(TOPIC, from, READ_WAIT).await,
+        };
+        match result {
+            Ok(page) => {
+                next = Some(page.end);
+                take_page(&page, &table);
+            }
+            Err(StoreError::Trimmed) => next = None,
+            Err(e) => {
+                let version = table.borrow().as_ref().map(|t| t.version);
+                tracing::warn!(error = %e, version, "the configuration cannot be read");
+                clock.sleep(READ_RETRY).await;
+            }
+        }
+    }
+}
+
+fn take_page(
+    page: &KeyedPage,
+    table: &RefCell<Option<Rc<QueueTable>>>,
+) {
+    // Only the newest record counts; the ones before it need not be decoded.
+    let newest = page.records.iter().rev().find(|r| &*r.key == CONFIG_KEY);
+    let Some(value) = newest.and_then(|r| r.value.as_ref()) else {
+        return;
+    };
+    match decode_config(value) {
+        Ok(new) => {
+            let previous = table.borrow().as_ref().map(|t| t.version);
+            if previous.is_none_or(|v| v < new.version) {
+                tracing::info!(
+                    version = new.version,
+                    previous,
+                    queues = new.queues.len(),
+                    "configuration in force"
+                );
+                *table.borrow_mut() = Some(Rc::new(new));
+            }
+        }
+        Err(e) => tracing::error!(error = %e, "configuration passed over"),
+    }
+}
--- /dev/null
+++ b/src/platform/entry_role.rs
@@ -0,0 +1,181 @@
+//! An entry on the platform.
+
+use {
+    super::{BootSettings, Callers, LogStore, SettingsError, follow_config},
+    crate::{
+        connection::{HttpClient, HttpHandler, HttpReply, HttpRequest, HttpServer},
+        prelude::*,
+        process::{
+            job_desk::JobDesk,
+            ledger::{KeyedStore, Lead, Ledger, LedgerKey, LedgerRecord, Member, MemberRole},
+            scheduler::{SchedulerParts, run_scheduler},
+            shutdown::Shutdown,
+            task_group::TaskGroup,
+        },
+    },
+    std::{cell::Cell, io, time::Instant},
+};
+
+/// How long a stopping entry still takes connections: two of the balancer's looks and some slack.
+const READINESS_LEAD: Duration = Duration::from_millis(2500);
+
+/// How much of the grace period is left unused.
+const GRACE_MARGIN: Duration = Duration::from_millis(1000);
+
+/// How long an entry whose store is far lets the others claim the lead first.
+const FAR_DELAY: Duration = Duration::from_millis(400);
+
+/// From which time of a first call on the store counts as far.
+const FAR_STORE: Duration = Duration::from_millis(15);
+
+/// The pause before a failed registration is tried again.
+const REGISTER_RETRY: Duration = Duration::from_millis(300);
+
+/// A started entry.
+pub(super) struct PlatformEntry {
+    desk: Rc<JobDesk>,
+    lead: Rc<Lead>,
+    clock: Rc<dyn Clock>,
+    grace: Duration,
+    shutdown: Rc<Shutdown>,
+    server: compio::runtime::JoinHandle<()>,
+    _tasks: TaskGroup,
+}
+
+/// Answers the balancer.
+struct Readiness(Rc<JobDesk>);
+
+impl HttpHandler for Readiness {
+    fn handle(
+        self: Rc<Self>,
+        _req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpReply> {
+        let status = if self.0.is_ready() { 200 } else { 503 };
+        Box::pin(async move { HttpReply::text(status, "") })
+    }
+
+    fn max_body(
+        &self,
+        _path: &str,
+    ) -> usize {
+        0
+    }
+}
+
+impl PlatformEntry {
+    /// Binds the entry's sockets and starts its tasks.
+    pub(super) async fn start(
+        settings: &BootSettings,
+        clock: Rc<dyn Clock>,
+    ) -> Result<Self, io::Error> {
+        let callers = required(settings.callers, "ListenAddrs.Frontend")?;
+        let readiness = required(settings.readiness, "ListenAddrs.Ready")?;
+        let client = HttpClient::new(clock.clone());
+        let store: Rc<dyn KeyedStore> = Rc::new(LogStore::new(client, settings.store));
+        let ledger = Rc::new(Ledger::new(store.clone(), clock.clone()));
+        let table = Rc::new(RefCell::new(None));
+        let desk = Rc::new(JobDesk {
+            clock: clock.clone(),
+            ledger: ledger.clone(),
+            table: table.clone(),
+            leaving: Cell::new(false),
+        });
+        let server = HttpServer::bind(callers, Rc::new(Callers::new(desk.clone()))).await?;
+        let ready_server = HttpServer::bind(readiness, Rc::new(Readiness(desk.clone()))).await?;
+        let shutdown = Rc::new(Shutdown::default());
+        let stop = shutdown.clone();
+        let server = compio::runtime::spawn(server.run(async move { stop.wait().await }));
+        let tasks = TaskGroup::default();
+        tasks.spawn(ready_server.run(std::future::pending()));
+        tasks.spawn(follow_config(store, clock.clone(), table.clone()));
+        let following = ledger.clone();
+        let began = Instant::now();
+        tasks.spawn(async move { following.follow().await });
+        let boot = rand::random();
+        let lead = wait_for_lead(&ledger, &clock, settings, boot, began).await;
+        let member = Member {
+            name: settings.instance.clone(),
+            role: MemberRole::Entry,
+            address: settings.peers,
+            boot,
+        };
+        tasks.spawn(register(ledger, clock.clone(), member));
+        let parts = SchedulerParts {
+            lead: lead.clone(),
+            clock: clock.clone(),
+            table,
+            leases: settings.leases,
+            far_factor: settings.far_factor,
+        };
+        tasks.spawn(run_scheduler(parts));
+        Ok(Self {
+            desk,
+            lead,
+            clock,
+            grace: settings.grace,
+            shutdown,
+            server,
+            _tasks: tasks,
+        })
+    }
+
+    /// Gives the lead up, stops being ready, lets the requests in progress finish, and stops.
+    pub(super) async fn stop(self) {
+        self.desk.leaving.set(true);
+        self.lead.leaving.set(true);
+        self.clock.sleep(READINESS_LEAD).await;
+        self.shutdown.start();
+        let time = self.grace.saturating_sub(READINESS_LEAD + GRACE_MARGIN);
+        if crate::process::clock::with_timeout(&*self.clock, time, self.server)
+            .await
+            .is_none()
+        {
+            tracing::warn!("requests were still in progress at the end of the grace period");
+        }
+    }
+}
+
+fn required(
+    address: Option<SocketAddr>,
+    key: &'static str,
+) -> Result<SocketAddr, io::Error> {
+    let address: Result<SocketAddr, SettingsError> = BootSettings::required(address, key);
+    address.map_err(io::Error::other)
+}
+
+/// Decides by the time of the first read how soon this entry claims a vacant lead.
+async fn wait_for_lead(
+    ledger: &Rc<Ledger>,
+    clock: &Rc<dyn Clock>,
+    settings: &BootSettings,
+    boot: u64,
+    began: Instant,
+) -> Rc<Lead> {
+    let entry = EntryName::from(&*settings.instance);
+    ledger.wait_until_read().await;
+    let took = began.elapsed();
+    let delay = if took < FAR_STORE {
+        Duration::ZERO
+    } else {
+        FAR_DELAY
+    };
+    Rc::new(Lead::new(ledger.clone(), clock.clone(), entry, boot, delay))
+}
+
+/// Records where a process is reached, so that the others find it.
+pub(super) async fn register(
+    ledger: Rc<Ledger>,
+    clock: Rc<dyn Clock>,
+    member: Member,
+) {
+    let key = LedgerKey::Member(member.name.clone());
+    let record = LedgerRecord::Member(member);
+    while let Err(e) = ledger
+        .put(&key, &record, crate::process::ledger::Condition::Always)
+        .await
+    {
+        tracing::warn!(error = %e, "registering failed");
+        clock.sleep(REGISTER_RETRY).await;
+    }
+    tracing::info!(%key, "registered");
+}
--- /dev/null
+++ b/src/platform/guard_role.rs
@@ -0,0 +1,54 @@
+//! A guard on the platform.
+
+use {
+    super::{BootSettings, Discovery, LogStore, WorkerCalls, entry_role::register},
+    crate::{
+        connection::{HttpClient, HttpServer},
+        prelude::*,
+        process::{
+            ledger::{Ledger, Member, MemberRole},
+            runs::RunGuard,
+            task_group::TaskGroup,
+        },
+    },
+    compio::net::TcpListener,
+    std::io,
+};
+
+/// A started guard.
+pub(super) struct PlatformGuard {
+    _tasks: TaskGroup,
+    _sessions: TaskGroup,
+}
+
+impl PlatformGuard {
+    /// Binds the guard's sockets and starts its tasks.
+    pub(super) async fn start(
+        settings: &BootSettings,
+        clock: Rc<dyn Clock>,
+    ) -> Result<Self, io::Error> {
+        let discovery = BootSettings::required(settings.discovery, "ListenAddrs.ControlPlane");
+        let discovery = discovery.map_err(io::Error::other)?;
+        let client = HttpClient::new(clock.clone());
+        let worker = Rc::new(WorkerCalls::new(client.clone()));
+        let guard = Rc::new(RunGuard::new(worker, clock.clone()));
+        let server = HttpServer::bind(discovery, Rc::new(Discovery::new(guard.clone()))).await?;
+        let sessions = guard.start(TcpListener::bind(settings.peers).await?);
+        let tasks = TaskGroup::default();
+        tasks.spawn(server.run(std::future::pending()));
+        // A guard does not follow the ledger; it only writes where it is.
+        let store = Rc::new(LogStore::new(client, settings.store));
+        let ledger = Rc::new(Ledger::new(store, clock.clone()));
+        let member = Member {
+            name: settings.instance.clone(),
+            role: MemberRole::Guard,
+            address: settings.peers,
+            boot: rand::random(),
+        };
+        tasks.spawn(register(ledger, clock, member));
+        Ok(Self {
+            _tasks: tasks,
+            _sessions: sessions,
+        })
+    }
+}
--- /dev/null
+++ b/src/platform/job_body.rs
@@ -0,0 +1,152 @@
+//! Jobs as callers send them.
+
+use {
+    crate::{
+        prelude::*,
+        request::{InvalidJob, Recurrence, Resources, Step, StepJob, StepJobId},
+        version::Queue,
+    },
+    derive_more::{Display, Error, From},
+    serde::Deserialize,
+};
+
+/// The largest text that workers are told to run, in bytes.
+const MAX_PAYLOAD_BYTES: usize = 4000;
+
+/// Why a job is not taken.
+#[derive(Debug, Display, Error, From)]
+pub enum JobBodyError {
+    /// The body is not a job.
+    #[display("malformed job: {_0}")]
+    Malformed(serde_json::Error),
+    /// The job can never run.
+    #[display("{_0}")]
+    Invalid(InvalidJob),
+    /// The payload is too long.
+    #[display("the payload is longer than {MAX_PAYLOAD_BYTES} bytes")]
+    PayloadTooLong,
+    /// The job asks for something that is not served yet.
+    #[display("not served: {_0}")]
+    #[from(skip)]
+    NotServed(#[error(not(source))] &'static str),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireJob {
+    #[serde(default)]
+    spec: Arc<str>,
+    steps: Vec<WireStep>,
+    #[serde(default)]
+    repeat_count: u32,
+    #[serde(default)]
+    first_run_ms: u64,
+    #[serde(default)]
+    interval_ms: u64,
+    #[serde(default)]
+    long_running: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+#[derive(Default)]
+struct WireStep {
+    count: u32,
+    cpu: u64,
+    mem_mb: u64,
+    gpu: u64,
+    est_runtime_ms: u64,
+    depends_on: Vec<u16>,
+    checkpointing: bool,
+    gang_scheduled: bool,
+    rack_sensitive: bool,
+    /// A label that the worker must have, in spite of its plural.
+    constraints: Option<Arc<str>>,
+    data_rack: Option<Arc<str>>,
+    /// The most subtasks on one worker.
+    anti_affinity: u32,
+    /// Whether copies of a subtask may run at once.
+    speculative: bool,
+    image: Option<Arc<str>>,
+    long_running: bool,
+    fills: bool,
+    target_ms: f64,
+    miss_allowed: u32,
+}
+
+/// Decodes a job that a caller of an account sends to a queue.
+///
+/// # Errors
+/// [`JobBodyError`], which says why the job is not taken.
+pub fn decode_job(
+    id: StepJobId,
+    body: &[u8],
+    queue: &Queue,
+    account: AccountName,
+    now: Millis,
+) -> Result<StepJob, JobBodyError> {
+    let wire: WireJob = serde_json::from_slice(body)?;
+    if wire.spec.len() > MAX_PAYLOAD_BYTES {
+        return Err(JobBodyError::PayloadTooLong);
+    }
+    if wire.long_running
+        || wire
+            .steps
+            .iter()
+            .any(|s| s.long_running || s.miss_allowed > 0)
+    {
+        return Err(JobBodyError::NotServed(
+            "work that runs until it is cancelled",
+        ));
+    }
+    if wire.steps.iter().any(|s| s.fills || s.target_ms > 0.0) {
+        return Err(JobBodyError::NotServed(
+            "work that fills and work with a latency target",
+        ));
+    }
+    if let Some(what) = queue.unsupported {
+        return Err(JobBodyError::NotServed(what));
+    }
+    let recurrence = (wire.repeat_count > 0).then_some(Recurrence {
+        count: wire.repeat_count,
+        first_ms: wire.first_run_ms,
+        interval_ms: wire.interval_ms,
+    });
+    let job = StepJob {
+        id,
+        queue: queue.name.clone(),
+        account,
+        service: queue.service.clone(),
+        priority: queue.priority,
+        attempts: queue.attempts,
+        stretch_percent: (queue.stretch * 100.0) as u64,
+        target_ms: queue.target_ms,
+        payload: wire.spec,
+        steps: wire.steps.into_iter().map(step).collect(),
+        recurrence,
+        accepted_ms: now.0,
+    };
+    job.check()?;
+    Ok(job)
+}
+
+fn step(wire: WireStep) -> Step {
+    Step {
+        count: wire.count,
+        demand: Resources {
+            cpu_milli: wire.cpu,
+            memory_mb: wire.mem_mb,
+            accelerators: wire.gpu,
+        },
+        estimate_ms: wire.est_runtime_ms,
+        after: wire.depends_on,
+        checkpoints: wire.checkpointing,
+        gang: wire.gang_scheduled,
+        rack_bound: wire.rack_sensitive,
+        label: wire.constraints.filter(|l| !l.is_empty()),
+        data_rack: wire.data_rack.filter(|r| !r.is_empty()),
+        max_per_upstream: wire.anti_affinity,
+        copies: wire.speculative,
+        image: wire.image.filter(|i| !i.is_empty()),
+    }
+}
--- /dev/null
+++ b/src/platform/log_store.rs
@@ -0,0 +1,310 @@
+//! The platform's store, as a [`KeyedStore`].
+
+use {
+    crate::{
+        connection::{HttpAnswer, HttpClient, HttpClientError},
+        prelude::*,
+        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    serde::Deserialize,
+};
+
+/// The longest time that a call may take besides the wait that it asks for. A slow store answers
+/// in some 300 ms.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// The producer under which the scheduling entry appends.
+const PRODUCER: &str = "lead";
+
+/// The length of the offsets before the records of a read, in bytes.
+const READ_HEAD_BYTES: usize = 16;
+
+/// The store, reached over HTTP.
+pub struct LogStore {
+    client: HttpClient,
+    base: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireAppended {
+    offset: u64,
+}
+
+/// Why an append was refused. `sequence` is the number that the store expects.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct WireConflict {
+    reason: String,
+    sequence: Option<u64>,
+}
+
+/// One page of the newest records. `end_offset` is the offset behind the topic's last record.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireNewest {
+    #[serde(rename = "items", default)]
+    records: Vec<WireItem>,
+    #[serde(default)]
+    has_more: bool,
+    end_offset: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireItem {
+    key: Arc<str>,
+    value: String,
+    offset: u64,
+}
+
+impl LogStore {
+    /// Creates a client of the store at an address.
+    pub fn new(
+        client: HttpClient,
+        address: SocketAddr,
+    ) -> Self {
+        Self {
+            client,
+            base: format!("http://{address}"),
+        }
+    }
+
+    async fn get(
+        &self,
+        path: &str,
+        wait: Duration,
+    ) -> Result<HttpAnswer, StoreError> {
+        let url = format!("{}{path}", self.base);
+        let result = self.client.get(&url, CALL_TIMEOUT + wait).await;
+        result.map_err(call_error)
+    }
+
+    async fn newest_page(
+        &self,
+        topic: &str,
+        after: Option<&str>,
+    ) -> Result<WireNewest, StoreError> {
+        // `DependsOn` holds the key after which the page begins.
+        let after = after.map(|key| format!("&DependsOn={}", escape(key)));
+        let path = format!(
+            "/log-newest?Topic={topic}&part=0{}",
+            after.unwrap_or_default()
+        );
+        let answer = self.get(&path, Duration::ZERO).await?;
+        match answer.status {
+            200 => serde_json::from_slice(&answer.body).map_err(malformed),
+            status => Err(refused(status, &answer)),
+        }
+    }
+
+    async fn post(
+        &self,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<HttpAnswer, StoreError> {
+        let url = format!("{}{path}", self.base);
+        let headers = [("content-type", "application/octet-stream")];
+        let result = self
+            .client
+            .post(&url, &headers, body.into(), CALL_TIMEOUT)
+            .await;
+        result.map_err(call_error)
+    }
+}
+
+impl KeyedStore for LogStore {
+    fn newest<'a>(
+        &'a self,
+        topic: &'a str,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        Box::pin(async move {
+            let mut page = self.newest_page(topic, None).await?;
+            // Later pages may show later records, so reading goes on from where the first one ended.
+            let end = page.end_offset;
+            let mut records = Vec::new();
+            loop {
+                let last = page.records.last().map(|i| i.key.clone());
+                for item in page.records {
+                    records.push(decode_item(item)?);
+                }
+                let (true, Some(last)) = (page.has_more, last) else {
+                    break;
+                };
+                page = self.newest_page(topic, Some(&last)).await?;
+            }
+            records.sort_by_key(|r| r.offset);
+            Ok(KeyedPage { records, end })
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        topic: &'a str,
+        from: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        Box::pin(async move {
+            let wait_ms = wait.as_millis();
+            let path = format!("/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
+            let answer = self.get(&path, wait).await?;
+            match answer.status {
+                200 => decode_read(&answer.body, from),
+                410 => Err(StoreError::Trimmed),
+                status => Err(refused(status, &answer)),
+            }
+        })
+    }
+
+    fn append<'a>(
+        &'a self,
+        topic: &'a str,
+        records: &'a [KeyedRecord],
+        condition: Condition,
+    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+        Box::pin(async move {
+            let condition = match condition {
+                Condition::Always => String::new(),
+                Condition::EndsAt(end) => format!("&At={end}"),
+                Condition::Fenced(fence) => format!(
+                    "&ProducerId={PRODUCER}&epoch={}&Sequence={}",
+                    fence.epoch, fence.sequence
+                ),
+            };
+            let path = format!("/log-append?Topic={topic}&part=0{condition}");
+            let answer = self.post(&path, encode_records(records)?).await?;
+            match answer.status {
+                200 => {
+                    let appended: WireAppended =
+                        serde_json::from_slice(&answer.body).map_err(malformed)?;
+                    Ok(appended.offset)
+                }
+                409 => Err(conflict(&answer)),
+                412 => Err(StoreError::EndMoved),
+                status => Err(refused(status, &answer)),
+            }
+        })
+    }
+}
+
+fn call_error(e: HttpClientError) -> StoreError {
+    match e {
+        HttpClientError::NotConnected(why) => StoreError::Refused(why),
+        e => StoreError::Unknown(e.to_string()),
+    }
+}
+
+fn malformed(e: serde_json::Error) -> StoreError {
+    StoreError::Malformed(e.to_string())
+}
+
+/// Turns a status that says that nothing was done; others are not known to.
+fn refused(
+    status: u16,
+    answer: &HttpAnswer,
+) -> StoreError {
+    let detail = String::from_utf8_lossy(&answer.body);
+    let detail: String = detail.chars().take(200).collect();
+    match status {
+        400..=499 | 503 | 507 => StoreError::Refused(format!("status {status} {detail}")),
+        _ => StoreError::Unknown(format!("status {status} {detail}")),
+    }
+}
+
+fn conflict(answer: &HttpAnswer) -> StoreError {
+    match serde_json::from_slice::<WireConflict>(&answer.body) {
+        Ok(conflict) if conflict.reason == "fenced" => StoreError::Fenced,
+        Ok(WireConflict {
+            sequence: Some(expected),
+            ..
+        }) => StoreError::OutOfSequence(expected),
+        _ => {
+            let detail = String::from_utf8_lossy(&answer.body).into_owned();
+            StoreError::Refused(format!("status 409 {detail}"))
+        }
+    }
+}
+
+/// Escapes the characters of our keys that have a meaning in a query.
+fn escape(key: &str) -> String {
+    key.replace('%', "%25")
+        .replace('/', "%2F")
+        .replace('&', "%26")
+        .replace(' ', "%20")
+}
+
+fn decode_item(item: WireItem) -> Result<KeyedRecord, StoreError> {
+    let value = STANDARD.decode(item.value);
+    let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
+    Ok(KeyedRecord {
+        key: item.key,
+        value: Some(value.into()),
+        offset: item.offset,
+    })
+}
+
+/// Encodes records: the length, then the key's length in one byte, the key and the value.
+fn encode_records(records: &[KeyedRecord]) -> Result<Vec<u8>, StoreError> {
+    let mut body = Vec::new();
+    for record in records {
+        let key_len = u8::try_from(record.key.len())
+            .map_err(|_| StoreError::Refused("a key is longer than 255 bytes".to_owned()))?;
+        let value = record.value.as_deref().unwrap_or_default();
+        let len = 1 + record.key.len() + value.len();
+        body.extend_from_slice(&u32::try_from(len).unwrap_or(u32::MAX).to_be_bytes());
+        body.push(key_len);
+        body.extend_from_slice(record.key.as_bytes());
+        body.extend_from_slice(value);
+    }
+    Ok(body)
+}
+
+/// Decodes a read: the topic's end and first kept offset, then records from `from` on. A record
+/// that is cut or has no readable key names nothing and is passed over.
+fn decode_read(
+    body: &Bytes,
+    from: u64,
+) -> Result<KeyedPage, StoreError> {
+    if body.len() < READ_HEAD_BYTES {
+        return Err(StoreError::Malformed("the answer is cut short".to_owned()));
+    }
+    let mut rest = body.slice(READ_HEAD_BYTES..);
+    let mut offset = from;
+    let mut records = Vec::new();
+    while rest.len() >= 4 {
+        let len = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+        if rest.len() < 4 + len {
+            return Err(StoreError::Malformed("a record is cut short".to_owned()));
+        }
+        let content = rest.slice(4..4 + len);
+        rest = rest.slice(4 + len..);
+        match decode_record(&content, offset) {
+            Some(record) => records.push(record),
+            None => tracing::warn!(
+                offset,
+                bytes = len,
+                "record without a readable key passed over"
+            ),
+        }
+        offset += 1;
+    }
+    Ok(KeyedPage {
+        records,
+        end: offset,
+    })
+}
+
+fn decode_record(
+    content: &Bytes,
+    offset: u64,
+) -> Option<KeyedRecord> {
+    let key_len = usize::from(*content.first()?);
+    let key = std::str::from_utf8(content.get(1..1 + key_len)?).ok()?;
+    let value = content.slice(1 + key_len..);
+    Some(KeyedRecord {
+        key: key.into(),
+        value: (!value.is_empty()).then_some(value),
+        offset,
+    })
+}
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -9,6 +9,7 @@
 mod key_hash_command;
 mod load_command;
 mod local_command;
+mod platform_command;
 mod role;
 mod roles;
 mod run;
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -10,10 +10,11 @@
         key_hash_command::KeyHashCommand,
         load_command::LoadCommand,
         local_command::LocalCommand,
+        platform_command::PlatformCommand,
         role::RoleCommand,
         roles::{EntryRole, GuardRole, StandInLogRole, StandInUpstreamRole},
     },
-    crate::process::output::print_text,
+    crate::{platform::PlatformRole, process::output::print_text},
     getopts::Options,
     std::process::ExitCode,
 };
@@ -33,6 +34,8 @@
     let mut commands: Vec<Box<dyn Command>> = vec![
         Box::new(RoleCommand::<EntryRole>::new()),
         Box::new(RoleCommand::<GuardRole>::new()),
+        Box::new(PlatformCommand(PlatformRole::Entry)),
+        Box::new(PlatformCommand(PlatformRole::Guard)),
         Box::new(LocalCommand),
         Box::new(CheckCommand),
         Box::new(KeyHashCommand),
--- a/src/process/clock/system_clock.rs
+++ b/src/process/clock/system_clock.rs
@@ -3,26 +3,35 @@
 use {
     super::{Clock, Millis},
     futures_util::future::LocalBoxFuture,
-    std::time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    rustix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// The machine's monotonic clock, counted from the process's start.
+/// The machine's clock since its boot, counted from the process's start. It goes on while the
+/// machine is suspended, so a lease that lapsed meanwhile is seen to have lapsed.
 #[derive(Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanoseconds)
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        self.start.elapsed().into()
+        since_boot().saturating_sub(self.start).into()
     }
 
     fn wall(&self) -> Millis {
--- /dev/null
+++ b/src/process/job_desk/job_desk.rs
@@ -0,0 +1,165 @@
+//! An entry's dealings with callers, apart from how calls are encoded.
+
+use {
+    crate::{
+        prelude::*,
+        process::ledger::{Condition, Ledger, LedgerKey, LedgerRecord, StoreError},
+        request::{JobPhase, StepJob, StepJobId},
+        version::{QueueName, QueueTable},
+    },
+    derive_more::{Display, Error},
+    std::cell::Cell,
+};
+
+/// The oldest view on which an unknown job is said not to exist.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(2500);
+
+/// The pause before a refused append is tried again.
+const APPEND_RETRY: Duration = Duration::from_millis(120);
+
+/// How often an append that the store refuses is tried before the caller is told to come back.
+const MAX_REFUSALS: u32 = 3;
+
+/// Why a call brought no result.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum DeskError {
+    /// There is no such job.
+    #[display("there is no such job")]
+    Gone,
+    /// The store took nothing, so the call had no effect and never will.
+    #[display("the store is not available")]
+    NotStored,
+    /// The view is too old to tell.
+    #[display("the view of the ledger is too old")]
+    Stale,
+    /// The call may have had its effect.
+    #[display("the outcome is not known")]
+    Unknown,
+}
+
+/// What an entry needs to deal with callers.
+pub struct JobDesk {
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// The ledger.
+    pub ledger: Rc<Ledger>,
+    /// The queues in force.
+    pub table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    /// Whether the process is stopping.
+    pub leaving: Cell<bool>,
+}
+
+impl JobDesk {
+    /// Returns the queues in force.
+    pub fn table(&self) -> Option<Rc<QueueTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Tells whether callers are served well here.
+    pub fn is_ready(&self) -> bool {
+        let is_fresh = self.ledger.age().is_some_and(|age| age < MAX_VIEW_AGE);
+        !self.leaving.get() && is_fresh && self.table.borrow().is_some()
+    }
+
+    /// Stores a job. A job that is known already is accepted again and runs once.
+    ///
+    /// # Errors
+    /// [`DeskError::NotStored`] when the job will never run, [`DeskError::Unknown`] when it may.
+    pub async fn submit(
+        &self,
+        job: StepJob,
+        time: Duration,
+    ) -> Result<(), DeskError> {
+        let id = job.id;
+        if self.ledger.view(|f| f.jobs.contains_key(&id)) {
+            tracing::info!(job = %id, "job was accepted before");
+            return Ok(());
+        }
+        let (queue, account) = (job.queue.clone(), job.account.clone());
+        let subtasks: u32 = job.steps.iter().map(|s| s.count).sum();
+        let result = self
+            .store(&LedgerKey::Job(id), &LedgerRecord::Job(job), time)
+            .await;
+        tracing::info!(job = %id, %queue, %account, subtasks, outcome = ?result, "job submitted");
+        result
+    }
+
+    /// Stores that a job is cancelled.
+    ///
+    /// # Errors
+    /// [`DeskError`]; after [`DeskError::NotStored`] the job runs on.
+    pub async fn cancel(
+        &self,
+        id: StepJobId,
+        time: Duration,
+    ) -> Result<(), DeskError> {
+        let phase = self.phase(id);
+        if phase.is_ok_and(JobPhase::is_final) {
+            return Ok(());
+        }
+        phase?;
+        let record = LedgerRecord::Cancel(self.clock.wall().0);
+        let result = self.store(&LedgerKey::Cancel(id), &record, time).await;
+        tracing::info!(job = %id, ?phase, outcome = ?result, "cancelling requested");
+        result
+    }
+
+    /// Returns where a job stands.
+    ///
+    /// # Errors
+    /// [`DeskError::Gone`] for a job that does not exist, [`DeskError::Stale`] when that is not
+    /// known here.
+    pub fn phase(
+        &self,
+        id: StepJobId,
+    ) -> Result<JobPhase, DeskError> {
+        if let Some(phase) = self.ledger.view(|f| f.jobs.get(&id).map(|v| v.phase())) {
+            return Ok(phase);
+        }
+        match self.ledger.age() {
+            Some(age) if age < MAX_VIEW_AGE => Err(DeskError::Gone),
+            _ => Err(DeskError::Stale),
+        }
+    }
+
+    /// Counts the jobs of a queue of which nothing has started.
+    pub fn pending(
+        &self,
+        queue: &QueueName,
+    ) -> usize {
+        self.ledger.view(|f| f.pending(queue))
+    }
+
+    /// Stores a record that means the same however often it is stored.
+    async fn store(
+        &self,
+        key: &LedgerKey,
+        record: &LedgerRecord,
+        time: Duration,
+    ) -> Result<(), DeskError> {
+        let start = self.clock.now();
+        let mut may_be_stored = false;
+        let mut refusals = 0;
+        loop {
+            match self.ledger.put(key, record, Condition::Always).await {
+                Ok(_) => return Ok(()),
+                Err(StoreError::Refused(why)) => {
+                    refusals += 1;
+                    tracing::info!(%key, why, refusals, may_be_stored, "the store refused a record");
+                }
+                Err(e) => {
+                    may_be_stored = true;
+                    tracing::warn!(%key, error = %e, "it is not known whether a record is stored");
+                }
+            }
+            let is_over = self.clock.now().since(start) + APPEND_RETRY >= time;
+            if !may_be_stored && (refusals >= MAX_REFUSALS || is_over) {
+                return Err(DeskError::NotStored);
+            }
+            if is_over {
+                return Err(DeskError::Unknown);
+            }
+            self.clock.sleep(APPEND_RETRY).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/process/job_desk/mod.rs
@@ -0,0 +1,5 @@
+//! Takes jobs from callers and tells how far they are.
+
+mod job_desk;
+
+pub use job_desk::{DeskError, JobDesk};
--- /dev/null
+++ b/src/process/ledger/fold.rs
@@ -0,0 +1,186 @@
+//! What the records of the ledger amount to.
+
+use {
+    super::{KeyedRecord, LeadRecord, LedgerKey, LedgerRecord, Member},
+    crate::{
+        prelude::*,
+        request::{JobPhase, JobProgress, StepJob, StepJobId},
+        version::QueueName,
+    },
+    std::collections::BTreeMap,
+};
+
+/// One accepted job.
+#[derive(Clone, Debug)]
+pub struct JobView {
+    /// The job.
+    pub job: Rc<StepJob>,
+    /// The offset of the record that accepted it.
+    pub offset: u64,
+    /// How far it is.
+    pub progress: JobProgress,
+    /// Whether its caller has cancelled it.
+    pub cancelled: bool,
+}
+
+impl JobView {
+    /// Returns where the job stands, a cancelling taken into account at once.
+    pub fn phase(&self) -> JobPhase {
+        if self.cancelled && !self.progress.phase.is_final() {
+            return JobPhase::Cancelled;
+        }
+        self.progress.phase
+    }
+}
+
+/// Who schedules.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeadView {
+    /// The entry.
+    pub entry: EntryName,
+    /// Its boot.
+    pub boot: u64,
+    /// The term.
+    pub term: u64,
+    /// Whether it has given the lead up.
+    pub resigned: bool,
+    /// When a record of it was last read.
+    pub heard: Millis,
+}
+
+/// The state that all records up to `next` amount to. Taking a record twice changes nothing.
+#[derive(Debug, Default)]
+pub struct LedgerFold {
+    /// The offset of the next record.
+    pub next: u64,
+    /// The jobs.
+    pub jobs: BTreeMap<StepJobId, JobView>,
+    /// The processes, by the name of their instance.
+    pub members: BTreeMap<Arc<str>, Member>,
+    /// Who schedules.
+    pub lead: Option<LeadView>,
+    early_progress: BTreeMap<StepJobId, JobProgress>,
+    early_cancels: BTreeMap<StepJobId, u64>,
+}
+
+impl LedgerFold {
+    /// Takes one record; returns the job that it is about, if any.
+    pub fn take(
+        &mut self,
+        record: &KeyedRecord,
+        now: Millis,
+    ) -> Option<StepJobId> {
+        let Some(key) = LedgerKey::parse(&record.key) else {
+            tracing::warn!(key = %record.key, offset = record.offset, "unknown ledger key ignored");
+            return None;
+        };
+        let Some(value) = &record.value else {
+            return self.drop_key(key);
+        };
+        match (key, postcard::from_bytes(value)) {
+            (LedgerKey::Job(id), Ok(LedgerRecord::Job(job))) => {
+                self.take_job(id, job, record.offset);
+                Some(id)
+            }
+            (LedgerKey::Progress(id), Ok(LedgerRecord::Progress(progress))) => {
+                self.take_progress(id, progress);
+                Some(id)
+            }
+            (LedgerKey::Cancel(id), Ok(LedgerRecord::Cancel(_))) => {
+                match self.jobs.get_mut(&id) {
+                    Some(view) => view.cancelled = true,
+                    None => drop(self.early_cancels.insert(id, record.offset)),
+                }
+                Some(id)
+            }
+            (LedgerKey::Member(name), Ok(LedgerRecord::Member(member))) => {
+                self.members.insert(name, member);
+                None
+            }
+            (LedgerKey::Lead, Ok(LedgerRecord::Lead(lead))) => {
+                self.take_lead(lead, record.offset, now);
+                None
+            }
+            (key, Ok(_)) => {
+                tracing::error!(%key, offset = record.offset, "ledger record of another key ignored");
+                None
+            }
+            (key, Err(e)) => {
+                tracing::error!(%key, offset = record.offset, error = %e, "ledger record unreadable");
+                None
+            }
+        }
+    }
+
+    /// Counts the jobs of a queue that wait for their first start, without recurring ones.
+    pub fn pending(
+        &self,
+        queue: &QueueName,
+    ) -> usize {
+        let own = self.jobs.values().filter(|v| v.job.queue == *queue);
+        let waiting = own.filter(|v| v.phase() == JobPhase::Queued && v.job.recurrence.is_none());
+        waiting.count()
+    }
+
+    fn drop_key(
+        &mut self,
+        key: LedgerKey,
+    ) -> Option<StepJobId> {
+        match key {
+            LedgerKey::Job(id) => {
+                self.jobs.remove(&id);
+                return Some(id);
+            }
+            LedgerKey::Member(name) => drop(self.members.remove(&name)),
+            LedgerKey::Progress(_) | LedgerKey::Cancel(_) | LedgerKey::Lead => {}
+        }
+        None
+    }
+
+    fn take_job(
+        &mut self,
+        id: StepJobId,
+        job: StepJob,
+        offset: u64,
+    ) {
+        let progress = self.early_progress.remove(&id).unwrap_or_default();
+        let cancelled = self.early_cancels.remove(&id).is_some();
+        self.jobs.entry(id).or_insert_with(|| JobView {
+            job: Rc::new(job),
+            offset,
+            progress,
+            cancelled,
+        });
+    }
+
+    fn take_progress(
+        &mut self,
+        id: StepJobId,
+        progress: JobProgress,
+    ) {
+        match self.jobs.get_mut(&id) {
+            Some(view) if view.progress.stamp < progress.stamp => view.progress = progress,
+            Some(_) => {}
+            None => drop(self.early_progress.insert(id, progress)),
+        }
+    }
+
+    fn take_lead(
+        &mut self,
+        lead: LeadRecord,
+        offset: u64,
+        now: Millis,
+    ) {
+        let term = lead.term.unwrap_or(offset + 1);
+        if self.lead.as_ref().is_some_and(|l| l.term > term) {
+            return;
+        }
+        self.lead = Some(LeadView {
+            entry: lead.entry,
+            boot: lead.boot,
+            term,
+            resigned: lead.resigned,
+            heard: now,
+        });
+    }
+}
--- /dev/null
+++ b/src/process/ledger/ledger.rs
@@ -0,0 +1,183 @@
+//! The ledger as one process follows it.
+
+use {
+    super::{
+        Condition, KeyedPage, KeyedRecord, KeyedStore, LedgerFold, LedgerKey, LedgerRecord,
+        StoreError,
+    },
+    crate::{prelude::*, request::StepJobId},
+    event_listener::{Event, EventListener},
+    std::{cell::Cell, collections::BTreeSet},
+};
+
+/// The topic of the ledger.
+const TOPIC: &str = "keyed.limpetquay";
+
+/// How long one read waits for a record; bounds how old a view without news is.
+const READ_WAIT: Duration = Duration::from_millis(1000);
+
+/// The pause after a failed read, so that an outage does not bring a storm of calls.
+const READ_RETRY: Duration = Duration::from_millis(200);
+
+/// The state of the ledger, kept up to date by one task.
+pub struct Ledger {
+    store: Rc<dyn KeyedStore>,
+    clock: Rc<dyn Clock>,
+    fold: RefCell<LedgerFold>,
+    changed_jobs: RefCell<Option<BTreeSet<StepJobId>>>,
+    read_at: Cell<Option<Millis>>,
+    changed: Event,
+}
+
+impl Ledger {
+    /// Creates a ledger that knows nothing yet.
+    pub fn new(
+        store: Rc<dyn KeyedStore>,
+        clock: Rc<dyn Clock>,
+    ) -> Self {
+        Self {
+            store,
+            clock,
+            fold: RefCell::default(),
+            changed_jobs: RefCell::default(),
+            read_at: Cell::default(),
+            changed: Event::new(),
+        }
+    }
+
+    /// Looks at the state.
+    pub fn view<F, T>(
+        &self,
+        look: F,
+    ) -> T
+    where
+        F: FnOnce(&LedgerFold) -> T,
+    {
+        look(&self.fold.borrow())
+    }
+
+    /// Returns how old the state is; `None` before it was first read.
+    pub fn age(&self) -> Option<Duration> {
+        self.read_at.get().map(|at| self.clock.now().since(at))
+    }
+
+    /// Returns what is told of the next change.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Starts or stops keeping note of the jobs that records are about.
+    pub fn watch_jobs(
+        &self,
+        on: bool,
+    ) {
+        *self.changed_jobs.borrow_mut() = on.then(BTreeSet::new);
+    }
+
+    /// Takes the jobs that records were about since the last call.
+    pub fn take_changed_jobs(&self) -> BTreeSet<StepJobId> {
+        let mut changed = self.changed_jobs.borrow_mut();
+        changed.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// Appends records and returns the offset of the first one.
+    ///
+    /// # Errors
+    /// [`StoreError`], which tells whether the records may be stored.
+    pub async fn append(
+        &self,
+        records: &[KeyedRecord],
+        condition: Condition,
+    ) -> Result<u64, StoreError> {
+        self.store.append(TOPIC, records, condition).await
+    }
+
+    /// Appends one record.
+    ///
+    /// # Errors
+    /// [`StoreError`], which tells whether the record may be stored.
+    pub async fn put(
+        &self,
+        key: &LedgerKey,
+        content: &LedgerRecord,
+        condition: Condition,
+    ) -> Result<u64, StoreError> {
+        let record = key.record(content);
+        let record = record.map_err(|e| StoreError::Refused(e.to_string()))?;
+        self.append(&[record], condition).await
+    }
+
+    /// Waits until all records before `offset` are taken.
+    pub async fn reach(
+        &self,
+        offset: u64,
+    ) {
+        loop {
+            let listener = self.listen();
+            if self.fold.borrow().next >= offset {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Waits until the state was first read.
+    pub async fn wait_until_read(&self) {
+        loop {
+            let listener = self.listen();
+            if self.read_at.get().is_some() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Follows the store for ever.
+    pub async fn follow(&self) {
+        let mut next = None;
+        loop {
+            let result = match next {
+                None => self.store.newest(TOPIC).await,
+                Some(from) => self.store.read(TOPIC, from, READ_WAIT).await,
+            };
+            match result {
+                Ok(page) => {
+                    if self.read_at.get().is_none() {
+                        tracing::info!(records = page.records.len(), end = page.end, "ledger read");
+                    }
+                    next = Some(self.take_page(&page));
+                }
+                Err(StoreError::Trimmed) => {
+                    tracing::info!(
+                        from = next,
+                        "ledger records are gone, reading the newest anew"
+                    );
+                    next = None;
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, age_ms = ?self.age().map(|a| a.as_millis()), "the ledger cannot be read");
+                    self.clock.sleep(READ_RETRY).await;
+                }
+            }
+        }
+    }
+
+    fn take_page(
+        &self,
+        page: &KeyedPage,
+    ) -> u64 {
+        let now = self.clock.now();
+        let mut fold = self.fold.borrow_mut();
+        for record in &page.records {
+            let about = fold.take(record, now);
+            if let (Some(id), Some(changed)) = (about, self.changed_jobs.borrow_mut().as_mut()) {
+                changed.insert(id);
+            }
+        }
+        fold.next = fold.next.max(page.end);
+        drop(fold);
+        self.read_at.set(Some(now));
+        self.changed.notify(usize::MAX);
+        page.end
+    }
+}
--- /dev/null
+++ b/src/process/ledger/mod.rs
@@ -0,0 +1,15 @@
+//! What has to outlive every process: accepted jobs, their progress, who schedules, who is there.
+
+mod fold;
+mod keyed_store;
+mod lead;
+mod ledger;
+mod record;
+
+pub use {
+    fold::{JobView, LeadView, LedgerFold},
+    keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+    lead::{Lead, RENEWAL_INTERVAL},
+    ledger::Ledger,
+    record::{LeadRecord, LedgerKey, LedgerRecord, Member, MemberRole},
+};
--- /dev/null
+++ b/src/process/runs/run_book.rs
@@ -0,0 +1,372 @@
+//! What a guard knows of its worker, as plain data.
+
+use {
+    super::{LookAnswer, WorkerAddress},
+    crate::{
+        connection::{
+            GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStatus, StartRefusal,
+            WorkerReport,
+        },
+        prelude::*,
+        request::{Resources, RunRef},
+    },
+    std::collections::BTreeMap,
+};
+
+/// How long a worker may not have answered before its lease is no longer extended: the wait of a
+/// look and half of it again. Calls without an answer may be carried out, so this bounds the lease
+/// of a worker that hears its guard and is not heard.
+const MAX_SILENCE: Duration = Duration::from_millis(1500);
+
+/// The most refused starts that are reported again.
+const MAX_REFUSED: usize = 64;
+
+/// What a worker says of itself in a heartbeat.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerBeat {
+    /// Where it is, and its life.
+    pub worker: WorkerAddress,
+    /// The heartbeat's number within the life.
+    pub sequence: u64,
+    /// The worker itself.
+    pub info: WorkerInfo,
+}
+
+/// A worker's standing.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerInfo {
+    /// The service that it works for.
+    pub service: Arc<str>,
+    /// What it has in all.
+    pub capacity: Resources,
+    /// Its labels.
+    pub labels: Vec<Arc<str>>,
+    /// Whether it leaves, with the least time that is left, in milliseconds.
+    pub leaving_ms: Option<u64>,
+}
+
+/// One session with the entry that schedules.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Session {
+    /// The fencing token.
+    pub token: u64,
+    /// The number of the last message that was carried out.
+    pub handled: u64,
+    /// Until when the worker's lease may be extended.
+    pub lease_until: Millis,
+    /// How long the worker may run on without its guard.
+    pub worker_lease: Millis,
+}
+
+/// A run and how surely it is known.
+#[derive(Clone, Debug, PartialEq)]
+struct BookedRun {
+    status: RunStatus,
+    /// When its phase was confirmed by the worker; a look sent later must list it.
+    confirmed: Option<Millis>,
+}
+
+/// The worker's standing, runs and ends, and the session.
+#[derive(Debug, Default)]
+pub struct RunBook {
+    /// The session, if there is one.
+    pub session: Option<Session>,
+    /// The highest fencing token ever seen.
+    pub highest_token: u64,
+    /// The worker's address and life.
+    pub worker: Option<WorkerAddress>,
+    /// The number of the last recorded end.
+    pub noted_end: u64,
+    info: Option<WorkerInfo>,
+    sequence: u64,
+    looked: Option<(u64, Millis)>,
+    clock: Option<(u64, Millis)>,
+    runs: BTreeMap<RunRef, BookedRun>,
+    ends: BTreeMap<u64, RunEnd>,
+    refused: Vec<RefusedStart>,
+}
+
+impl RunBook {
+    /// Takes a heartbeat; tells whether it says something new.
+    pub fn take_beat(
+        &mut self,
+        beat: WorkerBeat,
+    ) -> bool {
+        let is_same = self.worker.as_ref() == Some(&beat.worker);
+        let known_born = self.worker.as_ref().map_or(0, |w| w.life.born_ms);
+        if is_same && beat.sequence <= self.sequence || beat.worker.life.born_ms < known_born {
+            return false;
+        }
+        if !is_same {
+            self.forget_worker();
+            self.worker = Some(beat.worker);
+        }
+        self.sequence = beat.sequence;
+        let is_new = self.info.as_ref() != Some(&beat.info);
+        self.info = Some(beat.info);
+        is_new || !is_same
+    }
+
+    /// Forgets the worker when it says that it leaves for good.
+    pub fn take_leave(
+        &mut self,
+        id: &str,
+    ) -> bool {
+        let is_known = self.worker.as_ref().is_some_and(|w| &*w.life.id == id);
+        if is_known {
+            self.forget_worker();
+        }
+        is_known
+    }
+
+    /// Opens a session; `false` when a higher or the same token is known.
+    pub fn open_session(
+        &mut self,
+        token: u64,
+    ) -> bool {
+        if token <= self.highest_token {
+            return false;
+        }
+        self.highest_token = token;
+        self.looked = None;
+        self.refused.clear();
+        self.session = Some(Session {
+            token,
+            handled: 0,
+            lease_until: Millis(0),
+            worker_lease: Millis(0),
+        });
+        true
+    }
+
+    /// Takes the lease and the recorded ends of a message of the session. Returns whether its
+    /// orders are to be carried out: they are not when they are for another life of the worker or
+    /// came after their lease.
+    pub fn take_orders(
+        &mut self,
+        orders: &GuardOrders,
+        now: Millis,
+    ) -> bool {
+        let Some(session) = &mut self.session else {
+            return false;
+        };
+        session.handled = orders.number;
+        session.lease_until = Millis(orders.echo_ms + orders.guard_lease_ms);
+        session.worker_lease = Millis(orders.worker_lease_ms);
+        let is_leased = session.lease_until > now;
+        let is_for_worker = orders.worker.is_some()
+            && orders.worker.as_ref() == self.worker.as_ref().map(|w| &w.life);
+        if is_for_worker && orders.noted_end > self.noted_end {
+            self.noted_end = orders.noted_end;
+            self.ends = self.ends.split_off(&(self.noted_end + 1));
+        }
+        is_leased && is_for_worker
+    }
+
+    /// Returns until when the worker may run on, by its own clock in milliseconds; `None` when the
+    /// session's lease is over or the worker's clock is not known.
+    pub fn deadline_ms(
+        &self,
+        now: Millis,
+    ) -> Option<u64> {
+        let session = self.session.filter(|s| s.lease_until > now)?;
+        let (clock_ms, read_at) = self.clock?;
+        if now.since(read_at) > MAX_SILENCE {
+            return None;
+        }
+        Some(clock_ms + (now - read_at).0 + session.worker_lease.0)
+    }
+
+    /// Tells whether the worker has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.info.as_ref().is_some_and(|i| i.leaving_ms.is_some())
+    }
+
+    /// Notes that a start is on its way; `false` when the run is known already.
+    pub fn begin_start(
+        &mut self,
+        run: RunRef,
+    ) -> bool {
+        let is_new = !self.runs.contains_key(&run);
+        if is_new {
+            let status = RunStatus {
+                run,
+                phase: RunPhase::Starting,
+                checkpoint: None,
+                percent: 0,
+            };
+            let confirmed = None;
+            self.runs.insert(run, BookedRun { status, confirmed });
+        }
+        is_new
+    }
+
+    /// Notes that the worker has started a run.
+    pub fn confirm_start(
+        &mut self,
+        run: RunRef,
+        now: Millis,
+    ) {
+        if let Some(booked) = self.runs.get_mut(&run) {
+            if booked.status.phase == RunPhase::Starting {
+                booked.status.phase = RunPhase::Running;
+            }
+            booked.confirmed = Some(now);
+        }
+    }
+
+    /// Notes that a run was surely not started.
+    pub fn refuse_start(
+        &mut self,
+        run: RunRef,
+        reason: StartRefusal,
+    ) {
+        self.runs.remove(&run);
+        if self.refused.len() == MAX_REFUSED {
+            self.refused.remove(0);
+        }
+        self.refused.push(RefusedStart { run, reason });
+    }
+
+    /// Notes that a run is being stopped or that its start is being undone.
+    pub fn begin_stop(
+        &mut self,
+        run: RunRef,
+    ) {
+        let status = RunStatus {
+            run,
+            phase: RunPhase::Stopping,
+            checkpoint: None,
+            percent: 0,
+        };
+        let booked = self.runs.entry(run).or_insert(BookedRun {
+            status,
+            confirmed: None,
+        });
+        booked.status.phase = RunPhase::Stopping;
+        booked.confirmed = None;
+    }
+
+    /// Notes that the worker has acknowledged the stop of a run.
+    pub fn confirm_stop(
+        &mut self,
+        run: RunRef,
+        now: Millis,
+    ) {
+        if let Some(booked) = self.runs.get_mut(&run) {
+            booked.confirmed = Some(now);
+        }
+    }
+
+    /// Takes the answer of a look that was sent at `sent` under a token. Returns whether something
+    /// has changed besides times and percentages.
+    pub fn take_look(
+        &mut self,
+        token: u64,
+        sent: Millis,
+        now: Millis,
+        answer: LookAnswer,
+    ) -> bool {
+        let is_first = self.looked.is_none_or(|(t, _)| t != token);
+        self.looked = Some((token, now));
+        self.clock = Some((answer.clock_ms, now));
+        let before: Vec<(RunRef, RunPhase)> = self.phases();
+        let ends_before = self.ends.len();
+        let listed: BTreeMap<RunRef, RunStatus> =
+            answer.running.into_iter().map(|s| (s.run, s)).collect();
+        self.runs.retain(|run, booked| {
+            listed.contains_key(run) || booked.confirmed.is_none_or(|at| at >= sent)
+        });
+        for (run, status) in listed {
+            self.take_listed(run, status, now);
+        }
+        for end in answer.ended {
+            self.runs.remove(&end.run);
+            if end.number > self.noted_end {
+                self.ends.insert(end.number, end);
+            }
+        }
+        is_first || before != self.phases() || ends_before != self.ends.len()
+    }
+
+    /// Tells whether ends wait to be recorded.
+    pub fn has_unrecorded_ends(&self) -> bool {
+        !self.ends.is_empty()
+    }
+
+    /// Returns the report of the session; without a worker until it was looked at under the
+    /// session's token.
+    pub fn report(
+        &self,
+        now: Millis,
+    ) -> GuardReport {
+        let token = self.session.map_or(0, |s| s.token);
+        let looked = self.looked.filter(|(t, _)| *t == token);
+        GuardReport {
+            token,
+            handled: self.session.map_or(0, |s| s.handled),
+            clock_ms: now.0,
+            highest_token: self.highest_token,
+            worker: looked.and_then(|(_, at)| self.worker_report(now.since(at))),
+        }
+    }
+
+    fn worker_report(
+        &self,
+        silent: Duration,
+    ) -> Option<WorkerReport> {
+        let info = self.info.as_ref()?;
+        Some(WorkerReport {
+            life: self.worker.as_ref()?.life.clone(),
+            service: info.service.clone(),
+            capacity: info.capacity,
+            labels: info.labels.clone(),
+            leaving_ms: info.leaving_ms,
+            silent_ms: Millis::from(silent).0,
+            runs: self.runs.values().map(|b| b.status.clone()).collect(),
+            ends: self.ends.values().cloned().collect(),
+            refused: self.refused.clone(),
+        })
+    }
+
+    fn take_listed(
+        &mut self,
+        run: RunRef,
+        status: RunStatus,
+        now: Millis,
+    ) {
+        match self.runs.get_mut(&run) {
+            Some(booked) => {
+                if booked.status.phase == RunPhase::Starting {
+                    booked.status.phase = RunPhase::Running;
+                    booked.confirmed = Some(now);
+                }
+                booked.status.checkpoint = status.checkpoint;
+                booked.status.percent = status.percent;
+            }
+            None => {
+                let confirmed = Some(now);
+                self.runs.insert(run, BookedRun { status, confirmed });
+            }
+        }
+    }
+
+    fn phases(&self) -> Vec<(RunRef, RunPhase)> {
+        self.runs
+            .iter()
+            .map(|(r, b)| (*r, b.status.phase))
+            .collect()
+    }
+
+    fn forget_worker(&mut self) {
+        self.worker = None;
+        self.info = None;
+        self.sequence = 0;
+        self.looked = None;
+        self.clock = None;
+        self.noted_end = 0;
+        self.runs.clear();
+        self.ends.clear();
+        self.refused.clear();
+    }
+}
--- /dev/null
+++ b/src/process/runs/run_guard.rs
@@ -0,0 +1,78 @@
+//! The guard's process-wide state.
+
+use {
+    super::{
+        RunBook, RunWorker, WorkerBeat, look_task::follow_worker, session_task::serve_sessions,
+    },
+    crate::{prelude::*, process::task_group::TaskGroup},
+    compio::net::TcpListener,
+    event_listener::Event,
+};
+
+/// A guard: the only caller of its worker.
+pub struct RunGuard {
+    /// What it knows.
+    pub book: RefCell<RunBook>,
+    /// The worker.
+    pub worker: Rc<dyn RunWorker>,
+    /// The clock, which also counts while the machine is suspended.
+    pub clock: Rc<dyn Clock>,
+    /// Told of each change that the scheduling entry should know of.
+    pub changed: Event,
+    /// Told when the worker has to be looked at again.
+    pub look_due: Event,
+    /// Tasks that carry out orders.
+    pub(super) orders: TaskGroup,
+}
+
+impl RunGuard {
+    /// Creates a guard that knows no worker yet.
+    pub fn new(
+        worker: Rc<dyn RunWorker>,
+        clock: Rc<dyn Clock>,
+    ) -> Self {
+        Self {
+            book: RefCell::default(),
+            worker,
+            clock,
+            changed: Event::new(),
+            look_due: Event::new(),
+            orders: TaskGroup::default(),
+        }
+    }
+
+    /// Takes a heartbeat of the worker.
+    pub fn take_beat(
+        &self,
+        beat: WorkerBeat,
+    ) {
+        let worker = beat.worker.clone();
+        let (leaving, sequence) = (beat.info.leaving_ms, beat.sequence);
+        if self.book.borrow_mut().take_beat(beat) {
+            tracing::info!(id = %worker.life.id, born_ms = worker.life.born_ms, sequence, leaving_ms = leaving, "worker heard");
+            self.look_due.notify(usize::MAX);
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Takes a worker's farewell.
+    pub fn take_leave(
+        &self,
+        id: &str,
+    ) {
+        let is_known = self.book.borrow_mut().take_leave(id);
+        tracing::info!(id, is_known, "worker deregistered");
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Starts the guard's tasks.
+    pub fn start(
+        self: &Rc<Self>,
+        listener: TcpListener,
+    ) -> TaskGroup {
+        let tasks = TaskGroup::default();
+        tasks.spawn(follow_worker(self.clone()));
+        tasks.spawn(serve_sessions(self.clone(), listener));
+        tasks
+    }
+}
--- /dev/null
+++ b/src/process/runs/session_task.rs
@@ -0,0 +1,188 @@
+//! Sessions with the entry that schedules, one task for each connection.
+
+use {
+    super::{
+        RunGuard,
+        order_task::{carry_out_start, carry_out_stop},
+    },
+    crate::{
+        connection::{FrameError, GuardOrders, StartRefusal, read_frame, write_frame},
+        prelude::*,
+        process::clock::with_timeout,
+    },
+    compio::net::{TcpListener, TcpStream},
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
+};
+
+/// The longest silence of a session's peer before the connection is closed: several of its beats.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How often a report goes out when nothing has changed.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// The least time between two reports, which groups changes.
+const REPORT_GAP: Duration = Duration::from_millis(15);
+
+/// The pause after a failed accept, so that running out of descriptors does not spin.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Accepts connections for ever.
+pub(super) async fn serve_sessions(
+    guard: Rc<RunGuard>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                if let Err(e) = stream.set_nodelay(true) {
+                    tracing::debug!(error = %e, "delayed sending stays on");
+                }
+                let guard = guard.clone();
+                let serving = async move {
+                    if let Err(e) = serve_session(&guard, stream).await {
+                        tracing::info!(%peer, error = %e, "session ended");
+                    }
+                };
+                compio::runtime::spawn(serving).detach();
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "accepting a session failed");
+                guard.clock.sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn serve_session(
+    guard: &Rc<RunGuard>,
+    mut stream: TcpStream,
+) -> Result<(), FrameError> {
+    let first: GuardOrders =
+        match with_timeout(&*guard.clock, SILENCE_TIMEOUT, read_frame(&mut stream)).await {
+            Some(first) => first?,
+            None => return Ok(()),
+        };
+    let token = first.token;
+    let is_open = guard.book.borrow_mut().open_session(token);
+    let highest_token = guard.book.borrow().highest_token;
+    tracing::info!(token, highest_token, is_open, "session asked for");
+    if !is_open {
+        let mut report = guard.book.borrow().report(guard.clock.now());
+        report.worker = None;
+        write_frame(&mut stream, &report).await?;
+        return Ok(());
+    }
+    take_orders(guard, first);
+    guard.look_due.notify(usize::MAX);
+    let (mut read_half, mut write_half) = stream.into_split();
+    let reading = read_orders(guard, token, &mut read_half);
+    let writing = write_reports(guard, token, &mut write_half);
+    pin_mut!(reading, writing);
+    match select(reading, writing).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    }
+}
+
+/// Tells whether a session is the one in force.
+fn is_current(
+    guard: &RunGuard,
+    token: u64,
+) -> bool {
+    guard.book.borrow().highest_token == token
+}
+
+async fn read_orders<R>(
+    guard: &Rc<RunGuard>,
+    token: u64,
+    stream: &mut R,
+) -> Result<(), FrameError>
+where
+    R: compio::io::AsyncRead,
+{
+    loop {
+        let reading = read_frame::<_, GuardOrders>(stream);
+        let Some(orders) = with_timeout(&*guard.clock, SILENCE_TIMEOUT, reading).await else {
+            tracing::warn!(token, "the scheduling entry is silent, closing the session");
+            return Ok(());
+        };
+        let orders = orders?;
+        if !is_current(guard, token) {
+            return Ok(());
+        }
+        take_orders(guard, orders);
+    }
+}
+
+async fn write_reports<W>(
+    guard: &Rc<RunGuard>,
+    token: u64,
+    stream: &mut W,
+) -> Result<(), FrameError>
+where
+    W: compio::io::AsyncWrite,
+{
+    loop {
+        let changed = guard.changed.listen();
+        let report = guard.book.borrow().report(guard.clock.now());
+        write_frame(stream, &report).await?;
+        guard.clock.sleep(REPORT_GAP).await;
+        with_timeout(&*guard.clock, REPORT_INTERVAL, changed).await;
+        if !is_current(guard, token) {
+            return Ok(());
+        }
+    }
+}
+
+fn take_orders(
+    guard: &Rc<RunGuard>,
+    orders: GuardOrders,
+) {
+    let now = guard.clock.now();
+    let noted_before = guard.book.borrow().noted_end;
+    let is_valid = guard.book.borrow_mut().take_orders(&orders, now);
+    if guard.book.borrow().noted_end != noted_before {
+        guard.look_due.notify(usize::MAX);
+    }
+    let worker = guard.book.borrow().worker.clone();
+    let has_orders = !orders.starts.is_empty() || !orders.stops.is_empty();
+    let (true, Some(worker)) = (is_valid, worker) else {
+        if has_orders {
+            tracing::warn!(
+                token = orders.token,
+                number = orders.number,
+                "orders for another worker or past their lease refused"
+            );
+            let mut book = guard.book.borrow_mut();
+            for start in &orders.starts {
+                book.refuse_start(start.run, StartRefusal::Late);
+            }
+            drop(book);
+            guard.changed.notify(usize::MAX);
+        }
+        return;
+    };
+    for run in orders.stops {
+        guard.book.borrow_mut().begin_stop(run);
+        let stopping = carry_out_stop(guard.clone(), worker.clone(), orders.token, run);
+        guard.orders.spawn(stopping);
+    }
+    let is_leaving = guard.book.borrow().is_leaving();
+    for start in orders.starts {
+        if is_leaving {
+            tracing::info!(run = %start.run, "start refused: the worker leaves");
+            guard
+                .book
+                .borrow_mut()
+                .refuse_start(start.run, StartRefusal::Unhealthy);
+        } else if guard.book.borrow_mut().begin_start(start.run) {
+            let starting = carry_out_start(guard.clone(), worker.clone(), orders.token, start);
+            guard.orders.spawn(starting);
+        }
+    }
+    if has_orders {
+        guard.changed.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/src/process/scheduler/mod.rs
@@ -0,0 +1,25 @@
+//! Decides which subtask runs where and when: one entry does so at a time, for all services.
+
+mod active_unit;
+mod ask;
+mod guard_task;
+mod lease_terms;
+mod outcome;
+mod placement;
+mod preemption;
+mod progress_writer;
+mod running_scheduler;
+mod scheduler;
+mod turn;
+mod upstream;
+
+pub use {
+    active_unit::ActiveUnit,
+    ask::Ask,
+    lease_terms::LeaseTerms,
+    placement::{Host, PlaceRequest, PlaceRules, RackFirstPlacing},
+    preemption::{Victim, choose_victims},
+    running_scheduler::{SchedulerParts, run_scheduler},
+    scheduler::{OpenJob, Orders, Scheduler},
+    upstream::{PlacedRun, UpstreamState},
+};
--- /dev/null
+++ b/src/process/scheduler/running_scheduler.rs
@@ -0,0 +1,253 @@
+//! The scheduler's tasks, for as long as an entry has the lead.
+
+use {
+    super::{
+        LeaseTerms, RackFirstPlacing, Scheduler,
+        guard_task::keep_session,
+        progress_writer::{FencedWriter, write_progress},
+        scheduler::TERM_SHIFT,
+    },
+    crate::{
+        prelude::*,
+        process::{
+            clock::with_timeout,
+            ledger::{Lead, Ledger, LedgerKey, Member, MemberRole},
+            task_group::TaskGroup,
+        },
+        version::QueueTable,
+    },
+    event_listener::Event,
+    std::{cell::Cell, collections::BTreeMap},
+};
+
+/// The longest time between two turns.
+const TURN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The least time between two turns, which groups reports.
+const TURN_GAP: Duration = Duration::from_millis(10);
+
+/// What the scheduler needs from its process.
+#[derive(Clone)]
+pub struct SchedulerParts {
+    /// The entry's part in the choice of the lead.
+    pub lead: Rc<Lead>,
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// The queues in force.
+    pub table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    /// The leases.
+    pub leases: LeaseTerms,
+    /// How many times as long work takes far from its data.
+    pub far_factor: u64,
+}
+
+/// What the tasks of one term share.
+pub(super) struct SchedulerCore {
+    pub(super) term: u64,
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) scheduler: RefCell<Scheduler>,
+    pub(super) turn_due: Event,
+    pub(super) record_due: Event,
+    wakes: RefCell<BTreeMap<UpstreamName, (Member, Rc<Event>)>>,
+    deposed: Cell<bool>,
+}
+
+impl SchedulerCore {
+    /// Ends the term.
+    pub(super) fn depose(
+        &self,
+        why: &str,
+    ) {
+        if !self.deposed.replace(true) {
+            tracing::info!(term = self.term, why, "the lead is lost");
+            self.turn_due.notify(usize::MAX);
+        }
+    }
+
+    /// Takes note of a fencing token that a guard knows.
+    pub(super) fn meet_token(
+        &self,
+        token: u64,
+    ) {
+        if token >> TERM_SHIFT > self.term {
+            self.depose("a guard knows a higher term");
+        }
+    }
+
+    /// Lets workers forget what is recorded.
+    pub(super) fn note_recorded(&self) {
+        let told = self.scheduler.borrow_mut().advance_noted_ends();
+        for name in told {
+            self.wake(&name);
+        }
+    }
+
+    fn wake(
+        &self,
+        name: &UpstreamName,
+    ) {
+        if let Some((_, wake)) = self.wakes.borrow().get(name) {
+            wake.notify(usize::MAX);
+        }
+    }
+}
+
+/// Claims the lead whenever it is vacant and schedules while this entry has it.
+pub async fn run_scheduler(parts: SchedulerParts) {
+    loop {
+        let term = parts.lead.claim().await;
+        run_term(&parts, term).await;
+    }
+}
+
+async fn run_term(
+    parts: &SchedulerParts,
+    term: u64,
+) {
+    let lead = &parts.lead;
+    let mut writer = FencedWriter::new(term);
+    let first = LedgerKey::Lead.record(&lead.renewal(term));
+    let first = match first {
+        Ok(record) => writer.append(lead, &[record]).await,
+        Err(e) => {
+            tracing::error!(error = %e, "the lead's record cannot be encoded");
+            None
+        }
+    };
+    let Some(offset) = first else {
+        tracing::info!(term, "the lead went to another entry before the term began");
+        return;
+    };
+    lead.ledger.watch_jobs(true);
+    lead.ledger.reach(offset + 1).await;
+    let core = Rc::new(start_core(parts, term));
+    tracing::info!(
+        term,
+        jobs = core.scheduler.borrow().jobs.len(),
+        "scheduling begins"
+    );
+    let tasks = TaskGroup::default();
+    tasks.spawn(write_progress(core.clone(), lead.clone(), writer));
+    run_turns(parts, &core, &tasks).await;
+    tasks.cancel();
+    lead.ledger.watch_jobs(false);
+    if lead.leaving.get()
+        && let Err(e) = lead.resign(term).await
+    {
+        tracing::warn!(term, error = %e, "giving the lead up is not recorded");
+    }
+}
+
+fn start_core(
+    parts: &SchedulerParts,
+    term: u64,
+) -> SchedulerCore {
+    let now = parts.clock.now();
+    let guards = guards_of(&parts.lead.ledger).into_keys().collect();
+    let rules = Box::new(RackFirstPlacing);
+    let mut scheduler = Scheduler::new(term, parts.leases, parts.far_factor, rules, guards, now);
+    parts.lead.ledger.view(|fold| {
+        for view in fold.jobs.values() {
+            scheduler.take_job(view);
+        }
+    });
+    SchedulerCore {
+        term,
+        clock: parts.clock.clone(),
+        scheduler: RefCell::new(scheduler),
+        turn_due: Event::new(),
+        record_due: Event::new(),
+        wakes: RefCell::default(),
+        deposed: Cell::new(false),
+    }
+}
+
+async fn run_turns(
+    parts: &SchedulerParts,
+    core: &Rc<SchedulerCore>,
+    tasks: &TaskGroup,
+) {
+    let ledger = &parts.lead.ledger;
+    let sessions = RefCell::default();
+    loop {
+        let due = core.turn_due.listen();
+        let news = ledger.listen();
+        if core.deposed.get() || parts.lead.leaving.get() {
+            return;
+        }
+        if !parts.lead.holds(core.term) {
+            core.depose("another entry has claimed the lead");
+            return;
+        }
+        meet_guards(core, ledger, tasks, &sessions);
+        take_news(parts, core);
+        turn(core);
+        core.clock.sleep(TURN_GAP).await;
+        let either = futures_util::future::select(due, news);
+        with_timeout(&*core.clock, TURN_INTERVAL, either).await;
+    }
+}
+
+/// Opens sessions with guards that are new on the ledger.
+fn meet_guards(
+    core: &Rc<SchedulerCore>,
+    ledger: &Ledger,
+    tasks: &TaskGroup,
+    sessions: &RefCell<BTreeMap<UpstreamName, TaskGroup>>,
+) {
+    let _ = tasks;
+    for (name, member) in guards_of(ledger) {
+        let is_known = core
+            .wakes
+            .borrow()
+            .get(&name)
+            .is_some_and(|(m, _)| m.address == member.address);
+        if is_known {
+            continue;
+        }
+        let wake = Rc::new(Event::new());
+        let group = TaskGroup::default();
+        group.spawn(keep_session(core.clone(), member.clone(), wake.clone()));
+        core.wakes.borrow_mut().insert(name.clone(), (member, wake));
+        sessions.borrow_mut().insert(name, group);
+    }
+}
+
+fn take_news(
+    parts: &SchedulerParts,
+    core: &SchedulerCore,
+) {
+    let mut scheduler = core.scheduler.borrow_mut();
+    scheduler.table.clone_from(&parts.table.borrow());
+    let changed = parts.lead.ledger.take_changed_jobs();
+    parts.lead.ledger.view(|fold| {
+        for view in changed.iter().filter_map(|id| fold.jobs.get(id)) {
+            scheduler.take_job(view);
+        }
+    });
+}
+
+fn turn(core: &SchedulerCore) {
+    let (now, wall) = (core.clock.now(), core.clock.wall());
+    core.scheduler.borrow_mut().turn(now, wall);
+    core.note_recorded();
+    let names: Vec<UpstreamName> = core.wakes.borrow().keys().cloned().collect();
+    for name in names {
+        if core.scheduler.borrow().has_orders(&name) {
+            core.wake(&name);
+        }
+    }
+    core.record_due.notify(usize::MAX);
+}
+
+fn guards_of(ledger: &Ledger) -> BTreeMap<UpstreamName, Member> {
+    ledger.view(|fold| {
+        let guards = fold
+            .members
+            .values()
+            .filter(|m| m.role == MemberRole::Guard);
+        guards
+            .map(|m| (UpstreamName::from(&*m.name), m.clone()))
+            .collect()
+    })
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod id;
 mod job;
 mod routing;
+mod step_job;
 
 pub use {
     api::EntryApi,
@@ -19,4 +20,8 @@
         Health, LeastConnectionsRouting, LeastWaitRouting, LoadSource, RandomRouting,
         RoundRobinRouting, RoutingAsk, RoutingDecision, RoutingPolicy, UpstreamLoad,
     },
+    step_job::{
+        InvalidJob, JobPhase, JobProgress, ProgressStamp, Recurrence, Resources, RunRef, Step,
+        StepJob, StepJobId, SubtaskId, UnitId,
+    },
 };
--- /dev/null
+++ b/src/request/step_job/mod.rs
@@ -0,0 +1,17 @@
+//! Jobs made of steps of subtasks, each with its own demand for resources.
+
+mod progress;
+mod recurrence;
+mod resources;
+mod step;
+mod step_job;
+mod subtask;
+
+pub use {
+    progress::{JobPhase, JobProgress, ProgressStamp},
+    recurrence::Recurrence,
+    resources::Resources,
+    step::Step,
+    step_job::{InvalidJob, StepJob},
+    subtask::{RunRef, StepJobId, SubtaskId, UnitId},
+};
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -11,6 +11,7 @@
 mod names;
 mod operator;
 mod quantity;
+mod queue;
 mod request_kind;
 mod shape;
 
@@ -27,10 +28,12 @@
         lay_out,
     },
     names::{
-        AccountName, DataCentre, EntryName, KindName, OperatorName, RackName, Region, UpstreamName,
+        AccountName, DataCentre, EntryName, KindName, OperatorName, QueueName, RackName, Region,
+        UpstreamName,
     },
     operator::{Operator, Role},
     quantity::{parse_bool, parse_bytes, parse_duration},
+    queue::{ApiAccount, CallerLimits, Queue, QueueTable},
     request_kind::{Class, MAX_PAYLOAD_BYTES, RequestKind},
     shape::{Adjacency, Shape},
 };
--- a/src/version/names.rs
+++ b/src/version/names.rs
@@ -50,6 +50,10 @@
     /// The name of an operator.
     OperatorName
 }
+name_type! {
+    /// The name of a queue that callers submit jobs to.
+    QueueName
+}
 name_type! {
     /// The name of a rack within a data centre.
     RackName
