--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 mod job_body;
 mod log_store;
 mod roles;
+pub mod stand_in;
 mod worker_calls;
 
 pub use {
--- /dev/null
+++ b/src/platform/stand_in/store_server.rs
@@ -0,0 +1,240 @@
+//! The store's interface over the model.
+
+use {
+    super::{StoreFaults, StoreModel},
+    crate::{
+        connection::{HttpHandler, HttpReply, HttpRequest},
+        prelude::*,
+        process::{
+            clock::with_timeout,
+            ledger::{Condition, Fence, KeyedRecord, StoreError},
+        },
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    event_listener::Event,
+    hyper::Method,
+    serde_json::json,
+    std::cell::Cell,
+};
+
+/// The largest append, in bytes.
+const MAX_APPEND_BYTES: usize = 2 << 20;
+
+/// The longest wait of a read.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// How long a call whose answer is lost is held; longer than any caller waits.
+const LOST_FOR: Duration = Duration::from_secs(60);
+
+/// A store in memory, over HTTP.
+pub struct StandInStore {
+    clock: Rc<dyn Clock>,
+    model: RefCell<StoreModel>,
+    faults: Cell<StoreFaults>,
+    appended: Event,
+}
+
+impl StandInStore {
+    /// Creates an empty store.
+    pub fn new(clock: Rc<dyn Clock>) -> Self {
+        Self {
+            clock,
+            model: RefCell::default(),
+            faults: Cell::default(),
+            appended: Event::new(),
+        }
+    }
+
+    /// Switches faults.
+    pub fn set_faults(
+        &self,
+        faults: StoreFaults,
+    ) {
+        self.faults.set(faults);
+    }
+
+    /// Returns the model, for an operator's writes and for observers.
+    pub fn model(&self) -> &RefCell<StoreModel> {
+        &self.model
+    }
+
+    /// Appends a record as the operator does, past all faults.
+    ///
+    /// # Errors
+    /// [`StoreError`] of the model.
+    pub fn put(
+        &self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<u64, StoreError> {
+        let record = KeyedRecord {
+            key: key.into(),
+            value: Some(Bytes::copy_from_slice(value)),
+            offset: 0,
+        };
+        let result = self
+            .model
+            .borrow_mut()
+            .append(topic, &[record], Condition::Always);
+        self.appended.notify(usize::MAX);
+        result
+    }
+
+    async fn answer(
+        &self,
+        req: &HttpRequest,
+    ) -> HttpReply {
+        let faults = self.faults.get();
+        if faults.refuses {
+            return HttpReply::text(503, "down");
+        }
+        self.clock
+            .sleep(Duration::from_millis(faults.delay_ms))
+            .await;
+        let Some(topic) = req.query("Topic") else {
+            return HttpReply::text(400, "no topic");
+        };
+        match (&req.method, req.path.as_str()) {
+            (&Method::POST, "/log-append") => {
+                let reply = self.append(topic, req);
+                if faults.loses_answers {
+                    self.clock.sleep(LOST_FOR).await;
+                }
+                reply
+            }
+            (&Method::GET, "/log-read") => self.read(topic, req).await,
+            (&Method::GET, "/log-newest") => self.newest(topic),
+            _ => HttpReply::text(404, "no such call"),
+        }
+    }
+
+    fn append(
+        &self,
+        topic: &str,
+        req: &HttpRequest,
+    ) -> HttpReply {
+        let number = |name| req.query(name).and_then(|v| v.parse::<u64>().ok());
+        let condition = match (number("At"), number("epoch"), number("Sequence")) {
+            (Some(end), _, _) => Condition::EndsAt(end),
+            (None, Some(epoch), Some(sequence)) => Condition::Fenced(Fence { epoch, sequence }),
+            _ => Condition::Always,
+        };
+        let Some(records) = decode_records(&req.body) else {
+            return HttpReply::text(400, "malformed records");
+        };
+        let result = self.model.borrow_mut().append(topic, &records, condition);
+        self.appended.notify(usize::MAX);
+        let (end, _) = self.model.borrow().bounds(topic);
+        match result {
+            Ok(offset) => HttpReply::json(200, &json!({"Offset": offset, "EndOffset": end})),
+            Err(StoreError::Fenced) => HttpReply::json(409, &json!({"Reason": "fenced"})),
+            Err(StoreError::OutOfSequence(expected)) => {
+                HttpReply::json(409, &json!({"Reason": "seq", "Sequence": expected}))
+            }
+            Err(_) => HttpReply::json(412, &json!({"EndOffset": end})),
+        }
+    }
+
+    async fn read(
+        &self,
+        topic: &str,
+        req: &HttpRequest,
+    ) -> HttpReply {
+        let from = req.query("From").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let wait = req
+            .query("WaitMs")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0);
+        let until = self.clock.now() + Millis::from(Duration::from_millis(wait).min(MAX_WAIT));
+        loop {
+            let appended = self.appended.listen();
+            let page = self.model.borrow_mut().read(topic, from);
+            let (end, first) = self.model.borrow().bounds(topic);
+            let left = until.since(self.clock.now());
+            match page {
+                Ok(page) if page.records.is_empty() && !left.is_zero() => {
+                    with_timeout(&*self.clock, left, appended).await;
+                }
+                Ok(page) => {
+                    return HttpReply::new(
+                        200,
+                        "application/octet-stream",
+                        encode_page(&page.records, end, first),
+                    );
+                }
+                Err(_) => return HttpReply::json(410, &json!({"FirstOffset": first})),
+            }
+        }
+    }
+
+    fn newest(
+        &self,
+        topic: &str,
+    ) -> HttpReply {
+        let page = self.model.borrow_mut().newest(topic);
+        let items = page.records.iter().map(|r| {
+            let value = STANDARD.encode(r.value.as_deref().unwrap_or_default());
+            json!({"Key": &*r.key, "Value": value, "Offset": r.offset})
+        });
+        let items: Vec<_> = items.collect();
+        HttpReply::json(
+            200,
+            &json!({"items": items, "HasMore": false, "EndOffset": page.end}),
+        )
+    }
+}
+
+impl HttpHandler for StandInStore {
+    fn handle(
+        self: Rc<Self>,
+        req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move { self.answer(&req).await })
+    }
+
+    fn max_body(
+        &self,
+        _path: &str,
+    ) -> usize {
+        MAX_APPEND_BYTES
+    }
+}
+
+fn decode_records(body: &Bytes) -> Option<Vec<KeyedRecord>> {
+    let mut rest = body.clone();
+    let mut records = Vec::new();
+    while !rest.is_empty() {
+        let len = u32::from_be_bytes(rest.get(..4)?.try_into().ok()?) as usize;
+        let content = (rest.len() >= 4 + len).then(|| rest.slice(4..4 + len))?;
+        rest = rest.slice(4 + len..);
+        let key_len = usize::from(*content.first()?);
+        let key = std::str::from_utf8(content.get(1..1 + key_len)?).ok()?;
+        let value = content.slice(1 + key_len..);
+        records.push(KeyedRecord {
+            key: key.into(),
+            value: (!value.is_empty()).then_some(value),
+            offset: 0,
+        });
+    }
+    Some(records)
+}
+
+fn encode_page(
+    records: &[KeyedRecord],
+    end: u64,
+    first: u64,
+) -> Bytes {
+    let mut body = Vec::new();
+    body.extend_from_slice(&end.to_be_bytes());
+    body.extend_from_slice(&first.to_be_bytes());
+    for record in records {
+        let value = record.value.as_deref().unwrap_or_default();
+        let len = (1 + record.key.len() + value.len()) as u32;
+        body.extend_from_slice(&len.to_be_bytes());
+        body.push(record.key.len() as u8);
+        body.extend_from_slice(record.key.as_bytes());
+        body.extend_from_slice(value);
+    }
+    body.into()
+}
--- a/src/platform/worker_calls.rs
+++ b/src/platform/worker_calls.rs
@@ -146,7 +146,7 @@
     ) -> LocalBoxFuture<'a, Result<(), RunWorkerError>> {
         Box::pin(async move {
             let body = WireStart {
-                task: start.run.subtask.to_string(),
+                task: subtask_ref(start.run),
                 run_id: start.run.run,
                 spec: &start.payload,
                 deadline_ms,
@@ -166,7 +166,7 @@
     ) -> LocalBoxFuture<'a, Result<(), RunWorkerError>> {
         Box::pin(async move {
             let body = WireStop {
-                task: run.subtask.to_string(),
+                task: subtask_ref(run),
                 run_id: run.run,
                 fencing_token: token,
             };
@@ -233,7 +233,13 @@
     })
 }
 
-fn run_ref(
+/// Encodes the name of a run's subtask.
+pub(super) fn subtask_ref(run: RunRef) -> String {
+    run.subtask.to_string()
+}
+
+/// Decodes the name of a subtask and the number of its run.
+pub(super) fn run_ref(
     subtask: &Value,
     run: &Value,
 ) -> Option<RunRef> {
--- a/src/process/runs/mod.rs
+++ b/src/process/runs/mod.rs
@@ -9,7 +9,7 @@
 mod session_task;
 
 pub use {
-    run_book::{RunBook, WorkerBeat, WorkerInfo},
+    run_book::{OrderedCall, RunBook, Session, WorkerBeat, WorkerInfo},
     run_guard::RunGuard,
     run_worker::{LookAnswer, LookCall, RunWorker, RunWorkerError, WorkerAddress},
 };
--- a/src/process/runs/order_task.rs
+++ b/src/process/runs/order_task.rs
@@ -31,11 +31,13 @@
         }
         None => Err(RunWorkerError::Refused(StartRefusal::Late)),
     };
-    if guard.book.borrow().worker.as_ref() != Some(&worker) {
+    let is_current = is_current(&guard, &worker, token);
+    let waited_ms = Millis::from(guard.clock.now().since(now)).0;
+    tracing::info!(%run, token, deadline_ms = deadline, waited_ms, is_current, error = ?result.as_ref().err(), "start carried out");
+    if !is_current {
+        // The first look of the session in force tells what became of it.
         return;
     }
-    let waited_ms = Millis::from(guard.clock.now().since(now)).0;
-    tracing::info!(%run, token, deadline_ms = deadline, waited_ms, outcome = ?result.as_ref().err(), "start carried out");
     match result {
         Ok(()) => guard
             .book
@@ -64,11 +66,7 @@
     run: RunRef,
 ) {
     loop {
-        let is_current = {
-            let book = guard.book.borrow();
-            book.worker.as_ref() == Some(&worker) && book.highest_token == token
-        };
-        if !is_current {
+        if !is_current(&guard, &worker, token) {
             return;
         }
         match guard.worker.stop(&worker, token, run).await {
@@ -85,3 +83,13 @@
         }
     }
 }
+
+/// Tells whether an order is still for the worker and the session in force.
+fn is_current(
+    guard: &RunGuard,
+    worker: &WorkerAddress,
+    token: u64,
+) -> bool {
+    let book = guard.book.borrow();
+    book.worker.as_ref() == Some(worker) && book.is_current(token)
+}
--- a/src/process/runs/run_book.rs
+++ b/src/process/runs/run_book.rs
@@ -4,8 +4,8 @@
     super::{LookAnswer, WorkerAddress},
     crate::{
         connection::{
-            GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStatus, StartRefusal,
-            WorkerReport,
+            GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStart, RunStatus,
+            StartRefusal, WorkerReport,
         },
         prelude::*,
         request::{Resources, RunRef},
@@ -45,6 +45,15 @@
     pub leaving_ms: Option<u64>,
 }
 
+/// A call that a message of the session asks for.
+#[derive(Clone, Debug)]
+pub enum OrderedCall {
+    /// Start a run.
+    Start(RunStart),
+    /// Stop a run.
+    Stop(RunRef),
+}
+
 /// One session with the entry that schedules.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Session {
@@ -163,6 +172,39 @@
         is_leased && is_for_worker
     }
 
+    /// Takes a message of the session whose orders may be carried out, and returns the calls that
+    /// have to be made to the worker.
+    pub fn take_calls(
+        &mut self,
+        orders: &GuardOrders,
+        now: Millis,
+    ) -> Vec<OrderedCall> {
+        if self.session.is_some_and(|s| orders.number <= s.handled) {
+            return Vec::new();
+        }
+        if !self.take_orders(orders, now) {
+            for start in &orders.starts {
+                tracing::warn!(run = %start.run, token = orders.token, "start refused: it is for another worker or past its lease");
+                self.refuse_start(start.run, StartRefusal::Late);
+            }
+            return Vec::new();
+        }
+        let mut calls = Vec::new();
+        for run in &orders.stops {
+            self.begin_stop(*run);
+            calls.push(OrderedCall::Stop(*run));
+        }
+        for start in &orders.starts {
+            if self.is_leaving() {
+                tracing::info!(run = %start.run, "start refused: the worker leaves");
+                self.refuse_start(start.run, StartRefusal::Unhealthy);
+            } else if self.begin_start(start.run) {
+                calls.push(OrderedCall::Start(start.clone()));
+            }
+        }
+        calls
+    }
+
     /// Returns until when the worker may run on, by its own clock in milliseconds; `None` when the
     /// session's lease is over or the worker's clock is not known.
     pub fn deadline_ms(
@@ -182,6 +224,14 @@
         self.info.as_ref().is_some_and(|i| i.leaving_ms.is_some())
     }
 
+    /// Tells whether a token is the one of the session in force.
+    pub fn is_current(
+        &self,
+        token: u64,
+    ) -> bool {
+        self.highest_token == token
+    }
+
     /// Notes that a start is on its way; `false` when the run is known already.
     pub fn begin_start(
         &mut self,
@@ -267,6 +317,9 @@
         now: Millis,
         answer: LookAnswer,
     ) -> bool {
+        if !self.is_current(token) {
+            return false;
+        }
         let is_first = self.looked.is_none_or(|(t, _)| t != token);
         self.looked = Some((token, now));
         self.clock = Some((answer.clock_ms, now));
@@ -274,6 +327,11 @@
         let ends_before = self.ends.len();
         let listed: BTreeMap<RunRef, RunStatus> =
             answer.running.into_iter().map(|s| (s.run, s)).collect();
+        if is_first {
+            // Everything ordered under earlier tokens is fenced from now on, so what is not listed
+            // does not run, and stops that were on their way are void.
+            self.runs.clear();
+        }
         self.runs.retain(|run, booked| {
             listed.contains_key(run) || booked.confirmed.is_none_or(|at| at >= sent)
         });
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        RunGuard,
+        OrderedCall, RunGuard,
         order_task::{carry_out_start, carry_out_stop},
     },
     crate::{
-        connection::{FrameError, GuardOrders, StartRefusal, read_frame, write_frame},
+        connection::{FrameError, GuardOrders, read_frame, write_frame},
         prelude::*,
         process::clock::with_timeout,
     },
@@ -86,14 +86,6 @@
     }
 }
 
-/// Tells whether a session is the one in force.
-fn is_current(
-    guard: &RunGuard,
-    token: u64,
-) -> bool {
-    guard.book.borrow().highest_token == token
-}
-
 async fn read_orders<R>(
     guard: &Rc<RunGuard>,
     token: u64,
@@ -109,7 +101,7 @@
             return Ok(());
         };
         let orders = orders?;
-        if !is_current(guard, token) {
+        if !guard.book.borrow().is_current(token) {
             return Ok(());
         }
         take_orders(guard, orders);
@@ -130,7 +122,7 @@
         write_frame(stream, &report).await?;
         guard.clock.sleep(REPORT_GAP).await;
         with_timeout(&*guard.clock, REPORT_INTERVAL, changed).await;
-        if !is_current(guard, token) {
+        if !guard.book.borrow().is_current(token) {
             return Ok(());
         }
     }
@@ -142,47 +134,30 @@
 ) {
     let now = guard.clock.now();
     let noted_before = guard.book.borrow().noted_end;
-    let is_valid = guard.book.borrow_mut().take_orders(&orders, now);
+    let calls = guard.book.borrow_mut().take_calls(&orders, now);
     if guard.book.borrow().noted_end != noted_before {
         guard.look_due.notify(usize::MAX);
     }
-    let worker = guard.book.borrow().worker.clone();
-    let has_orders = !orders.starts.is_empty() || !orders.stops.is_empty();
-    let (true, Some(worker)) = (is_valid, worker) else {
-        if has_orders {
-            tracing::warn!(
-                token = orders.token,
-                number = orders.number,
-                "orders for another worker or past their lease refused"
-            );
-            let mut book = guard.book.borrow_mut();
-            for start in &orders.starts {
-                book.refuse_start(start.run, StartRefusal::Late);
-            }
-            drop(book);
-            guard.changed.notify(usize::MAX);
-        }
+    if !orders.starts.is_empty() || !orders.stops.is_empty() {
+        guard.changed.notify(usize::MAX);
+    }
+    let Some(worker) = guard.book.borrow().worker.clone() else {
         return;
     };
-    for run in orders.stops {
-        guard.book.borrow_mut().begin_stop(run);
-        let stopping = carry_out_stop(guard.clone(), worker.clone(), orders.token, run);
-        guard.orders.spawn(stopping);
-    }
-    let is_leaving = guard.book.borrow().is_leaving();
-    for start in orders.starts {
-        if is_leaving {
-            tracing::info!(run = %start.run, "start refused: the worker leaves");
-            guard
-                .book
-                .borrow_mut()
-                .refuse_start(start.run, StartRefusal::Unhealthy);
-        } else if guard.book.borrow_mut().begin_start(start.run) {
-            let starting = carry_out_start(guard.clone(), worker.clone(), orders.token, start);
-            guard.orders.spawn(starting);
+    for call in calls {
+        let (guard, worker) = (guard.clone(), worker.clone());
+        let tasks = guard.clone();
+        match call {
+            OrderedCall::Start(start) => {
+                tasks
+                    .orders
+                    .spawn(carry_out_start(guard, worker, orders.token, start));
+            }
+            OrderedCall::Stop(run) => {
+                tasks
+                    .orders
+                    .spawn(carry_out_stop(guard, worker, orders.token, run));
+            }
         }
     }
-    if has_orders {
-        guard.changed.notify(usize::MAX);
-    }
 }
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -395,7 +395,9 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if gone == Gone::Ended(EndKind::Done) && job.progress.done.insert(unit) {
+        // An end of an earlier run that was given up does not count while another run goes on.
+        let is_superseded = job.active.get(&unit).is_some_and(|a| a.run != run.run);
+        if gone == Gone::Ended(EndKind::Done) && !is_superseded && job.progress.done.insert(unit) {
             job.progress.checkpoints.remove(&unit);
             job.changed = self.changes + 1;
         }
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -81,7 +81,10 @@
         now: Millis,
     ) -> bool {
         let is_heard = self.heard.is_some_and(|at| now.since(at) < MAX_REPORT_AGE);
+        // Before the session's first look at the worker, what runs there is not known, and a start
+        // could not be told from one that is missing in that look.
         self.connected
+            && self.in_session
             && is_heard
             && self.life.is_some()
             && self.leaving_since.is_none()
