Forget a job only after its end was read back from the ledger

Ruled out: two schedulers (one term, the same run number twice).

Change: a job is forgotten once its end is recorded, read back, and nothing of it runs.

--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -434,8 +434,8 @@
         self.forget_if_over(id);
     }
 
-    /// Drops a job that has ended and is recorded once its last run is gone.
-    fn forget_if_over(
+    /// Drops a job that has ended once its end is recorded and read back and its last run is gone.
+    pub(super) fn forget_if_over(
         &mut self,
         id: StepJobId,
     ) {
@@ -443,6 +443,7 @@
             && job.progress.phase.is_final()
             && job.active.is_empty()
             && job.recorded == job.changed
+            && job.is_final_read
         {
             self.jobs.remove(&id);
         }
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -37,6 +37,9 @@
     pub changed: u64,
     /// The number of the last change that is recorded.
     pub recorded: u64,
+    /// Whether the job's end was read back from the ledger. A job is forgotten only then: an older
+    /// record that is read later would bring it back.
+    pub is_final_read: bool,
 }
 
 /// What a guard is to be told.
@@ -112,9 +115,13 @@
             }
             self.jobs.insert(id, OpenJob::new(view));
         }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.is_final_read = is_final;
+        }
         if view.cancelled {
             self.end_job(id, JobPhase::Cancelled);
         }
+        self.forget_if_over(id);
     }
 
     /// Notes that a session with a guard is open.
@@ -201,11 +208,8 @@
     ) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.recorded = job.recorded.max(change);
-            let is_over = job.progress.phase.is_final() && job.active.is_empty();
-            if is_over && job.recorded == job.changed {
-                self.jobs.remove(&id);
-            }
         }
+        self.forget_if_over(id);
     }
 
     /// Lets workers forget the ends whose jobs are recorded. Returns the guards to be told.
@@ -384,6 +388,7 @@
             last_run: BTreeMap::new(),
             changed: 0,
             recorded: 0,
+            is_final_read: false,
         }
     }
 }
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -30,6 +30,7 @@
 const STOP_MS: u64 = 200;
 const TICK_MS: u64 = 20;
 const CALL_TIMEOUT_MS: u64 = 700;
+const READ_DELAY_MS: u64 = 120;
 
 /// What goes wrong in a course, each as a chance in ten thousand for each tick or call.
 #[derive(Clone, Copy, Debug, Default)]
@@ -48,6 +49,9 @@
 }
 
 enum Event {
+    News {
+        view: JobView,
+    },
     Orders {
         guard: usize,
         session: u64,
@@ -482,6 +486,7 @@
             return;
         }
         match event {
+            Event::News { view } => self.take_news(&view),
             Event::Orders {
                 guard,
                 session,
@@ -613,6 +618,16 @@
         }
     }
 
+    fn take_news(
+        &mut self,
+        view: &JobView,
+    ) {
+        let term = self.term;
+        for lead in self.leads.iter_mut().filter(|l| l.scheduler.term == term) {
+            lead.scheduler.take_job(view);
+        }
+    }
+
     fn outcome(&mut self) -> WorkerOutcome {
         let fails = self.chance(self.faults.failing_runs);
         WorkerOutcome {
@@ -936,6 +951,9 @@
         for (id, change, progress) in batch {
             if let Some(view) = self.ledger.get_mut(&id) {
                 view.progress = progress;
+                // The writer reads its own record like all others, some time later.
+                let view = view.clone();
+                self.at(READ_DELAY_MS, Event::News { view });
             }
             self.leads[lead].scheduler.note_recorded(id, change);
         }
