--- a/src/process/scheduler/lease_terms.rs
+++ b/src/process/scheduler/lease_terms.rs
@@ -2,9 +2,10 @@
 
 use crate::prelude::*;
 
-/// How long a guard extends its worker's lease without hearing from the scheduling entry: longer
-/// than the choice of another entry takes, so that a change of the lead stops no work.
-const GUARD_LEASE: Millis = Millis(6000);
+/// How long a guard extends its worker's lease without hearing from the scheduling entry. With the
+/// worker's lease it covers the choice of another entry, so that a change of the lead stops no
+/// work; any longer it would delay the next start of work whose guard is cut off.
+const GUARD_LEASE: Millis = Millis(2000);
 
 /// The share of the longest lease that a worker is given, in percent; the rest covers the worker's
 /// clock, which may be 2% slow, and the way of the call.
--- a/src/process/scheduler/turn.rs
+++ b/src/process/scheduler/turn.rs
@@ -73,7 +73,8 @@
                 take_room(&mut hosts, &placed, step);
                 continue;
             }
-            if ask.is_guaranteed && self.make_room(&ask, &req, &soon_hosts, &mut hosts, now) {
+            let may_preempt = ask.is_guaranteed || ask.priority == 0;
+            if may_preempt && self.make_room(&ask, &req, &soon_hosts, &mut hosts, now) {
                 continue;
             }
             blocked.insert(step_key);
@@ -244,7 +245,7 @@
         runs.map_or(0, |r| r.filter(is_sibling).count() as u32)
     }
 
-    /// Stops less urgent work so that a guaranteed unit can start; `false` when that is not enough.
+    /// Stops less urgent work so that an urgent unit can start; `false` when that is not enough.
     fn make_room(
         &mut self,
         ask: &Ask,
@@ -258,7 +259,7 @@
         let Some((victims, placed)) = choice else {
             return false;
         };
-        tracing::info!(job = %ask.job, unit = %ask.unit, victims = victims.len(), "guaranteed accelerators are taken back");
+        tracing::info!(job = %ask.job, unit = %ask.unit, victims = victims.len(), guaranteed = ask.is_guaranteed, "less urgent work gives way");
         for victim in &victims {
             for host in hosts.iter_mut() {
                 if let Some(freed) = victim.frees.get(&host.host.upstream) {
@@ -268,7 +269,7 @@
             self.stop_unit(
                 victim.unit.0,
                 victim.unit.1,
-                "its accelerators are guaranteed to another job",
+                "more urgent work needs its place",
             );
         }
         take_room(hosts, &placed, req.step);
