Reach the store through other entries, serve metrics, and test the path on stand-ins

Cause: while the store refuses some entries they could neither accept jobs nor learn of revoked keys; the metrics address of the deploy file was not served; a body that never arrived held its connection for ever.

Change: RelayedStore asks another entry for 2 s after a refusal; FleetMetrics at the metrics port; stand-ins of the store and the worker speak the platform's interface; bodies have 10 s.

--- a/src/connection/http/server.rs
+++ b/src/connection/http/server.rs
@@ -23,6 +23,9 @@
 /// The longest time that a request's head may take to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The longest time that a request's body may take to arrive after its head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The pause after a failed accept, so that running out of descriptors does not spin.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
@@ -160,11 +163,21 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (head, body) = req.into_parts();
     let limit = handler.max_body(head.uri.path());
-    let Ok(body) = Limited::new(body, limit).collect().await else {
-        let detail = format!("the body was cut short or is above {limit} bytes");
-        return Ok(build_response(
-            Problem::new(413, "body-too-large", detail).into(),
-        ));
+    let reading = Limited::new(body, limit).collect();
+    let body = match compio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => {
+            let detail = format!("the body was cut short or is above {limit} bytes");
+            return Ok(refuse(Problem::new(413, "body-too-large", detail)));
+        }
+        Err(_) => {
+            handler.note_malformed();
+            let detail = format!(
+                "the body did not arrive within {} s",
+                BODY_TIMEOUT.as_secs()
+            );
+            return Ok(refuse(Problem::new(408, "body-too-slow", detail)));
+        }
     };
     let req = HttpRequest {
         method: head.method,
@@ -176,6 +189,11 @@
     Ok(build_response(handler.handle(req).await))
 }
 
+/// Builds the response to a request whose body was not read whole, so its connection cannot go on.
+fn refuse(problem: Problem) -> Response<Full<Bytes>> {
+    build_response(HttpReply::from(problem).with_header("connection", "close"))
+}
+
 fn build_response(reply: HttpReply) -> Response<Full<Bytes>> {
     let mut builder = Response::builder()
         .status(reply.status)
--- a/src/platform/entry_role.rs
+++ b/src/platform/entry_role.rs
@@ -1,13 +1,15 @@
 //! An entry on the platform.
 
 use {
-    super::{BootSettings, Callers, LogStore, SettingsError, follow_config},
+    super::{BootSettings, Callers, LogStore, SettingsError, Status, follow_config},
     crate::{
         connection::{HttpClient, HttpHandler, HttpReply, HttpRequest, HttpServer},
         prelude::*,
         process::{
             job_desk::JobDesk,
             ledger::{KeyedStore, Lead, Ledger, LedgerKey, LedgerRecord, Member, MemberRole},
+            metrics::FleetMetrics,
+            relay::{RelayServer, RelayedStore},
             scheduler::{SchedulerParts, run_scheduler},
             shutdown::Shutdown,
             task_group::TaskGroup,
@@ -71,7 +73,11 @@
         let callers = required(settings.callers, "ListenAddrs.Frontend")?;
         let readiness = required(settings.readiness, "ListenAddrs.Ready")?;
         let client = HttpClient::new(clock.clone());
-        let store: Rc<dyn KeyedStore> = Rc::new(LogStore::new(client, settings.store));
+        let metrics = Rc::new(FleetMetrics::default());
+        let direct: Rc<dyn KeyedStore> = Rc::new(LogStore::new(client, settings.store));
+        let relay = RelayServer::bind(settings.peers, direct.clone(), clock.clone()).await?;
+        let relayed = Rc::new(RelayedStore::new(direct, clock.clone(), metrics.clone()));
+        let store: Rc<dyn KeyedStore> = relayed.clone();
         let ledger = Rc::new(Ledger::new(store.clone(), clock.clone()));
         let table = Rc::new(RefCell::new(None));
         let desk = Rc::new(JobDesk {
@@ -79,6 +85,7 @@
             ledger: ledger.clone(),
             table: table.clone(),
             leaving: Cell::new(false),
+            metrics: metrics.clone(),
         });
         let server = HttpServer::bind(callers, Rc::new(Callers::new(desk.clone()))).await?;
         let ready_server = HttpServer::bind(readiness, Rc::new(Readiness(desk.clone()))).await?;
@@ -87,6 +94,15 @@
         let server = compio::runtime::spawn(server.run(async move { stop.wait().await }));
         let tasks = TaskGroup::default();
         tasks.spawn(ready_server.run(std::future::pending()));
+        tasks.spawn(relay.run());
+        let status = Status::new(metrics.clone(), Some(desk.clone()));
+        let status = HttpServer::bind(settings.metrics, Rc::new(status)).await?;
+        tasks.spawn(status.run(std::future::pending()));
+        tasks.spawn(know_peers(
+            relayed,
+            ledger.clone(),
+            settings.instance.clone(),
+        ));
         tasks.spawn(follow_config(store, clock.clone(), table.clone()));
         let following = ledger.clone();
         let began = Instant::now();
@@ -106,6 +122,7 @@
             table,
             leases: settings.leases,
             far_factor: settings.far_factor,
+            metrics,
         };
         tasks.spawn(run_scheduler(parts));
         Ok(Self {
@@ -143,6 +160,27 @@
     address.map_err(io::Error::other)
 }
 
+/// Tells the store's client which other entries there are.
+async fn know_peers(
+    store: Rc<RelayedStore>,
+    ledger: Rc<Ledger>,
+    own: Arc<str>,
+) {
+    loop {
+        let changed = ledger.listen();
+        let peers = ledger.view(|fold| {
+            let entries = fold
+                .members
+                .values()
+                .filter(|m| m.role == MemberRole::Entry);
+            let others = entries.filter(|m| m.name != own).map(|m| m.address);
+            others.collect()
+        });
+        store.set_peers(peers);
+        changed.await;
+    }
+}
+
 /// Decides by the time of the first read how soon this entry claims a vacant lead.
 async fn wait_for_lead(
     ledger: &Rc<Ledger>,
--- a/src/platform/guard_role.rs
+++ b/src/platform/guard_role.rs
@@ -1,12 +1,13 @@
 //! A guard on the platform.
 
 use {
-    super::{BootSettings, Discovery, LogStore, WorkerCalls, entry_role::register},
+    super::{BootSettings, Discovery, LogStore, Status, WorkerCalls, entry_role::register},
     crate::{
         connection::{HttpClient, HttpServer},
         prelude::*,
         process::{
             ledger::{Ledger, Member, MemberRole},
+            metrics::FleetMetrics,
             runs::RunGuard,
             task_group::TaskGroup,
         },
@@ -43,6 +44,9 @@
         let sessions = guard.start(TcpListener::bind(settings.peers).await?);
         let tasks = TaskGroup::default();
         tasks.spawn(server.run(std::future::pending()));
+        let status = Status::new(Rc::new(FleetMetrics::default()), None);
+        let status = HttpServer::bind(settings.metrics, Rc::new(status)).await?;
+        tasks.spawn(status.run(std::future::pending()));
         // A guard does not follow the ledger; it only writes where it is.
         let store = Rc::new(LogStore::new(client, settings.store));
         let ledger = Rc::new(Ledger::new(store, clock.clone()));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,6 +13,7 @@
 mod log_store;
 mod roles;
 pub mod stand_in;
+mod status;
 mod worker_calls;
 
 pub use {
@@ -22,6 +23,7 @@
     discovery::Discovery,
     job_body::{JobBodyError, decode_job},
     log_store::LogStore,
-    roles::{PlatformRole, RoleError, run_role},
+    roles::{PlatformRole, run_role},
+    status::Status,
     worker_calls::WorkerCalls,
 };
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -1,9 +1,8 @@
 //! The roles on the platform.
 
 use {
-    super::{BootSettings, SettingsError, entry_role::PlatformEntry, guard_role::PlatformGuard},
+    super::{BootSettings, entry_role::PlatformEntry, guard_role::PlatformGuard},
     crate::prelude::*,
-    derive_more::{Display, Error, From},
     std::io,
 };
 
@@ -16,30 +15,19 @@
     Guard,
 }
 
-/// Why a role did not start.
-#[derive(Debug, Display, Error, From)]
-pub enum RoleError {
-    /// The settings cannot be used.
-    #[display("{_0}")]
-    Settings(SettingsError),
-    /// A socket could not be bound.
-    #[display("{_0}")]
-    Io(io::Error),
-}
-
 /// Runs a role until `stop` is done and its work in progress is finished.
 ///
 /// # Errors
-/// [`RoleError`] when the role does not start.
+/// The error of binding a socket.
 pub async fn run_role<F>(
     role: PlatformRole,
+    settings: BootSettings,
     clock: Rc<dyn Clock>,
     stop: F,
-) -> Result<(), RoleError>
+) -> io::Result<()>
 where
     F: Future<Output = ()>,
 {
-    let settings = BootSettings::read()?;
     tracing::info!(?role, instance = %settings.instance, leases = ?settings.leases, "starting");
     match role {
         PlatformRole::Entry => {
--- a/src/process/cli/platform_command.rs
+++ b/src/process/cli/platform_command.rs
@@ -41,9 +41,10 @@
     ) -> Result<(), CliError> {
         logging::start_on_stdout(LOG_LEVEL);
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let settings = BootSettings::read().map_err(|e| CliError::Usage(e.to_string()))?;
         let result = Runtime::new()?.block_on(async move {
             let reloads = compio::runtime::spawn(hear_reloads(check_settings));
-            let result = run_role(self.0, clock, wait_for_stop()).await;
+            let result = run_role(self.0, settings, clock, wait_for_stop()).await;
             drop(reloads);
             result
         });
--- a/src/process/job_desk/job_desk.rs
+++ b/src/process/job_desk/job_desk.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         prelude::*,
-        process::ledger::{Condition, Ledger, LedgerKey, LedgerRecord, StoreError},
+        process::{
+            ledger::{Condition, Ledger, LedgerKey, LedgerRecord, StoreError},
+            metrics::FleetMetrics,
+        },
         request::{JobPhase, StepJob, StepJobId},
         version::{QueueName, QueueTable},
     },
@@ -47,6 +50,8 @@
     pub table: Rc<RefCell<Option<Rc<QueueTable>>>>,
     /// Whether the process is stopping.
     pub leaving: Cell<bool>,
+    /// The metrics.
+    pub metrics: Rc<FleetMetrics>,
 }
 
 impl JobDesk {
--- a/src/process/job_desk/mod.rs
+++ b/src/process/job_desk/mod.rs
@@ -1,5 +1,9 @@
 //! Takes jobs from callers and tells how far they are.
 
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
 mod job_desk;
 
 pub use job_desk::{DeskError, JobDesk};
--- a/src/process/ledger/keyed_store.rs
+++ b/src/process/ledger/keyed_store.rs
@@ -3,10 +3,11 @@
 use {
     crate::prelude::*,
     derive_more::{Display, Error},
+    serde::{Deserialize, Serialize},
 };
 
 /// One record of a key; without a value, the key is dropped.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeyedRecord {
     /// The key.
     pub key: Arc<str>,
@@ -17,7 +18,7 @@
 }
 
 /// Records with the offset from which to read on.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeyedPage {
     /// The records, in the order of their offsets.
     pub records: Vec<KeyedRecord>,
@@ -26,7 +27,7 @@
 }
 
 /// Keeps writers of lower epochs out, and counts the appends of one writer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Fence {
     /// The writer's fencing epoch.
     pub epoch: u64,
@@ -35,7 +36,7 @@
 }
 
 /// Under which condition records are appended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Condition {
     /// Always.
     Always,
@@ -46,7 +47,7 @@
 }
 
 /// Why a call to the store brought no result.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Display, Eq, Error, PartialEq, Serialize)]
 pub enum StoreError {
     /// The store did nothing.
     #[display("refused: {_0}")]
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -3,6 +3,10 @@
 mod fold;
 mod keyed_store;
 mod lead;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
 mod ledger;
 mod record;
 
--- /dev/null
+++ b/src/process/metrics/fleet_metrics.rs
@@ -0,0 +1,143 @@
+//! The metrics of a process that takes jobs of steps, schedules them or calls a worker.
+
+use {
+    super::{
+        ProcessUsage,
+        metrics::{gauge, register},
+    },
+    prometheus::{
+        Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
+    },
+};
+
+/// The upper bounds of the buckets for waiting times, in seconds.
+const WAIT_BUCKETS_S: [f64; 10] = [0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
+
+/// All metrics with their registry.
+pub struct FleetMetrics {
+    registry: Registry,
+    /// Jobs that callers submitted, by outcome.
+    pub submissions: IntCounterVec,
+    /// The time from a submission to its answer, in seconds.
+    pub submission_seconds: Histogram,
+    /// Calls to the store, by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// What became of runs, by event.
+    pub runs: IntCounterVec,
+    /// The time for which units waited before they were placed, in seconds, by priority.
+    pub placement_wait_seconds: HistogramVec,
+    /// Jobs that have not ended.
+    pub open_jobs: IntGauge,
+    /// Runs that the scheduler accounts for.
+    pub placed_runs: IntGauge,
+    /// Workers on which something can be started.
+    pub usable_upstreams: IntGauge,
+    /// The term under which this entry schedules; 0 when it does not.
+    pub lead_term: IntGauge,
+    /// The version of the configuration in force.
+    pub config_version: IntGauge,
+    /// The age of the view of the ledger, in milliseconds.
+    pub ledger_age_ms: IntGauge,
+    cpu_seconds: Gauge,
+    resident_bytes: IntGauge,
+}
+
+impl Default for FleetMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            register(
+                &registry,
+                valid(IntCounterVec::new(Opts::new(name, help), labels)),
+            )
+        };
+        let wait = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).buckets(WAIT_BUCKETS_S.to_vec())
+        };
+        let submission_wait = wait(
+            "limpetquay_submission_seconds",
+            "Time from a submission to its answer.",
+        );
+        let placement_wait = wait(
+            "limpetquay_placement_wait_seconds",
+            "Time for which units waited before they were placed, by priority.",
+        );
+        Self {
+            submissions: counters(
+                "limpetquay_submissions_total",
+                "Submitted jobs, by outcome.",
+                &["outcome"],
+            ),
+            submission_seconds: register(&registry, valid(Histogram::with_opts(submission_wait))),
+            store_calls: counters(
+                "limpetquay_store_calls_total",
+                "Calls to the store, by call and outcome.",
+                &["call", "outcome"],
+            ),
+            runs: counters("limpetquay_runs_total", "Runs, by event.", &["event"]),
+            placement_wait_seconds: register(
+                &registry,
+                valid(HistogramVec::new(placement_wait, &["priority"])),
+            ),
+            open_jobs: gauge(
+                &registry,
+                "limpetquay_open_jobs",
+                "Jobs that have not ended.",
+            ),
+            placed_runs: gauge(&registry, "limpetquay_placed_runs", "Runs accounted for."),
+            usable_upstreams: gauge(
+                &registry,
+                "limpetquay_usable_upstreams",
+                "Workers on which something can be started.",
+            ),
+            lead_term: gauge(
+                &registry,
+                "limpetquay_lead_term",
+                "Term under which this entry schedules, 0 when it does not.",
+            ),
+            config_version: gauge(
+                &registry,
+                "limpetquay_config_version",
+                "Version of the configuration in force.",
+            ),
+            ledger_age_ms: gauge(
+                &registry,
+                "limpetquay_ledger_age_milliseconds",
+                "Age of the view of the ledger.",
+            ),
+            cpu_seconds: register(
+                &registry,
+                valid(Gauge::new(
+                    "process_cpu_seconds_total",
+                    "Processor time of the process.",
+                )),
+            ),
+            resident_bytes: gauge(
+                &registry,
+                "process_resident_memory_bytes",
+                "Resident memory of the process.",
+            ),
+            registry,
+        }
+    }
+}
+
+impl FleetMetrics {
+    /// Returns all metrics in Prometheus's text format.
+    pub fn render(&self) -> String {
+        let usage = ProcessUsage::of_self();
+        self.cpu_seconds.set(usage.cpu.as_secs_f64());
+        self.resident_bytes.set(usage.resident_bytes as i64);
+        let text = TextEncoder::new().encode_to_string(&self.registry.gather());
+        text.unwrap_or_else(|e| {
+            tracing::error!(error = %e, "metrics cannot be encoded");
+            String::new()
+        })
+    }
+}
+
+/// Unwraps a metric whose name and labels are written in this file.
+fn valid<M>(metric: Result<M, prometheus::Error>) -> M {
+    metric.expect("the name and the labels are valid")
+}
--- a/src/process/metrics/mod.rs
+++ b/src/process/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges of one process.
 
+mod fleet_metrics;
 mod gang_metrics;
 #[expect(
     clippy::module_inception,
@@ -8,4 +9,7 @@
 mod metrics;
 mod process_usage;
 
-pub use {gang_metrics::GangMetrics, metrics::Metrics, process_usage::ProcessUsage};
+pub use {
+    fleet_metrics::FleetMetrics, gang_metrics::GangMetrics, metrics::Metrics,
+    process_usage::ProcessUsage,
+};
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 mod output;
 pub mod platform;
+pub mod relay;
 pub mod runs;
 pub mod scheduler;
 pub mod settings;
--- /dev/null
+++ b/src/process/relay/mod.rs
@@ -0,0 +1,11 @@
+//! Reaches the store through another entry when it refuses this one.
+
+mod relay_server;
+mod relayed_store;
+mod store_call;
+
+pub use {
+    relay_server::RelayServer,
+    relayed_store::RelayedStore,
+    store_call::{StoreCall, StoreReply},
+};
--- /dev/null
+++ b/src/process/relay/relay_server.rs
@@ -0,0 +1,89 @@
+//! Makes calls to the store for other entries.
+
+use {
+    super::StoreCall,
+    crate::{
+        connection::{FrameError, read_frame, write_frame},
+        prelude::*,
+        process::{clock::with_timeout, ledger::KeyedStore},
+    },
+    compio::net::{TcpListener, TcpStream},
+    std::io,
+};
+
+/// The longest time in which a call may arrive.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// The pause after a failed accept, so that running out of descriptors does not spin.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Serves the entries that the store refuses, one task for each connection.
+pub struct RelayServer {
+    listener: TcpListener,
+    store: Rc<dyn KeyedStore>,
+    clock: Rc<dyn Clock>,
+}
+
+impl RelayServer {
+    /// Binds the server's address. Calls go to `store`, which must not relay them further.
+    ///
+    /// # Errors
+    /// The error of binding.
+    pub async fn bind(
+        address: SocketAddr,
+        store: Rc<dyn KeyedStore>,
+        clock: Rc<dyn Clock>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Self {
+            listener,
+            store,
+            clock,
+        })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    /// The error of the socket.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Accepts connections for ever.
+    pub async fn run(self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, peer)) => {
+                    let (store, clock) = (self.store.clone(), self.clock.clone());
+                    let serving = async move {
+                        if let Err(e) = serve(stream, &*store, &*clock).await {
+                            tracing::info!(%peer, error = %e, "relaying ended");
+                        }
+                    };
+                    compio::runtime::spawn(serving).detach();
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "accepting another entry failed");
+                    self.clock.sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    }
+}
+
+/// Serves one call.
+async fn serve(
+    mut stream: TcpStream,
+    store: &dyn KeyedStore,
+    clock: &dyn Clock,
+) -> Result<(), FrameError> {
+    stream.set_nodelay(true)?;
+    let reading = read_frame::<_, StoreCall>(&mut stream);
+    let Some(call) = with_timeout(clock, CALL_TIMEOUT, reading).await else {
+        return Ok(());
+    };
+    let reply = call?.run(store).await;
+    write_frame(&mut stream, &reply).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/process/relay/relayed_store.rs
@@ -0,0 +1,241 @@
+//! The store, directly or through another entry.
+
+use {
+    super::{StoreCall, StoreReply},
+    crate::{
+        connection::{FrameError, read_frame, write_frame},
+        prelude::*,
+        process::{
+            clock::with_timeout,
+            ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+            metrics::FleetMetrics,
+        },
+    },
+    compio::net::TcpStream,
+    std::cell::Cell,
+};
+
+/// How long other entries are asked first after the store has refused this one. Longer pauses would
+/// burden them after the store is back, shorter ones cost a failed call each.
+const DIRECT_PAUSE: Millis = Millis(2000);
+
+/// The longest time that another entry may take besides the wait that a call asks for.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1300);
+
+/// How many other entries are asked in turn.
+const MAX_RELAYS: usize = 2;
+
+/// A store that is reached directly, and through other entries while it refuses this one.
+pub struct RelayedStore {
+    direct: Rc<dyn KeyedStore>,
+    clock: Rc<dyn Clock>,
+    metrics: Rc<FleetMetrics>,
+    peers: RefCell<Vec<SocketAddr>>,
+    next_peer: Cell<usize>,
+    refused_until: Cell<Millis>,
+}
+
+impl RelayedStore {
+    /// Creates the store without other entries.
+    pub fn new(
+        direct: Rc<dyn KeyedStore>,
+        clock: Rc<dyn Clock>,
+        metrics: Rc<FleetMetrics>,
+    ) -> Self {
+        Self {
+            direct,
+            clock,
+            metrics,
+            peers: RefCell::default(),
+            next_peer: Cell::new(0),
+            refused_until: Cell::new(Millis(0)),
+        }
+    }
+
+    /// Sets the other entries.
+    pub fn set_peers(
+        &self,
+        peers: Vec<SocketAddr>,
+    ) {
+        *self.peers.borrow_mut() = peers;
+    }
+
+    async fn call(
+        &self,
+        call: StoreCall,
+    ) -> StoreReply {
+        let is_refused = self.clock.now() < self.refused_until.get();
+        if is_refused && let Some(reply) = self.relay(&call).await {
+            return reply;
+        }
+        let reply = call.run(&*self.direct).await;
+        self.count(&call, &reply, "direct");
+        let Some(error) = outage(&reply) else {
+            self.refused_until.set(Millis(0));
+            return reply;
+        };
+        if !is_refused {
+            tracing::info!(error = %error, "the store is asked through other entries");
+        }
+        self.refused_until.set(self.clock.now() + DIRECT_PAUSE);
+        if is_refused || !may_repeat(&call, error) {
+            return reply;
+        }
+        let relayed = self.relay(&call).await;
+        match relayed {
+            // What may be stored by the first call does not become refused by the second one.
+            Some(relayed) if outage(&relayed).is_none() => relayed,
+            _ => reply,
+        }
+    }
+
+    /// Asks other entries; `None` when none answers.
+    async fn relay(
+        &self,
+        call: &StoreCall,
+    ) -> Option<StoreReply> {
+        let peers = self.peers.borrow().clone();
+        for _ in 0..peers.len().min(MAX_RELAYS) {
+            let next = self.next_peer.get();
+            let peer = peers[next % peers.len()];
+            let asking = ask(peer, call);
+            let timeout = RELAY_TIMEOUT + call.wait();
+            match with_timeout(&*self.clock, timeout, asking).await {
+                Some(Ok(reply)) if outage(&reply).is_none() => {
+                    self.count(call, &reply, "relayed");
+                    return Some(reply);
+                }
+                Some(Ok(_)) => tracing::debug!(%peer, "the store refuses the other entry too"),
+                Some(Err(e)) => {
+                    tracing::debug!(%peer, error = %e, "the other entry is not reached")
+                }
+                None => {
+                    tracing::debug!(%peer, "the other entry does not answer");
+                    if matches!(call, StoreCall::Append { .. }) {
+                        // It may have appended.
+                        let lost = StoreError::Unknown("the relay does not answer".to_owned());
+                        self.next_peer.set(next + 1);
+                        return Some(StoreReply::Appended(Err(lost)));
+                    }
+                }
+            }
+            self.next_peer.set(next + 1);
+        }
+        None
+    }
+
+    fn count(
+        &self,
+        call: &StoreCall,
+        reply: &StoreReply,
+        way: &str,
+    ) {
+        let name = match call {
+            StoreCall::Newest { .. } => "newest",
+            StoreCall::Read { .. } => "read",
+            StoreCall::Append { .. } => "append",
+        };
+        let outcome = match reply.error() {
+            None => way,
+            Some(StoreError::Refused(_)) => "refused",
+            Some(StoreError::Unknown(_)) => "unknown",
+            Some(StoreError::Fenced) => "fenced",
+            Some(_) => "failed",
+        };
+        self.metrics
+            .store_calls
+            .with_label_values(&[name, outcome])
+            .inc();
+    }
+}
+
+impl KeyedStore for RelayedStore {
+    fn newest<'a>(
+        &'a self,
+        topic: &'a str,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        Box::pin(async move {
+            page(
+                self.call(StoreCall::Newest {
+                    topic: topic.to_owned(),
+                })
+                .await,
+            )
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        topic: &'a str,
+        from: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        let call = StoreCall::Read {
+            topic: topic.to_owned(),
+            from,
+            wait_ms: Millis::from(wait).0,
+        };
+        Box::pin(async move { page(self.call(call).await) })
+    }
+
+    fn append<'a>(
+        &'a self,
+        topic: &'a str,
+        records: &'a [KeyedRecord],
+        condition: Condition,
+    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+        let call = StoreCall::Append {
+            topic: topic.to_owned(),
+            records: records.to_vec(),
+            condition,
+        };
+        Box::pin(async move {
+            match self.call(call).await {
+                StoreReply::Appended(result) => result,
+                StoreReply::Page(_) => {
+                    Err(StoreError::Unknown("an answer to another call".to_owned()))
+                }
+            }
+        })
+    }
+}
+
+/// Asks one other entry.
+async fn ask(
+    peer: SocketAddr,
+    call: &StoreCall,
+) -> Result<StoreReply, FrameError> {
+    let mut stream = TcpStream::connect(peer).await?;
+    stream.set_nodelay(true)?;
+    write_frame(&mut stream, call).await?;
+    read_frame(&mut stream).await
+}
+
+/// Returns the error of an answer that does not come from a working store.
+fn outage(reply: &StoreReply) -> Option<&StoreError> {
+    let error = reply.error()?;
+    matches!(error, StoreError::Refused(_) | StoreError::Unknown(_)).then_some(error)
+}
+
+/// Tells whether a call means the same when it is made again. An append at an offset does not
+/// once the first one may have taken effect.
+fn may_repeat(
+    call: &StoreCall,
+    error: &StoreError,
+) -> bool {
+    let is_conditional = matches!(
+        call,
+        StoreCall::Append {
+            condition: Condition::EndsAt(_),
+            ..
+        }
+    );
+    !is_conditional || matches!(error, StoreError::Refused(_))
+}
+
+fn page(reply: StoreReply) -> Result<KeyedPage, StoreError> {
+    match reply {
+        StoreReply::Page(result) => result,
+        StoreReply::Appended(_) => Err(StoreError::Unknown("an answer to another call".to_owned())),
+    }
+}
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -9,6 +9,10 @@
 mod preemption;
 mod progress_writer;
 mod running_scheduler;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
 mod scheduler;
 mod turn;
 mod upstream;
@@ -20,6 +24,6 @@
     placement::{Host, PlaceRequest, PlaceRules, RackFirstPlacing},
     preemption::{Victim, choose_victims},
     running_scheduler::{SchedulerParts, run_scheduler},
-    scheduler::{OpenJob, Orders, Scheduler},
+    scheduler::{OpenJob, Orders, Scheduler, SchedulerCounts},
     upstream::{PlacedRun, UpstreamState},
 };
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -150,6 +150,14 @@
         }
         upstream.taken_end = end.number;
         upstream.runs.remove(&end.run);
+        self.counts.count(match end.kind {
+            EndKind::Done => "done",
+            EndKind::Failed => "failed",
+            EndKind::Stopped => "stopped",
+            EndKind::Lapsed => "lapsed",
+            EndKind::Broken => "broken",
+            EndKind::Alone => "alone",
+        });
         let id = end.run.subtask.job;
         let unit = self
             .jobs
@@ -186,6 +194,7 @@
             return;
         };
         upstream.avoid_until = now + REFUSAL_PAUSE;
+        self.counts.count("refused");
         tracing::info!(%run, upstream = %name, ?reason, "start refused");
         if let Some((id, unit)) = placed.unit {
             self.member_gone(id, unit, run, Gone::Refused(reason));
@@ -359,6 +368,7 @@
         let Some(placed) = upstream.and_then(|u| u.runs.remove(&run)) else {
             return;
         };
+        self.counts.count("lost");
         let age_ms = Millis::from(now.since(placed.since)).0;
         tracing::info!(%run, upstream = %name, why, age_ms, "run lost");
         if let Some((id, unit)) = placed.unit {
--- a/src/process/scheduler/running_scheduler.rs
+++ b/src/process/scheduler/running_scheduler.rs
@@ -12,6 +12,7 @@
         process::{
             clock::with_timeout,
             ledger::{Lead, Ledger, LedgerKey, Member, MemberRole},
+            metrics::FleetMetrics,
             task_group::TaskGroup,
         },
         version::QueueTable,
@@ -39,6 +40,8 @@
     pub leases: LeaseTerms,
     /// How many times as long work takes far from its data.
     pub far_factor: u64,
+    /// The metrics.
+    pub metrics: Rc<FleetMetrics>,
 }
 
 /// What the tasks of one term share.
@@ -142,6 +145,7 @@
     tasks.spawn(write_progress(core.clone(), lead.clone(), writer));
     run_turns(parts, &core).await;
     tasks.cancel();
+    parts.metrics.lead_term.set(0);
     core.sessions.borrow_mut().clear();
     lead.ledger.watch_jobs(false);
     if lead.leaving.get()
@@ -194,6 +198,7 @@
         meet_guards(core, ledger);
         take_news(parts, core);
         turn(core);
+        export(parts, core);
         core.clock.sleep(TURN_GAP).await;
         let either = futures_util::future::select(due, news);
         with_timeout(&*core.clock, TURN_INTERVAL, either).await;
@@ -255,6 +260,37 @@
     core.record_due.notify(usize::MAX);
 }
 
+/// Exports what has happened.
+fn export(
+    parts: &SchedulerParts,
+    core: &SchedulerCore,
+) {
+    let metrics = &parts.metrics;
+    let now = core.clock.now();
+    let mut scheduler = core.scheduler.borrow_mut();
+    let counts = std::mem::take(&mut scheduler.counts);
+    for (event, count) in counts.runs {
+        metrics.runs.with_label_values(&[event]).inc_by(count);
+    }
+    for (priority, waited) in counts.waits {
+        let label = priority.to_string();
+        let wait = metrics
+            .placement_wait_seconds
+            .with_label_values(&[label.as_str()]);
+        wait.observe(waited.as_secs_f64());
+    }
+    let usable = scheduler
+        .upstreams
+        .values()
+        .filter(|u| u.is_usable(now))
+        .count();
+    let placed: usize = scheduler.upstreams.values().map(|u| u.runs.len()).sum();
+    metrics.usable_upstreams.set(usable as i64);
+    metrics.placed_runs.set(placed as i64);
+    metrics.open_jobs.set(scheduler.jobs.len() as i64);
+    metrics.lead_term.set(core.term as i64);
+}
+
 fn guards_of(ledger: &Ledger) -> BTreeMap<UpstreamName, Member> {
     ledger.view(|fold| {
         let guards = fold
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -53,6 +53,25 @@
     pub stops: Vec<RunRef>,
 }
 
+/// What has happened since the counts were last taken.
+#[derive(Clone, Debug, Default)]
+pub struct SchedulerCounts {
+    /// What became of runs: how often each event happened.
+    pub runs: BTreeMap<&'static str, u64>,
+    /// For each placed unit, its priority and how long it waited.
+    pub waits: Vec<(u32, Duration)>,
+}
+
+impl SchedulerCounts {
+    /// Counts an event of a run.
+    pub(super) fn count(
+        &mut self,
+        event: &'static str,
+    ) {
+        *self.runs.entry(event).or_default() += 1;
+    }
+}
+
 /// All that the scheduling entry knows and has ordered.
 pub struct Scheduler {
     /// The fencing term.
@@ -67,6 +86,8 @@
     pub jobs: BTreeMap<StepJobId, OpenJob>,
     /// The workers, by guard.
     pub upstreams: BTreeMap<UpstreamName, UpstreamState>,
+    /// What has happened, for metrics.
+    pub counts: SchedulerCounts,
     pub(super) rules: Box<dyn PlaceRules>,
     pub(super) orders: BTreeMap<UpstreamName, Orders>,
     pub(super) sent: BTreeMap<UpstreamName, u64>,
@@ -95,6 +116,7 @@
             table: None,
             jobs: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            counts: SchedulerCounts::default(),
             rules,
             orders: BTreeMap::new(),
             sent: BTreeMap::new(),
--- a/src/process/scheduler/turn.rs
+++ b/src/process/scheduler/turn.rs
@@ -65,6 +65,7 @@
             if let Some(placed) = self.rules.place(&req, &now_hosts) {
                 self.log_start(&ask, &placed, now_hosts.len());
                 take_room(&mut hosts, &placed, step);
+                self.counts.waits.push((ask.priority, ask.waited));
                 self.start_unit(ask.job, ask.unit, &placed, now);
                 continue;
             }
@@ -265,6 +266,7 @@
         };
         tracing::info!(job = %ask.job, unit = %ask.unit, victims = victims.len(), guaranteed = ask.is_guaranteed, "less urgent work gives way");
         for victim in &victims {
+            self.counts.count("preempted");
             for host in hosts.iter_mut() {
                 if let Some(freed) = victim.frees.get(&host.host.upstream) {
                     host.soon += *freed;
--- a/src/request/step_job/mod.rs
+++ b/src/request/step_job/mod.rs
@@ -4,6 +4,10 @@
 mod recurrence;
 mod resources;
 mod step;
+#[expect(
+    clippy::module_inception,
+    reason = "a file bears the name of its main type"
+)]
 mod step_job;
 mod subtask;
 
--- a/tests/path/malformed.rs
+++ b/tests/path/malformed.rs
@@ -93,3 +93,17 @@
         system.stop().await;
     });
 }
+
+/// A request whose body never arrives whole is answered instead of holding its connection for ever.
+#[test]
+fn a_body_that_never_arrives_is_refused() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let system = start(&clock).await;
+        let entry = system.entries()[0].http_address();
+        let head = "POST /v1/jobs HTTP/1.1\r\nhost: a\r\ncontent-length: 500\r\n\r\nabc";
+        let answer = exchange(&*clock, entry, head.into()).await;
+        assert_eq!(answer, "HTTP/1.1 408 Request Timeout");
+        system.stop().await;
+    });
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,9 @@
-//! Subtasks, guards and the ledger: decisions, faults and the whole path on stand-ins.
+//! Jobs of steps on the platform: decisions, faults, decoding, and the whole path on stand-ins.
 
 mod fuzz;
 mod oracle;
+mod path;
 mod scheduler;
+mod store;
+mod wire;
 mod world;
--- /dev/null
+++ b/tests/platform/path.rs
@@ -0,0 +1,252 @@
+//! The whole path on stand-ins: callers, an entry, a guard, a worker and the store, over loopback.
+
+use {
+    compio::runtime::{JoinHandle, Runtime, spawn},
+    hyper::Method,
+    limpetquay::{
+        connection::{HttpAnswer, HttpClient, HttpServer},
+        platform::{
+            BootSettings, PlatformRole, run_role,
+            stand_in::{StandInStore, StandInWorker, WorkerModel},
+        },
+        prelude::*,
+        process::clock::SystemClock,
+    },
+    std::net::TcpListener,
+};
+
+const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/q/",
+    "Priority":0,"Service":"s","Attempts":2,"Stretch":3.0}],"Tenants":[{"Name":"t","ApiKeys":["key"],"Guaranteed":{"Gpu":8}}]}"#;
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+struct Bed {
+    clock: Rc<dyn Clock>,
+    client: HttpClient,
+    store: Rc<StandInStore>,
+    worker: Rc<StandInWorker>,
+    entry: BootSettings,
+    _guard: JoinHandle<()>,
+}
+
+impl Bed {
+    async fn start() -> Self {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let store = Rc::new(StandInStore::new(clock.clone()));
+        let store_address = serve(store.clone()).await;
+        store
+            .put("keyed.op", "config", CONFIG.as_bytes())
+            .expect("the operator writes");
+        let model = WorkerModel::new(6000, 100);
+        let worker = Rc::new(StandInWorker::new(clock.clone(), "w-1", model));
+        let worker_address = serve(worker.clone()).await;
+        let client = HttpClient::new(clock.clone());
+        let guard = settings("guard-1", store_address);
+        let beats = send_beats(
+            client.clone(),
+            guard.discovery.expect("an address"),
+            worker_address,
+        );
+        spawn(beats).detach();
+        let guard = run_role(
+            PlatformRole::Guard,
+            guard,
+            clock.clone(),
+            std::future::pending(),
+        );
+        Self {
+            clock,
+            client,
+            store,
+            worker,
+            entry: settings("entry-1", store_address),
+            _guard: spawn(async move { guard.await.expect("the guard starts") }),
+        }
+    }
+
+    fn start_entry(&self) -> JoinHandle<()> {
+        let entry = run_role(
+            PlatformRole::Entry,
+            self.entry.clone(),
+            self.clock.clone(),
+            std::future::pending(),
+        );
+        spawn(async move { entry.await.expect("the entry starts") })
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Option<HttpAnswer> {
+        let url = format!("http://{}{path}", self.entry.callers.expect("an address"));
+        let headers = [("host", "a.example"), ("credential", key)];
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        self.client
+            .call(method, &url, &headers, body, TIMEOUT)
+            .await
+            .ok()
+    }
+
+    /// Repeats a call until its answer is as wanted.
+    async fn until(
+        &self,
+        path: &str,
+        wanted: &str,
+    ) -> String {
+        let start = self.clock.now();
+        loop {
+            let answer = self.call(Method::GET, path, "key", "").await;
+            let text = answer.map_or("no answer".to_owned(), |a| text(&a));
+            if text == wanted || self.clock.now().since(start) > TIMEOUT {
+                return text;
+            }
+            self.clock.sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn text(answer: &HttpAnswer) -> String {
+    format!(
+        "{} {}",
+        answer.status,
+        String::from_utf8_lossy(&answer.body)
+    )
+}
+
+async fn serve(handler: Rc<dyn limpetquay::connection::HttpHandler>) -> SocketAddr {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::bind(any, handler).await.expect("a server");
+    let address = server.local_addr().expect("an address");
+    spawn(server.run(std::future::pending())).detach();
+    address
+}
+
+fn settings(
+    name: &str,
+    store: SocketAddr,
+) -> BootSettings {
+    let text = format!(
+        r#"{{"NodeName":"{name}","Ip":"127.0.0.1","InternalPortRange":[1,2],
+        "Bounds":{{"MaxHoldMs":6000,"RemoteFactor":3,"GracePeriodS":6}},"platform":{{"Address":"{store}"}}}}"#
+    );
+    let settings = BootSettings::parse("boot.json", &text).expect("valid settings");
+    BootSettings {
+        callers: Some(free_address()),
+        readiness: Some(free_address()),
+        discovery: Some(free_address()),
+        peers: free_address(),
+        metrics: free_address(),
+        ..settings
+    }
+}
+
+async fn send_beats(
+    client: HttpClient,
+    guard: SocketAddr,
+    worker: SocketAddr,
+) {
+    for sequence in 1.. {
+        let beat = format!(
+            r#"{{"Service":"s","Address":"{worker}","State":"in_service","Sequence":{sequence},
+            "Capacity":{{"Cpu":16000,"MemMb":32768,"Gpu":8}},"Labels":["a","r1"],"born":1}}"#
+        );
+        let url = format!("http://{guard}/Instances.Heartbeat/w-1");
+        // A guard that is not there yet is told by the next heartbeat.
+        let _ = client
+            .post(&url, &[], beat.into(), HEARTBEAT_INTERVAL)
+            .await;
+        compio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+const COMPLETED: &str = r#"200 {"State":"completed"}"#;
+
+#[test]
+fn a_job_runs_once_and_outlives_its_entry() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let bed = Bed::start().await;
+        let entry = bed.start_entry();
+        bed.until("/q/", r#"200 {"Pending":0}"#).await;
+        let job = r#"{"Spec":"work_ms=300","Steps":[{"Count":2,"Cpu":100,"Gpu":1,"EstRuntimeMs":300},
+            {"Count":1,"Cpu":100,"DependsOn":[0]}]}"#;
+        let path = "/q/00000000000000aa";
+        let mut seen = Vec::new();
+        for (method, path, key, body) in [
+            (Method::POST, path, "key", job),
+            (Method::POST, path, "key", job),
+            (Method::POST, path, "another", job),
+            (Method::POST, "/none/00000000000000ab", "key", job),
+            (Method::POST, "/q/00000000000000ac", "key", "{"),
+            (Method::GET, "/q/00000000000000ad", "key", ""),
+            (Method::DELETE, "/q/00000000000000ad", "key", ""),
+        ] {
+            let answer = bed.call(method.clone(), path, key, body).await;
+            seen.push(format!("{method} {path}: {:?}", answer.map(|a| a.status)));
+        }
+        seen.push(bed.until(path, COMPLETED).await);
+        drop(entry);
+        let entry = bed.start_entry();
+        seen.push(bed.until(path, COMPLETED).await);
+        drop(entry);
+        seen.push(format!("{} starts", bed.worker.model().borrow().starts.len()));
+        insta::assert_debug_snapshot!(seen);
+    });
+}
+
+/// A job of an entry that is gone goes on under the next one, and its run is not started again.
+#[test]
+fn a_running_job_is_taken_over() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let bed = Bed::start().await;
+        let entry = bed.start_entry();
+        bed.until("/q/", r#"200 {"Pending":0}"#).await;
+        let job = r#"{"Spec":"work_ms=3000","Steps":[{"Count":1,"Cpu":100,"Gpu":8}]}"#;
+        bed.call(Method::POST, "/q/00000000000000aa", "key", job)
+            .await;
+        bed.until("/q/00000000000000aa", r#"200 {"State":"in_progress"}"#)
+            .await;
+        drop(entry);
+        let _entry = bed.start_entry();
+        let state = bed.until("/q/00000000000000aa", COMPLETED).await;
+        let starts = bed.worker.model().borrow().starts.len();
+        let calls = bed.store.model().borrow().calls;
+        assert!(calls < 400, "{calls} calls to the store");
+        assert_eq!((state.as_str(), starts), (COMPLETED, 1));
+    });
+}
+
+/// A cancelled job ends, and its run is stopped.
+#[test]
+fn a_cancelled_job_stops() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let bed = Bed::start().await;
+        let _entry = bed.start_entry();
+        bed.until("/q/", r#"200 {"Pending":0}"#).await;
+        let job = r#"{"Spec":"work_ms=60000","Steps":[{"Count":1,"Cpu":100,"Gpu":8}]}"#;
+        let path = "/q/00000000000000aa";
+        bed.call(Method::POST, path, "key", job).await;
+        bed.until(path, r#"200 {"State":"in_progress"}"#).await;
+        let cancelled = bed.call(Method::DELETE, path, "key", "").await;
+        let state = bed.until(path, r#"200 {"State":"cancelled"}"#).await;
+        let start = bed.clock.now();
+        while !bed.worker.model().borrow().runs.is_empty() && bed.clock.now().since(start) < TIMEOUT
+        {
+            bed.clock.sleep(Duration::from_millis(50)).await;
+        }
+        let runs = bed.worker.model().borrow().runs.len();
+        assert_eq!(
+            (cancelled.map(|a| a.status), state.as_str(), runs),
+            (Some(200), r#"200 {"State":"cancelled"}"#, 0)
+        );
+    });
+}
