Take members of a stopping gang over; connect to relays with a limit of their own

A relay that was cut off was taken for one that may have appended, so calls were held to their end.

Ruled out: jobs accepted after the claim, guards left out of the hold, dropped registrations.

Change: a unit starts again only when all of its known members are gone; connecting to a relay has 250 ms.

--- a/src/platform/stand_in/worker_model.rs
+++ b/src/platform/stand_in/worker_model.rs
@@ -239,6 +239,16 @@
         })
     }
 
+    /// Ends a run from outside, as the other members of its gang do.
+    pub fn finish(
+        &mut self,
+        run: RunRef,
+        kind: EndKind,
+        now_ms: u64,
+    ) {
+        self.end(run, kind, now_ms);
+    }
+
     fn take_token(
         &mut self,
         token: u64,
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -22,6 +22,9 @@
 /// The longest time that another entry may take besides the wait that a call asks for.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1300);
 
+/// The longest time that connecting to another entry may take: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// How many other entries are asked in turn.
 const MAX_RELAYS: usize = 2;
 
@@ -98,7 +101,14 @@
         for _ in 0..peers.len().min(MAX_RELAYS) {
             let next = self.next_peer.get();
             let peer = peers[next % peers.len()];
-            let asking = ask(peer, call);
+            self.next_peer.set(next + 1);
+            let connecting = TcpStream::connect(peer);
+            let connected = with_timeout(&*self.clock, CONNECT_TIMEOUT, connecting).await;
+            let Some(Ok(stream)) = connected else {
+                tracing::debug!(%peer, "the other entry is not reached");
+                continue;
+            };
+            let asking = ask(stream, call);
             let timeout = RELAY_TIMEOUT + call.wait();
             match with_timeout(&*self.clock, timeout, asking).await {
                 Some(Ok(reply)) if outage(&reply).is_none() => {
@@ -114,12 +124,10 @@
                     if matches!(call, StoreCall::Append { .. }) {
                         // It may have appended.
                         let lost = StoreError::Unknown("the relay does not answer".to_owned());
-                        self.next_peer.set(next + 1);
                         return Some(StoreReply::Appended(Err(lost)));
                     }
                 }
             }
-            self.next_peer.set(next + 1);
         }
         None
     }
@@ -200,12 +208,11 @@
     }
 }
 
-/// Asks one other entry.
+/// Asks one other entry over a new connection.
 async fn ask(
-    peer: SocketAddr,
+    mut stream: TcpStream,
     call: &StoreCall,
 ) -> Result<StoreReply, FrameError> {
-    let mut stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
     write_frame(&mut stream, call).await?;
     read_frame(&mut stream).await
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -233,15 +233,27 @@
             stopping: false,
         };
         let is_foreign = placed.unit.is_none();
+        let is_stopping = unit.is_some_and(|(id, unit)| self.is_stopping(id, unit));
         if let Some(upstream) = self.upstreams.get_mut(name) {
             upstream.runs.insert(status.run, placed);
         }
         if is_foreign {
             tracing::warn!(run = %status.run, upstream = %name, "a run that should not be is stopped");
+        }
+        if is_foreign || is_stopping {
             self.stop_run(name, status.run);
         }
     }
 
+    fn is_stopping(
+        &self,
+        id: StepJobId,
+        unit: UnitId,
+    ) -> bool {
+        let active = self.jobs.get(&id).and_then(|j| j.active.get(&unit));
+        active.is_some_and(|a| a.stopping)
+    }
+
     /// Orders a known run to stop when its unit is being stopped and the order was lost.
     fn stop_if_unwanted(
         &mut self,
@@ -281,10 +293,9 @@
         let last = job.last_run.entry(unit).or_default();
         *last = (*last).max(run);
         let is_open = !job.progress.phase.is_final() && !job.progress.done.contains(&unit);
-        let is_free = job
-            .active
-            .get(&unit)
-            .is_none_or(|a| a.run == run && !a.stopping);
+        // A member of a unit that is being stopped counts too: the unit starts again only when all
+        // of its members are gone.
+        let is_free = job.active.get(&unit).is_none_or(|a| a.run == run);
         if is_open && is_free {
             let active = job.active.entry(unit).or_insert_with(|| ActiveUnit {
                 run,
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -190,7 +190,7 @@
         let hold_until = self.hold_until;
         let silent = self.upstreams.iter_mut().filter(|(_, u)| {
             let lapsed = u.heard.map_or(hold_until, |at| at + horizon);
-            !u.is_dropped && lapsed < now
+            !u.is_dropped && !u.connected && lapsed < now
         });
         let dropped = silent.map(|(name, u)| {
             u.is_dropped = true;
--- a/tests/platform/fuzz.rs
+++ b/tests/platform/fuzz.rs
@@ -47,6 +47,7 @@
             vec![]
         },
         checkpoints: world.rng.random_range(0..2) == 0,
+        gang: world.rng.random_range(0..3) == 0,
         ..Step::default()
     }
 }
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -44,3 +44,40 @@
         );
     }
 }
+
+/// A gang that is taken over while some of its guards have not reported yet starts again only when
+/// all of its members are gone, also when urgent work displaces it at once.
+#[test]
+fn a_gang_displaced_during_a_takeover_runs_once() {
+    for delay in (0..12).map(|i| i * 20) {
+        let mut world = World::new(delay, 4, Faults::default());
+        let whole_worker = Resources {
+            cpu_milli: 1000,
+            memory_mb: 100,
+            accelerators: 8,
+        };
+        let single = Step {
+            demand: whole_worker,
+            ..one_subtask()
+        };
+        let gang = Step {
+            count: 2,
+            gang: true,
+            ..single.clone()
+        };
+        world.run_for(1000);
+        world.submit(vec![gang], 1, 4);
+        world.run_for(100);
+        let others = [(); 2].map(|()| world.submit(vec![single.clone()], 0, 4));
+        world.run_for(300 + delay);
+        // Other workers become free while the members of the gang are still being stopped.
+        others.map(|id| world.cancel(id));
+        world.take_over();
+        world.submit(vec![single], 0, 4);
+        world.run_for(30_000);
+        world.oracle.finish();
+        let found = &world.oracle.violations;
+        assert!(found.is_empty(), "delay {delay}: {found:?}");
+        assert_eq!(world.running(), 0, "delay {delay}");
+    }
+}
