--- a/src/process/cli/trace_command.rs
+++ b/src/process/cli/trace_command.rs
@@ -19,7 +19,7 @@
     }
 
     fn summary(&self) -> &'static str {
-        "put the log lines of several processes about one job in order"
+        "put the log lines about one job in order"
     }
 
     fn run(
