Answer within the caller's time while the store is silent; split reports from outcomes

Ruled out: rejecting at once from the first lost answer on (the job might run all the same).

Change: an attempt ends with the caller's time (504); once the view is older than 2.5 s a submission is rejected before anything is sent (503, come back after 2 s). A stop before the ledger was read ends the start. report.rs and outcome.rs have one job each.

--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -28,8 +28,9 @@
 /// The part of a caller's time that is left for the way back of the answer, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 400;
 
-/// When a caller that is rejected should come back, in seconds.
-const RETRY_AFTER_S: u32 = 1;
+/// When a caller that is rejected should come back, in seconds: outages of the store last some
+/// seconds, and a caller comes back a few times only.
+const RETRY_AFTER_S: u32 = 2;
 
 /// Answers callers.
 pub struct Callers {
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -3,6 +3,10 @@
 use {
     super::{BootSettings, entry_role::PlatformEntry, guard_role::PlatformGuard},
     crate::prelude::*,
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
     std::io,
 };
 
@@ -31,9 +35,14 @@
     tracing::info!(?role, instance = %settings.instance, leases = ?settings.leases, "starting");
     match role {
         PlatformRole::Entry => {
-            let entry = PlatformEntry::start(&settings, clock).await?;
-            stop.await;
-            entry.stop().await;
+            let starting = PlatformEntry::start(&settings, clock);
+            pin_mut!(starting, stop);
+            // An entry that is told to stop before it has read the ledger has promised nothing.
+            if let Either::Left((entry, stop)) = select(starting, stop).await {
+                let entry = entry?;
+                stop.await;
+                entry.stop().await;
+            }
         }
         PlatformRole::Guard => {
             let guard = PlatformGuard::start(&settings, clock).await?;
--- a/src/process/job_desk/job_desk.rs
+++ b/src/process/job_desk/job_desk.rs
@@ -4,6 +4,7 @@
     crate::{
         prelude::*,
         process::{
+            clock::with_timeout,
             ledger::{Condition, Ledger, LedgerKey, LedgerRecord, StoreError},
             metrics::FleetMetrics,
         },
@@ -80,6 +81,16 @@
             tracing::info!(job = %id, "job was accepted before");
             return Ok(());
         }
+        if self.is_store_away() {
+            // Nothing was sent to the store for this call, so the job cannot run by it.
+            let age = self.ledger.age();
+            tracing::info!(job = %id, view_age = ?age, "job rejected: the store is away");
+            self.metrics
+                .submissions
+                .with_label_values(&["rejected"])
+                .inc();
+            return Err(DeskError::NotStored);
+        }
         let (queue, account) = (job.queue.clone(), job.account.clone());
         let subtasks: u32 = job.steps.iter().map(|s| s.count).sum();
         let result = self
@@ -135,6 +146,11 @@
         self.ledger.view(|f| f.pending(queue))
     }
 
+    /// Tells whether the store has not answered for so long that a call would wait in vain.
+    fn is_store_away(&self) -> bool {
+        self.ledger.age().is_none_or(|age| age >= MAX_VIEW_AGE)
+    }
+
     /// Stores a record that means the same however often it is stored.
     async fn store(
         &self,
@@ -146,7 +162,11 @@
         let mut may_be_stored = false;
         let mut refusals = 0;
         loop {
-            match self.ledger.put(key, record, Condition::Always).await {
+            let left = time.saturating_sub(self.clock.now().since(start));
+            let putting = self.ledger.put(key, record, Condition::Always);
+            let result = with_timeout(&*self.clock, left, putting).await;
+            let timed_out = || Err(StoreError::Unknown("the caller's time is over".to_owned()));
+            match result.unwrap_or_else(timed_out) {
                 Ok(_) => return Ok(()),
                 Err(StoreError::Refused(why)) => {
                     refusals += 1;
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod preemption;
 mod progress_writer;
+mod report;
 mod running_scheduler;
 #[expect(
     clippy::module_inception,
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -1,15 +1,12 @@
-//! What guards report, and what follows for units and jobs.
+//! What follows for units and jobs when runs end, are refused or are lost.
 
 use {
-    super::{ActiveUnit, PlacedRun, Scheduler},
+    super::Scheduler,
     crate::{
-        connection::{
-            EndKind, GuardReport, RunEnd, RunStatus, StartRefusal, WorkerLife, WorkerReport,
-        },
+        connection::{EndKind, StartRefusal},
         prelude::*,
         request::{JobPhase, Resources, RunRef, StepJobId, UnitId},
     },
-    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// How many units in a row may fail on a worker before it is avoided. Runs that fail by their own
@@ -19,16 +16,9 @@
 /// How long a worker that fails everything is avoided before it gets another trial.
 const FAILURE_PAUSE: Millis = Millis(8000);
 
-/// How long nothing is started on a worker that refused a start.
-const REFUSAL_PAUSE: Millis = Millis(300);
-
-/// How long a worker may be silent before its guard stops extending its lease; the guard's own
-/// limit, with the longest call added.
-const MAX_EXTENDED_SILENCE_MS: u64 = 3500;
-
 /// Why the members of a unit are gone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Gone {
+pub(super) enum Gone {
     /// The worker listed the end.
     Ended(EndKind),
     /// The start did not come about.
@@ -38,52 +28,6 @@
 }
 
 impl Scheduler {
-    /// Takes a guard's report.
-    pub fn take_report(
-        &mut self,
-        name: &UpstreamName,
-        report: GuardReport,
-        now: Millis,
-    ) {
-        let upstream = self.upstreams.entry(name.clone()).or_default();
-        upstream.heard = Some(now);
-        upstream.echo_ms = report.clock_ms;
-        let was_in_session = upstream.in_session;
-        let Some(worker) = report.worker else {
-            if was_in_session && upstream.life.is_some() {
-                self.lose_worker(name, now, "the worker has left");
-            }
-            return;
-        };
-        if upstream.life.as_ref() != Some(&worker.life) {
-            self.begin_life(name, &worker.life, now);
-        }
-        self.unaccounted.remove(name);
-        // In a new session every earlier order is fenced, so what is not listed does not run.
-        let handled = if was_in_session {
-            report.handled
-        } else {
-            u64::MAX
-        };
-        self.take_standing(name, &worker, now);
-        let lapse_ms = MAX_EXTENDED_SILENCE_MS + self.leases.worker.0;
-        if worker.silent_ms > lapse_ms {
-            self.lose_runs(name, now, "the worker is silent and its lease has ended");
-            return;
-        }
-        let ends: BTreeSet<RunRef> = worker.ends.iter().map(|e| e.run).collect();
-        for end in &worker.ends {
-            self.take_end(name, end, now);
-        }
-        for refused in &worker.refused {
-            self.take_refusal(name, refused.run, refused.reason, now);
-        }
-        for status in &worker.runs {
-            self.take_status(name, status, now);
-        }
-        self.take_absent(name, &worker, &ends, handled, now);
-    }
-
     /// Drops what has surely ended because its guard has been silent for so long.
     pub fn drop_lapsed(
         &mut self,
@@ -100,244 +44,7 @@
         }
     }
 
-    fn begin_life(
-        &mut self,
-        name: &UpstreamName,
-        life: &WorkerLife,
-        now: Millis,
-    ) {
-        self.lose_worker(name, now, "another life of the worker has begun");
-        if let Some(upstream) = self.upstreams.get_mut(name) {
-            tracing::info!(upstream = %name, id = %life.id, born_ms = life.born_ms, "worker known");
-            upstream.life = Some(life.clone());
-            upstream.failures_in_a_row = 0;
-            upstream.avoid_until = Millis(0);
-        }
-    }
-
-    fn take_standing(
-        &mut self,
-        name: &UpstreamName,
-        worker: &WorkerReport,
-        now: Millis,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
-            return;
-        };
-        upstream.in_session = true;
-        upstream.service = worker.service.clone();
-        upstream.capacity = worker.capacity;
-        upstream.labels.clone_from(&worker.labels);
-        upstream.silent_ms = worker.silent_ms;
-        let is_leaving = worker.leaving_ms.is_some();
-        if is_leaving != upstream.leaving_since.is_some() {
-            tracing::info!(upstream = %name, is_leaving, remaining_ms = worker.leaving_ms, "worker's standing changed");
-            upstream.leaving_since = is_leaving.then_some(now);
-        }
-    }
-
-    fn take_end(
-        &mut self,
-        name: &UpstreamName,
-        end: &RunEnd,
-        now: Millis,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
-            return;
-        };
-        if end.number <= upstream.taken_end {
-            return;
-        }
-        upstream.taken_end = end.number;
-        upstream.runs.remove(&end.run);
-        self.counts.count(match end.kind {
-            EndKind::Done => "done",
-            EndKind::Failed => "failed",
-            EndKind::Stopped => "stopped",
-            EndKind::Lapsed => "lapsed",
-            EndKind::Broken => "broken",
-            EndKind::Alone => "alone",
-        });
-        let id = end.run.subtask.job;
-        let unit = self
-            .jobs
-            .get(&id)
-            .and_then(|j| j.job.unit_of(end.run.subtask));
-        tracing::info!(run = %end.run, upstream = %name, number = end.number, kind = ?end.kind, is_open = unit.is_some(), "run ended");
-        if let Some(unit) = unit {
-            self.keep_checkpoint(id, unit, end.run.run, end.checkpoint.clone());
-            self.note_soundness(name, end.kind, now);
-            if end.kind == EndKind::Failed
-                && let Some(job) = self.jobs.get_mut(&id)
-            {
-                job.failed_on.entry(unit).or_default().insert(name.clone());
-            }
-            self.member_gone(id, unit, end.run, Gone::Ended(end.kind));
-        }
-        let need = self.jobs.get(&id).map(|j| (id, j.changed));
-        if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.unrecorded.insert(end.number, need);
-        }
-    }
-
-    fn take_refusal(
-        &mut self,
-        name: &UpstreamName,
-        run: RunRef,
-        reason: StartRefusal,
-        now: Millis,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
-            return;
-        };
-        let Some(placed) = upstream.runs.remove(&run) else {
-            return;
-        };
-        upstream.avoid_until = now + REFUSAL_PAUSE;
-        self.counts.count("refused");
-        tracing::info!(%run, upstream = %name, ?reason, "start refused");
-        if let Some((id, unit)) = placed.unit {
-            self.member_gone(id, unit, run, Gone::Refused(reason));
-        }
-    }
-
-    fn take_status(
-        &mut self,
-        name: &UpstreamName,
-        status: &RunStatus,
-        now: Millis,
-    ) {
-        let known = self
-            .upstreams
-            .get_mut(name)
-            .and_then(|u| u.runs.get_mut(&status.run));
-        if let Some(placed) = known {
-            placed.phase = status.phase;
-            placed.percent = status.percent;
-            if status.checkpoint.is_some() {
-                placed.checkpoint.clone_from(&status.checkpoint);
-            }
-            self.stop_if_unwanted(name, status.run);
-            return;
-        }
-        let unit = self.adopt(name, status, now);
-        let demand = unit.and_then(|(id, unit)| self.demand_of(id, unit));
-        let placed = PlacedRun {
-            unit: unit.filter(|(id, unit)| self.is_run_of(*id, *unit, status.run)),
-            demand: demand.unwrap_or_else(|| self.demand_at_most(name)),
-            phase: status.phase,
-            checkpoint: status.checkpoint.clone(),
-            percent: status.percent,
-            ordered_by: 0,
-            since: now,
-            stopping: false,
-        };
-        let is_foreign = placed.unit.is_none();
-        let is_stopping = unit.is_some_and(|(id, unit)| self.is_stopping(id, unit));
-        if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.runs.insert(status.run, placed);
-        }
-        if is_foreign {
-            tracing::warn!(run = %status.run, upstream = %name, "a run that should not be is stopped");
-        }
-        if is_foreign || is_stopping {
-            self.stop_run(name, status.run);
-        }
-    }
-
-    fn is_stopping(
-        &self,
-        id: StepJobId,
-        unit: UnitId,
-    ) -> bool {
-        let active = self.jobs.get(&id).and_then(|j| j.active.get(&unit));
-        active.is_some_and(|a| a.stopping)
-    }
-
-    /// Orders a known run to stop when its unit is being stopped and the order was lost.
-    fn stop_if_unwanted(
-        &mut self,
-        name: &UpstreamName,
-        run: RunRef,
-    ) {
-        let placed = self.upstreams.get(name).and_then(|u| u.runs.get(&run));
-        let Some(placed) = placed.filter(|p| !p.stopping) else {
-            return;
-        };
-        let active = placed
-            .unit
-            .and_then(|(id, unit)| self.jobs.get(&id)?.active.get(&unit));
-        let is_wanted = match (placed.unit, active) {
-            (None, _) => false,
-            (Some(_), Some(active)) => !active.stopping,
-            // The unit is done or its job has ended; the worker ends the run by itself or lists it.
-            (Some(_), None) => true,
-        };
-        if !is_wanted {
-            self.stop_run(name, run);
-        }
-    }
-
-    /// Takes over a run that was found on a worker: it counts when its unit is still to be done and
-    /// does not run under another number. Returns the job and unit if the job is open.
-    fn adopt(
-        &mut self,
-        name: &UpstreamName,
-        status: &RunStatus,
-        now: Millis,
-    ) -> Option<(StepJobId, UnitId)> {
-        let id = status.run.subtask.job;
-        let run = status.run.run;
-        let job = self.jobs.get_mut(&id)?;
-        let unit = job.job.unit_of(status.run.subtask)?;
-        let last = job.last_run.entry(unit).or_default();
-        *last = (*last).max(run);
-        let is_open = !job.progress.phase.is_final() && !job.progress.done.contains(&unit);
-        // A member of a unit that is being stopped counts too: the unit starts again only when all
-        // of its members are gone.
-        let is_free = job.active.get(&unit).is_none_or(|a| a.run == run);
-        if is_open && is_free {
-            let active = job.active.entry(unit).or_insert_with(|| ActiveUnit {
-                run,
-                members: BTreeMap::new(),
-                since: now,
-                stopping: false,
-            });
-            active
-                .members
-                .insert(status.run.subtask.index, name.clone());
-            tracing::info!(run = %status.run, upstream = %name, percent = status.percent, "run taken over");
-            if job.progress.phase == JobPhase::Queued {
-                job.progress.phase = JobPhase::Running;
-                self.touch(id);
-            }
-        }
-        Some((id, unit))
-    }
-
-    /// Handles runs that were ordered before the report was made and are not listed in it.
-    fn take_absent(
-        &mut self,
-        name: &UpstreamName,
-        worker: &WorkerReport,
-        ends: &BTreeSet<RunRef>,
-        handled: u64,
-        now: Millis,
-    ) {
-        let listed: BTreeSet<RunRef> = worker.runs.iter().map(|s| s.run).collect();
-        let Some(upstream) = self.upstreams.get(name) else {
-            return;
-        };
-        let absent = upstream.runs.iter().filter(|(run, placed)| {
-            placed.ordered_by <= handled && !listed.contains(run) && !ends.contains(run)
-        });
-        let absent: Vec<RunRef> = absent.map(|(run, _)| *run).collect();
-        for run in absent {
-            self.lose_run(name, run, now, "the worker no longer lists it");
-        }
-    }
-
-    fn lose_worker(
+    pub(super) fn lose_worker(
         &mut self,
         name: &UpstreamName,
         now: Millis,
@@ -353,7 +60,7 @@
         }
     }
 
-    fn lose_runs(
+    pub(super) fn lose_runs(
         &mut self,
         name: &UpstreamName,
         now: Millis,
@@ -368,7 +75,7 @@
         }
     }
 
-    fn lose_run(
+    pub(super) fn lose_run(
         &mut self,
         name: &UpstreamName,
         run: RunRef,
@@ -389,7 +96,7 @@
     }
 
     /// Keeps the checkpoint of a run that ended, for the unit's next start.
-    fn keep_checkpoint(
+    pub(super) fn keep_checkpoint(
         &mut self,
         id: StepJobId,
         unit: UnitId,
@@ -411,7 +118,7 @@
     }
 
     /// Draws the consequences of one member's end for its unit and job.
-    fn member_gone(
+    pub(super) fn member_gone(
         &mut self,
         id: StepJobId,
         unit: UnitId,
@@ -476,7 +183,7 @@
         }
     }
 
-    fn note_soundness(
+    pub(super) fn note_soundness(
         &mut self,
         name: &UpstreamName,
         kind: EndKind,
@@ -503,7 +210,7 @@
         self.jobs.get(&id).map_or(1, |j| j.job.attempts.max(1))
     }
 
-    fn is_run_of(
+    pub(super) fn is_run_of(
         &self,
         id: StepJobId,
         unit: UnitId,
@@ -524,7 +231,7 @@
 
     /// The demand of a run that no open job knows: all that the worker has, so that nothing is
     /// started beside it.
-    fn demand_at_most(
+    pub(super) fn demand_at_most(
         &self,
         name: &UpstreamName,
     ) -> Resources {
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -7,7 +7,7 @@
         connection::{HttpAnswer, HttpClient, HttpServer},
         platform::{
             BootSettings, PlatformRole, run_role,
-            stand_in::{StandInStore, StandInWorker, WorkerModel},
+            stand_in::{StandInStore, StandInWorker, StoreFaults, WorkerModel},
         },
         prelude::*,
         process::clock::SystemClock,
@@ -250,3 +250,32 @@
         );
     });
 }
+
+/// While the store is silent, a caller gets an answer within its time, and one that comes later is
+/// rejected at once.
+#[test]
+fn callers_are_answered_in_time_while_the_store_is_silent() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let bed = Bed::start().await;
+        let _entry = bed.start_entry();
+        bed.until("/q/", r#"200 {"Pending":0}"#).await;
+        bed.store.set_faults(StoreFaults {
+            delay_ms: 60_000,
+            ..StoreFaults::default()
+        });
+        let job = r#"{"Spec":"work_ms=10","Steps":[{"Count":1,"Cpu":100}]}"#;
+        let mut seen = Vec::new();
+        for (path, limit) in [
+            ("/q/00000000000000aa", Duration::from_millis(3000)),
+            ("/q/00000000000000ab", Duration::from_millis(500)),
+        ] {
+            let start = bed.clock.now();
+            let answer = bed.call(Method::POST, path, "key", job).await;
+            let took = bed.clock.now().since(start);
+            seen.push((answer.map(|a| a.status), took < limit));
+            // By now the view of the ledger is too old to go on trying.
+            bed.clock.sleep(Duration::from_millis(1500)).await;
+        }
+        insta::assert_debug_snapshot!(seen);
+    });
+}
