Clear workers group by group for urgent work, after a moment's patience

Victims were taken over all workers in the order of their loss until one rack happened to be clear. Ruled out: checkpointed work as the cause (its loss at a stop is its restart only, and it was counted higher than that). Change: each rack (or set of workers) that could take the unit is priced by itself, member by member, and the cheapest is cleared; urgent work first waits 300 ms for room that becomes free by itself; a run that saves its progress costs its restart only.

--- a/src/process/scheduler/placement.rs
+++ b/src/process/scheduler/placement.rs
@@ -41,6 +41,13 @@
         req: &PlaceRequest<'_>,
         hosts: &[Host],
     ) -> Option<Vec<UpstreamName>>;
+
+    /// Returns the groups of workers of which each, once it is cleared, takes the unit well.
+    fn groups(
+        &self,
+        req: &PlaceRequest<'_>,
+        hosts: &[Host],
+    ) -> Vec<Vec<Host>>;
 }
 
 /// Places near the data and on one rack while waiting costs less than running far away, and packs
@@ -78,6 +85,28 @@
         }
         pack(req, hosts.to_vec())
     }
+
+    fn groups(
+        &self,
+        req: &PlaceRequest<'_>,
+        hosts: &[Host],
+    ) -> Vec<Vec<Host>> {
+        let is_bound = req.step.rack_bound && req.members > 1;
+        let near = match &req.step.data_rack {
+            Some(rack) => vec![on_rack(hosts, rack)],
+            None if is_bound => {
+                let racks = racks(hosts);
+                racks.iter().map(|r| on_rack(hosts, r)).collect()
+            }
+            None => Vec::new(),
+        };
+        let near: Vec<Vec<Host>> = near.into_iter().filter(|g| could_hold(req, g)).collect();
+        if near.is_empty() {
+            vec![hosts.to_vec()]
+        } else {
+            near
+        }
+    }
 }
 
 /// Tells whether running far away now ends sooner than waiting on.
--- a/src/process/scheduler/preemption.rs
+++ b/src/process/scheduler/preemption.rs
@@ -6,7 +6,7 @@
         prelude::*,
         request::{Resources, StepJobId, UnitId},
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// A unit that may be stopped.
@@ -20,51 +20,151 @@
     pub frees: BTreeMap<UpstreamName, Resources>,
 }
 
-/// Returns the units to stop so that a unit can be placed, and where it then goes. Victims are
-/// taken in the order of their loss until the unit fits, and those that turn out needless are
-/// spared. It answers bursts of urgent work whose account is guaranteed
-/// accelerators that others use.
+/// Returns the units to stop so that a unit can be placed, and where it then goes. Each group of
+/// workers that could take the unit whole is looked at by itself, and the one where the least work
+/// is lost is taken. It answers bursts of urgent work, whose members need whole workers of one rack,
+/// over many small units of less urgent work.
 pub fn choose_victims(
     rules: &dyn PlaceRules,
     req: &PlaceRequest<'_>,
     hosts: &[Host],
     victims: &[Victim],
 ) -> Option<(Vec<Victim>, Vec<UpstreamName>)> {
-    let mut order: Vec<&Victim> = victims.iter().collect();
-    order.sort_by_key(|v| (v.loss, v.unit));
-    let mut chosen: Vec<&Victim> = Vec::new();
-    for victim in order {
-        chosen.push(victim);
-        if rules.place(req, &after(hosts, &chosen)).is_some() {
-            break;
+    let groups = rules.groups(req, hosts);
+    let plans = groups
+        .iter()
+        .filter_map(|group| Clearing::new(group, victims).plan(req));
+    let mut plans: Vec<(u64, BTreeSet<usize>)> = plans.collect();
+    plans.sort();
+    plans.into_iter().find_map(|(_, chosen)| {
+        let chosen: Vec<Victim> = chosen.into_iter().map(|i| victims[i].clone()).collect();
+        let placed = rules.place(req, &after(hosts, &chosen))?;
+        Some((chosen, placed))
+    })
+}
+
+/// A group of workers that is being cleared for a unit, member by member.
+struct Clearing<'a> {
+    hosts: Vec<Host>,
+    victims: &'a [Victim],
+    /// The victims on each worker, the least loss first.
+    on_host: BTreeMap<&'a UpstreamName, Vec<usize>>,
+    chosen: BTreeSet<usize>,
+}
+
+impl<'a> Clearing<'a> {
+    fn new(
+        hosts: &[Host],
+        victims: &'a [Victim],
+    ) -> Self {
+        let mut on_host: BTreeMap<&UpstreamName, Vec<usize>> = BTreeMap::new();
+        for (i, victim) in victims.iter().enumerate() {
+            for name in victim.frees.keys() {
+                on_host.entry(name).or_default().push(i);
+            }
+        }
+        for indices in on_host.values_mut() {
+            indices.sort_by_key(|i| (victims[*i].loss, victims[*i].unit));
+        }
+        Self {
+            hosts: hosts.to_vec(),
+            victims,
+            on_host,
+            chosen: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the work that is lost when all members get a place, and the victims.
+    fn plan(
+        mut self,
+        req: &PlaceRequest<'_>,
+    ) -> Option<(u64, BTreeSet<usize>)> {
+        for _ in 0..req.members {
+            let offers = (0..self.hosts.len()).filter_map(|host| self.offer(req, host));
+            let (_, _, host, more) = offers.min()?;
+            self.take(req, host, more);
+        }
+        let loss = self.chosen.iter().map(|i| self.victims[*i].loss).sum();
+        Some((loss, self.chosen))
+    }
+
+    /// Returns what one more member on a host costs: the loss, the room there, the host and the
+    /// victims that are not chosen yet.
+    fn offer(
+        &self,
+        req: &PlaceRequest<'_>,
+        host: usize,
+    ) -> Option<(u64, u64, usize, Vec<usize>)> {
+        let h = &self.hosts[host];
+        let limit = req.step.max_per_upstream;
+        if limit > 0 && h.siblings >= limit {
+            return None;
         }
+        let mut room = h.room;
+        let mut more = Vec::new();
+        let on_host = self.on_host.get(&h.upstream);
+        let mut left = on_host.into_iter().flatten();
+        while !req.step.demand.fits_in(&room) {
+            let next = left.find(|i| !self.chosen.contains(i))?;
+            room += self.freed(*next, h);
+            more.push(*next);
+        }
+        // Those that turn out needless are spared, the greatest loss first.
+        for i in (0..more.len()).rev() {
+            let fewer = room.less(&self.freed(more[i], h));
+            if req.step.demand.fits_in(&fewer) {
+                room = fewer;
+                more.remove(i);
+            }
+        }
+        let loss = more.iter().map(|i| self.victims[*i].loss).sum();
+        Some((loss, h.room.accelerators, host, more))
     }
-    let mut i = 0;
-    while i < chosen.len() {
-        let mut fewer = chosen.clone();
-        fewer.remove(i);
-        if rules.place(req, &after(hosts, &fewer)).is_some() {
-            chosen = fewer;
-        } else {
-            i += 1;
+
+    fn freed(
+        &self,
+        victim: usize,
+        host: &Host,
+    ) -> Resources {
+        let frees = self.victims[victim].frees.get(&host.upstream);
+        frees.copied().unwrap_or_default()
+    }
+
+    fn take(
+        &mut self,
+        req: &PlaceRequest<'_>,
+        host: usize,
+        more: Vec<usize>,
+    ) {
+        for victim in &more {
+            free(&mut self.hosts, &self.victims[*victim]);
         }
+        self.chosen.extend(more);
+        let host = &mut self.hosts[host];
+        host.room = host.room.less(&req.step.demand);
+        host.siblings += 1;
     }
-    let placed = rules.place(req, &after(hosts, &chosen))?;
-    Some((chosen.into_iter().cloned().collect(), placed))
 }
 
 /// Returns the hosts as they are once the victims are gone.
 fn after(
     hosts: &[Host],
-    victims: &[&Victim],
+    victims: &[Victim],
 ) -> Vec<Host> {
     let mut hosts = hosts.to_vec();
-    for host in &mut hosts {
-        for victim in victims {
-            if let Some(freed) = victim.frees.get(&host.upstream) {
-                host.room += *freed;
-            }
-        }
+    for victim in victims {
+        free(&mut hosts, victim);
     }
     hosts
 }
+
+fn free(
+    hosts: &mut [Host],
+    victim: &Victim,
+) {
+    for host in hosts {
+        if let Some(freed) = victim.frees.get(&host.upstream) {
+            host.room += *freed;
+        }
+    }
+}
--- a/src/process/scheduler/turn.rs
+++ b/src/process/scheduler/turn.rs
@@ -13,11 +13,16 @@
 /// workers idle for work that cannot start soon.
 const MAX_RESERVATIONS: usize = 3;
 
-/// The work that is lost at least when a run is stopped, in milliseconds: its restart.
-const MIN_LOSS_MS: u64 = 300;
+/// The work that is lost whenever a run is stopped, in milliseconds: its stop and its next start.
+/// A run that saves its progress does so at a stop too, so it loses no more than that.
+const RESTART_LOSS_MS: u64 = 450;
 
-/// The unsaved work of a run that saves its progress, in milliseconds.
-const CHECKPOINT_LOSS_MS: u64 = 700;
+/// The least time that a run is thought to have left, in milliseconds; declared times are far off.
+const MIN_LEFT_MS: u64 = 300;
+
+/// How long urgent work waits for room that becomes free by itself before other work is stopped for
+/// it. It costs less than the latency that the most urgent queues allow for.
+const PREEMPTION_PATIENCE: Duration = Duration::from_millis(300);
 
 /// A worker in one turn.
 #[derive(Clone, Debug)]
@@ -74,7 +79,8 @@
                 take_room(&mut hosts, &placed, step);
                 continue;
             }
-            let may_preempt = ask.is_guaranteed || ask.priority == 0;
+            let is_patient = ask.waited < PREEMPTION_PATIENCE;
+            let may_preempt = (ask.is_guaranteed || ask.priority == 0) && !is_patient;
             if may_preempt && self.make_room(&ask, &req, &soon_hosts, &mut hosts, now) {
                 continue;
             }
@@ -339,12 +345,8 @@
             let active = open.active.iter().filter(|(_, a)| !a.stopping);
             active.filter_map(move |(unit, a)| {
                 let step = open.job.step_of(*unit)?;
-                let age_ms = Millis::from(now.since(a.since)).0.max(MIN_LOSS_MS);
-                let unsaved_ms = if step.checkpoints {
-                    age_ms.min(CHECKPOINT_LOSS_MS)
-                } else {
-                    age_ms
-                };
+                let age_ms = Millis::from(now.since(a.since)).0;
+                let unsaved_ms = if step.checkpoints { 0 } else { age_ms } + RESTART_LOSS_MS;
                 let weight = step.demand.weight() * u64::from(step.members());
                 Some(self.victim(open.job.id, *unit, weight * unsaved_ms / 1000))
             })
@@ -365,7 +367,7 @@
             open.active.iter().filter_map(move |(unit, a)| {
                 let step = open.job.step_of(*unit)?;
                 let age_ms = Millis::from(now.since(a.since)).0;
-                let left_ms = step.estimate_ms.saturating_sub(age_ms).max(MIN_LOSS_MS);
+                let left_ms = step.estimate_ms.saturating_sub(age_ms).max(MIN_LEFT_MS);
                 let accelerators = step.demand.accelerators * u64::from(step.members());
                 Some(self.victim(open.job.id, *unit, left_ms * accelerators.max(1)))
             })
