Send starts and looks without an answer again instead of undoing them

Ruled out: a start twice: it carries the same run number, and a try that is refused after another one is settled by a stop and the next look. Change: calls to the worker on the same machine may take 300 ms; a start is sent up to three times before it is undone; after a look without an answer the next one does not wait for an end. The stand-in worker can lose answers; the new test fails with the old order task (3 starts instead of 1).

--- a/src/platform/stand_in/worker_server.rs
+++ b/src/platform/stand_in/worker_server.rs
@@ -11,6 +11,7 @@
     },
     event_listener::Event,
     serde_json::{Value, json},
+    std::collections::BTreeMap,
 };
 
 /// The largest call, in bytes.
@@ -29,6 +30,7 @@
     id: Arc<str>,
     model: RefCell<WorkerModel>,
     changed: Event,
+    lost: RefCell<BTreeMap<String, u32>>,
 }
 
 impl StandInWorker {
@@ -43,9 +45,29 @@
             id: id.into(),
             model: RefCell::new(model),
             changed: Event::new(),
+            lost: RefCell::default(),
         }
     }
 
+    /// Carries the next `count` calls of a path out without an answer.
+    pub fn lose_answers(
+        &self,
+        path: &str,
+        count: u32,
+    ) {
+        self.lost.borrow_mut().insert(path.to_owned(), count);
+    }
+
+    /// Tells whether the answer of a call is to be lost, and counts it.
+    fn takes_loss(
+        &self,
+        path: &str,
+    ) -> bool {
+        let mut lost = self.lost.borrow_mut();
+        let left = lost.get_mut(path).filter(|left| **left > 0);
+        left.map(|left| *left -= 1).is_some()
+    }
+
     /// Returns the model, for observers.
     pub fn model(&self) -> &RefCell<WorkerModel> {
         &self.model
@@ -155,7 +177,13 @@
         self: Rc<Self>,
         req: HttpRequest,
     ) -> LocalBoxFuture<'static, HttpReply> {
-        Box::pin(async move { self.answer(&req).await })
+        Box::pin(async move {
+            let reply = self.answer(&req).await;
+            if self.takes_loss(&req.path) {
+                std::future::pending::<()>().await;
+            }
+            reply
+        })
     }
 
     fn max_body(
--- a/src/platform/worker_calls.rs
+++ b/src/platform/worker_calls.rs
@@ -14,8 +14,9 @@
     serde_json::Value,
 };
 
-/// The longest time that a worker may take to answer, besides the wait that a look asks for.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The longest time that a worker may take to answer, besides the wait that a look asks for. It is on
+/// the same machine and answers within some milliseconds, and every call may be sent again.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Calls a worker over HTTP.
 pub struct WorkerCalls {
--- a/src/process/runs/look_task.rs
+++ b/src/process/runs/look_task.rs
@@ -23,9 +23,10 @@
 
 /// Looks at the worker again and again while a session is open.
 pub(super) async fn follow_worker(guard: Rc<RunGuard>) {
+    let mut is_answered = false;
     loop {
         let due = guard.look_due.listen();
-        let target = plan(&guard);
+        let target = plan(&guard, is_answered);
         let Some((worker, call)) = target else {
             with_timeout(&*guard.clock, IDLE_POLL, due).await;
             continue;
@@ -34,13 +35,21 @@
         let looking = guard.worker.look(&worker, call);
         pin_mut!(looking);
         match select(looking, due).await {
-            Either::Left((result, _)) => take_result(&guard, &worker, call, sent, result).await,
+            Either::Left((result, _)) => {
+                is_answered = result.is_ok();
+                take_result(&guard, &worker, call, sent, result).await;
+            }
             Either::Right(_) => guard.clock.sleep(LOOK_GAP).await,
         }
     }
 }
 
-fn plan(guard: &RunGuard) -> Option<(WorkerAddress, LookCall)> {
+/// Plans the next look. It waits for an end only when the worker has answered the one before, so that
+/// a lost answer does not leave the worker's clock and runs unknown for a whole wait.
+fn plan(
+    guard: &RunGuard,
+    is_answered: bool,
+) -> Option<(WorkerAddress, LookCall)> {
     let book = guard.book.borrow();
     let session = book.session?;
     let worker = book.worker.clone()?;
@@ -49,7 +58,11 @@
         token: session.token,
         noted_end: book.noted_end,
         deadline_ms: book.deadline_ms(guard.clock.now()),
-        wait: if is_first { Duration::ZERO } else { LOOK_WAIT },
+        wait: if is_first || !is_answered {
+            Duration::ZERO
+        } else {
+            LOOK_WAIT
+        },
     };
     Some((worker, call))
 }
--- a/src/process/runs/order_task.rs
+++ b/src/process/runs/order_task.rs
@@ -9,10 +9,15 @@
     },
 };
 
+/// How often a start that gets no answer is sent. With the longest time of a call it stays below the
+/// time for which the first members of a gang wait for the others.
+const MAX_START_TRIES: u32 = 3;
+
 /// The pause between two tries to stop a run.
 const STOP_RETRY: Duration = Duration::from_millis(100);
 
-/// Starts a run; undoes it when its start gets no answer.
+/// Starts a run. A start without an answer is sent again, which changes nothing if it was carried out;
+/// one that never gets an answer is undone.
 pub(super) async fn carry_out_start(
     guard: Rc<RunGuard>,
     worker: WorkerAddress,
@@ -20,20 +25,19 @@
     start: RunStart,
 ) {
     let run = start.run;
-    let now = guard.clock.now();
-    let deadline = guard.book.borrow().deadline_ms(now);
-    let result = match deadline {
-        Some(deadline_ms) => {
-            guard
-                .worker
-                .start(&worker, token, deadline_ms, &start)
-                .await
+    let began = guard.clock.now();
+    let mut tries = 0;
+    let result = loop {
+        tries += 1;
+        let result = try_start(&guard, &worker, token, &start).await;
+        let is_lost = matches!(result, Err(RunWorkerError::NoAnswer(_)));
+        if !is_lost || tries == MAX_START_TRIES || !is_current(&guard, &worker, token) {
+            break result;
         }
-        None => Err(RunWorkerError::Refused(StartRefusal::Late)),
     };
     let is_current = is_current(&guard, &worker, token);
-    let waited_ms = Millis::from(guard.clock.now().since(now)).0;
-    tracing::info!(%run, token, deadline_ms = deadline, waited_ms, is_current, error = ?result.as_ref().err(), "start carried out");
+    let waited_ms = Millis::from(guard.clock.now().since(began)).0;
+    tracing::info!(%run, token, tries, waited_ms, is_current, error = ?result.as_ref().err(), "start carried out");
     if !is_current {
         // The first look of the session in force tells what became of it.
         return;
@@ -43,14 +47,14 @@
             .book
             .borrow_mut()
             .confirm_start(run, guard.clock.now()),
-        Err(RunWorkerError::Refused(reason)) => guard.book.borrow_mut().refuse_start(run, reason),
-        Err(RunWorkerError::NotReached(_) | RunWorkerError::OtherLife) => {
-            guard
-                .book
-                .borrow_mut()
-                .refuse_start(run, StartRefusal::NotReached);
+        // Nothing was sent before, so what is refused did not run.
+        Err(e) if tries == 1 && refusal(&e).is_some() => {
+            let reason = refusal(&e).unwrap_or(StartRefusal::NotReached);
+            guard.book.borrow_mut().refuse_start(run, reason);
         }
-        Err(RunWorkerError::NoAnswer(_) | RunWorkerError::Malformed(_)) => {
+        // An earlier try may have been carried out, and the run may even have ended since; the stop
+        // keeps later ones out, and the next look tells how it ended.
+        Err(_) => {
             if guard.book.borrow_mut().begin_stop(run) {
                 tracing::info!(%run, token, "start without an answer is undone");
             }
@@ -60,6 +64,28 @@
     guard.changed.notify(usize::MAX);
 }
 
+async fn try_start(
+    guard: &RunGuard,
+    worker: &WorkerAddress,
+    token: u64,
+    start: &RunStart,
+) -> Result<(), RunWorkerError> {
+    let deadline = guard.book.borrow().deadline_ms(guard.clock.now());
+    match deadline {
+        Some(deadline_ms) => guard.worker.start(worker, token, deadline_ms, start).await,
+        None => Err(RunWorkerError::Refused(StartRefusal::Late)),
+    }
+}
+
+/// Returns why a start was surely not carried out; `None` when it may have been.
+fn refusal(error: &RunWorkerError) -> Option<StartRefusal> {
+    match error {
+        RunWorkerError::Refused(reason) => Some(*reason),
+        RunWorkerError::NotReached(_) | RunWorkerError::OtherLife => Some(StartRefusal::NotReached),
+        RunWorkerError::NoAnswer(_) | RunWorkerError::Malformed(_) => None,
+    }
+}
+
 /// Stops a run; tries until the worker acknowledges it or the session is over.
 pub(super) async fn carry_out_stop(
     guard: Rc<RunGuard>,
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -279,3 +279,20 @@
         insta::assert_debug_snapshot!(seen);
     });
 }
+
+/// A start whose answer is lost is sent again; the run that it started goes on.
+#[test]
+fn a_start_without_an_answer_is_not_undone() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let bed = Bed::start().await;
+        let _entry = bed.start_entry();
+        bed.until("/q/", r#"200 {"Pending":0}"#).await;
+        bed.worker.lose_answers("/run-start", 2);
+        let job = r#"{"Spec":"work_ms=2000","Steps":[{"Count":1,"Cpu":100,"Gpu":8}]}"#;
+        let path = "/q/00000000000000aa";
+        bed.call(Method::POST, path, "key", job).await;
+        let state = bed.until(path, COMPLETED).await;
+        let starts = bed.worker.model().borrow().starts.len();
+        assert_eq!((state.as_str(), starts), (COMPLETED, 1));
+    });
+}
