Let guards tell that their worker has ended instead of waiting for its lease

Ruled out: a refused connection alone as a sign: a worker whose heartbeats go on lives, and local errors such as missing descriptors are told apart. A guard that is no longer registered loses its runs before it is forgotten.

--- a/src/connection/http/client.rs
+++ b/src/connection/http/client.rs
@@ -12,6 +12,7 @@
     derive_more::{Display, Error},
     futures_util::StreamExt,
     hyper::Method,
+    std::io,
 };
 
 /// The largest answer of a client that is not told otherwise, in bytes.
@@ -23,6 +24,10 @@
     /// The peer was not reached, so the call had no effect.
     #[display("not connected: {_0}")]
     NotConnected(#[error(not(source))] String),
+    /// The peer's host refused the connection because nothing listens there, so the call had no
+    /// effect.
+    #[display("connection refused: {_0}")]
+    NotListening(#[error(not(source))] String),
     /// The call may have had its effect, but its answer is lost or cut.
     #[display("answer lost: {_0}")]
     AnswerLost(#[error(not(source))] String),
@@ -38,7 +43,7 @@
     /// Turns the error into the log client's.
     pub fn as_log_error(&self) -> LogError {
         match self {
-            Self::NotConnected(_) => LogError::Unavailable,
+            Self::NotConnected(_) | Self::NotListening(_) => LogError::Unavailable,
             Self::AnswerLost(_) | Self::TooLarge(_) | Self::TimedOut => LogError::AnswerLost,
         }
     }
@@ -46,7 +51,7 @@
     /// Turns the error into the worker client's.
     pub fn as_worker_error(&self) -> WorkerError {
         match self {
-            Self::NotConnected(_) => WorkerError::NotReached,
+            Self::NotConnected(_) | Self::NotListening(_) => WorkerError::NotReached,
             Self::TooLarge(_) => WorkerError::AnswerTooLarge,
             Self::AnswerLost(_) | Self::TimedOut => WorkerError::AnswerLost(self.to_string()),
         }
@@ -192,8 +197,19 @@
 fn send_error(e: cyper::Error) -> HttpClientError {
     match e {
         cyper::Error::HyperClient(e) if e.is_connect() => {
-            HttpClientError::NotConnected(e.to_string())
+            if is_refused(&e) {
+                HttpClientError::NotListening(e.to_string())
+            } else {
+                HttpClientError::NotConnected(e.to_string())
+            }
         }
         e => HttpClientError::AnswerLost(e.to_string()),
     }
 }
+
+/// Tells whether an error goes back to a refused connection.
+fn is_refused(e: &(dyn std::error::Error + 'static)) -> bool {
+    let io = e.downcast_ref::<io::Error>();
+    io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+        || e.source().is_some_and(is_refused)
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -14,6 +14,6 @@
         GuardRequest, KnownGang, LinkError, PeerHandler, PeerLink, PeerServer, PieceAddress,
         PieceEnd, PieceState, Refusal, RefusedStart, ReserveCall, RunEnd, RunGrant, RunPhase,
         RunStart, RunStatus, StartCall, StartRefusal, StopCause, Work, WorkerLife, WorkerReport,
-        read_frame, write_frame,
+        WorkerView, read_frame, write_frame,
     },
 };
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -20,6 +20,6 @@
     peer_server::{PeerHandler, PeerServer},
     run_message::{
         EndKind, GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStart, RunStatus,
-        StartRefusal, WorkerLife, WorkerReport,
+        StartRefusal, WorkerLife, WorkerReport, WorkerView,
     },
 };
--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -63,8 +63,20 @@
     pub clock_ms: u64,
     /// The highest fencing token that is known; above the session's, the session is over.
     pub highest_token: u64,
-    /// The worker, once it has been looked at under the session's token.
-    pub worker: Option<WorkerReport>,
+    /// The worker.
+    pub worker: WorkerView,
+}
+
+/// What a guard can say of the worker on its machine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum WorkerView {
+    /// No worker was heard since the guard's start, or it was not looked at under the session's token
+    /// yet. It may run something.
+    Unknown,
+    /// The worker has ended, and no other one was heard. Nothing runs there.
+    Gone,
+    /// The worker was looked at.
+    Known(WorkerReport),
 }
 
 /// What a guard knows of its worker.
--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -66,6 +66,8 @@
     pub far_factor: u64,
     /// How long a stopping process has.
     pub grace: Duration,
+    /// How often a worker sends a heartbeat.
+    pub heartbeat: Duration,
 }
 
 #[derive(Deserialize)]
@@ -77,6 +79,7 @@
     listen_addrs: WireAddresses,
     internal_port_range: [u16; 2],
     bounds: WireBounds,
+    heartbeat_ms: u64,
     #[serde(rename = "platform")]
     platform: WirePlatform,
 }
@@ -143,6 +146,7 @@
             leases: LeaseTerms::new(Millis(wire.bounds.max_hold_ms as u64)),
             far_factor: wire.bounds.remote_factor.ceil() as u64,
             grace: Duration::from_secs_f64(wire.bounds.grace_period_s),
+            heartbeat: Duration::from_millis(wire.heartbeat_ms),
         })
     }
 
--- a/src/platform/log_store.rs
+++ b/src/platform/log_store.rs
@@ -193,7 +193,9 @@
 
 fn call_error(e: HttpClientError) -> StoreError {
     match e {
-        HttpClientError::NotConnected(why) => StoreError::Refused(why),
+        HttpClientError::NotConnected(why) | HttpClientError::NotListening(why) => {
+            StoreError::Refused(why)
+        }
         e => StoreError::Unknown(e.to_string()),
     }
 }
--- a/src/platform/worker_calls.rs
+++ b/src/platform/worker_calls.rs
@@ -101,6 +101,7 @@
             .await;
         let answer = result.map_err(|e| match e {
             HttpClientError::NotConnected(why) => RunWorkerError::NotReached(why),
+            HttpClientError::NotListening(why) => RunWorkerError::NotListening(why),
             e => RunWorkerError::NoAnswer(e.to_string()),
         })?;
         match answer.status {
--- a/src/process/runs/look_task.rs
+++ b/src/process/runs/look_task.rs
@@ -53,7 +53,7 @@
     let book = guard.book.borrow();
     let session = book.session?;
     let worker = book.worker.clone()?;
-    let is_first = book.report(guard.clock.now()).worker.is_none();
+    let is_first = !book.is_looked_at();
     let call = LookCall {
         token: session.token,
         noted_end: book.noted_end,
@@ -74,6 +74,11 @@
     sent: Millis,
     result: Result<super::LookAnswer, RunWorkerError>,
 ) {
+    if matches!(result, Err(RunWorkerError::NotListening(_))) {
+        guard.note_refused_connection(worker);
+    } else {
+        guard.book.borrow_mut().take_connection();
+    }
     match result {
         Ok(answer) if answer.born_ms.is_none_or(|b| b == worker.life.born_ms) => {
             let now = guard.clock.now();
--- a/src/process/runs/order_task.rs
+++ b/src/process/runs/order_task.rs
@@ -81,7 +81,9 @@
 fn refusal(error: &RunWorkerError) -> Option<StartRefusal> {
     match error {
         RunWorkerError::Refused(reason) => Some(*reason),
-        RunWorkerError::NotReached(_) | RunWorkerError::OtherLife => Some(StartRefusal::NotReached),
+        RunWorkerError::NotReached(_)
+        | RunWorkerError::NotListening(_)
+        | RunWorkerError::OtherLife => Some(StartRefusal::NotReached),
         RunWorkerError::NoAnswer(_) | RunWorkerError::Malformed(_) => None,
     }
 }
--- a/src/process/runs/run_book.rs
+++ b/src/process/runs/run_book.rs
@@ -5,7 +5,7 @@
     crate::{
         connection::{
             GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStart, RunStatus,
-            StartRefusal, WorkerReport,
+            StartRefusal, WorkerReport, WorkerView,
         },
         prelude::*,
         request::{Resources, RunRef},
@@ -18,6 +18,14 @@
 /// of a worker that hears its guard and is not heard.
 const MAX_SILENCE: Duration = Duration::from_millis(1500);
 
+/// How long connections have to be refused before a worker that has not answered may be taken for
+/// ended: several looks, so that a restart of its listener does not count.
+const MIN_REFUSED_TIME: Duration = Duration::from_millis(600);
+
+/// After how many heartbeat intervals without a heartbeat a worker that refuses connections has
+/// ended, in percent of one interval. A worker that lives sends one in each.
+const MISSED_BEAT_PERCENT: u32 = 140;
+
 /// The most refused starts that are reported again.
 const MAX_REFUSED: usize = 64;
 
@@ -90,6 +98,12 @@
     pub told_at: Millis,
     info: Option<WorkerInfo>,
     sequence: u64,
+    /// When the last heartbeat came.
+    beat_at: Millis,
+    /// Since when the worker's address refuses connections.
+    refused_since: Option<Millis>,
+    /// Whether a worker was known and has ended since.
+    has_ended: bool,
     looked: Option<(u64, Millis)>,
     clock: Option<(u64, Millis)>,
     runs: BTreeMap<RunRef, BookedRun>,
@@ -102,6 +116,7 @@
     pub fn take_beat(
         &mut self,
         beat: WorkerBeat,
+        now: Millis,
     ) -> bool {
         let is_same = self.worker.as_ref() == Some(&beat.worker);
         let known_born = self.worker.as_ref().map_or(0, |w| w.life.born_ms);
@@ -113,6 +128,8 @@
             self.worker = Some(beat.worker);
         }
         self.sequence = beat.sequence;
+        self.beat_at = now;
+        self.has_ended = false;
         let is_new = self.info.as_ref() != Some(&beat.info);
         self.info = Some(beat.info);
         is_new || !is_same
@@ -126,10 +143,44 @@
         let is_known = self.worker.as_ref().is_some_and(|w| &*w.life.id == id);
         if is_known {
             self.forget_worker();
+            self.has_ended = true;
         }
         is_known
     }
 
+    /// Notes that the worker's address, which is on this machine, has refused a connection. Returns
+    /// whether the worker is thereby known to have ended: its address keeps refusing, and it has
+    /// left out a heartbeat or the time for which it said that it would stay is over.
+    pub fn take_refused_connection(
+        &mut self,
+        now: Millis,
+        beat_interval: Duration,
+    ) -> bool {
+        let since = *self.refused_since.get_or_insert(now);
+        if self.worker.is_none() || now.since(since) < MIN_REFUSED_TIME {
+            return false;
+        }
+        let silent = now.since(self.beat_at);
+        let leaving_ms = self.info.as_ref().and_then(|i| i.leaving_ms);
+        let has_left = leaving_ms.is_some_and(|ms| silent >= Duration::from_millis(ms));
+        if !has_left && silent < beat_interval * MISSED_BEAT_PERCENT / 100 {
+            return false;
+        }
+        self.forget_worker();
+        self.has_ended = true;
+        true
+    }
+
+    /// Notes that the worker's address has taken a connection.
+    pub fn take_connection(&mut self) {
+        self.refused_since = None;
+    }
+
+    /// Tells whether a worker was known and has ended, and no other one was heard since.
+    pub fn is_vacant(&self) -> bool {
+        self.has_ended
+    }
+
     /// Opens a session; `false` when a higher or the same token is known.
     pub fn open_session(
         &mut self,
@@ -366,10 +417,28 @@
             handled: self.session.map_or(0, |s| s.handled),
             clock_ms: now.0,
             highest_token: self.highest_token,
-            worker: looked.and_then(|(_, at)| self.worker_report(now.since(at))),
+            worker: self.worker_view(looked.map(|(_, at)| now.since(at))),
+        }
+    }
+
+    fn worker_view(
+        &self,
+        silent: Option<Duration>,
+    ) -> WorkerView {
+        let report = silent.and_then(|silent| self.worker_report(silent));
+        match report {
+            Some(report) => WorkerView::Known(report),
+            None if self.has_ended => WorkerView::Gone,
+            None => WorkerView::Unknown,
         }
     }
 
+    /// Tells whether the worker was looked at under the session's token.
+    pub fn is_looked_at(&self) -> bool {
+        let token = self.session.map_or(0, |s| s.token);
+        self.looked.is_some_and(|(t, _)| t == token)
+    }
+
     fn worker_report(
         &self,
         silent: Duration,
@@ -423,6 +492,7 @@
         self.sequence = 0;
         self.looked = None;
         self.clock = None;
+        self.refused_since = None;
         self.noted_end = 0;
         self.runs.clear();
         self.ends.clear();
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        RunBook, RunWorker, WorkerBeat, look_task::follow_worker, session_task::serve_sessions,
+        RunBook, RunWorker, WorkerAddress, WorkerBeat, look_task::follow_worker,
+        session_task::serve_sessions,
     },
     crate::{prelude::*, process::task_group::TaskGroup},
     compio::net::TcpListener,
@@ -23,13 +24,16 @@
     pub look_due: Event,
     /// Tasks that carry out orders.
     pub(super) orders: TaskGroup,
+    /// How often the worker sends a heartbeat.
+    beat_interval: Duration,
 }
 
 impl RunGuard {
-    /// Creates a guard that knows no worker yet.
+    /// Creates a guard that knows no worker yet. Workers send a heartbeat in each `beat_interval`.
     pub fn new(
         worker: Rc<dyn RunWorker>,
         clock: Rc<dyn Clock>,
+        beat_interval: Duration,
     ) -> Self {
         Self {
             book: RefCell::default(),
@@ -38,6 +42,20 @@
             changed: Event::new(),
             look_due: Event::new(),
             orders: TaskGroup::default(),
+            beat_interval,
+        }
+    }
+
+    /// Notes that the worker's address has refused a connection.
+    pub(super) fn note_refused_connection(
+        &self,
+        worker: &WorkerAddress,
+    ) {
+        let now = self.clock.now();
+        let mut book = self.book.borrow_mut();
+        if book.take_refused_connection(now, self.beat_interval) {
+            tracing::info!(id = %worker.life.id, "the worker has ended: nothing listens at its address and its heartbeats stay away");
+            self.changed.notify(usize::MAX);
         }
     }
 
@@ -48,7 +66,8 @@
     ) {
         let worker = beat.worker.clone();
         let (leaving, sequence) = (beat.info.leaving_ms, beat.sequence);
-        if self.book.borrow_mut().take_beat(beat) {
+        let now = self.clock.now();
+        if self.book.borrow_mut().take_beat(beat, now) {
             tracing::info!(id = %worker.life.id, born_ms = worker.life.born_ms, sequence, leaving_ms = leaving, "worker heard");
             self.look_due.notify(usize::MAX);
             self.changed.notify(usize::MAX);
--- a/src/process/runs/run_worker.rs
+++ b/src/process/runs/run_worker.rs
@@ -50,6 +50,9 @@
     /// The worker was not reached, so nothing was done.
     #[display("not reached: {_0}")]
     NotReached(#[error(not(source))] String),
+    /// Nothing listens at the worker's address, so nothing was done.
+    #[display("nothing listens: {_0}")]
+    NotListening(#[error(not(source))] String),
     /// The call may have been carried out or may still be.
     #[display("no answer: {_0}")]
     NoAnswer(#[error(not(source))] String),
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -6,7 +6,7 @@
         order_task::{carry_out_start, carry_out_stop},
     },
     crate::{
-        connection::{FrameError, GuardOrders, read_frame, write_frame},
+        connection::{FrameError, GuardOrders, WorkerView, read_frame, write_frame},
         prelude::*,
         process::clock::with_timeout,
     },
@@ -71,7 +71,7 @@
     tracing::info!(token, highest_token, is_open, "session asked for");
     if !is_open {
         let mut report = guard.book.borrow().report(guard.clock.now());
-        report.worker = None;
+        report.worker = WorkerView::Unknown;
         write_frame(&mut stream, &report).await?;
         return Ok(());
     }
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -5,6 +5,7 @@
     crate::{
         connection::{
             EndKind, GuardReport, RunEnd, RunStatus, StartRefusal, WorkerLife, WorkerReport,
+            WorkerView,
         },
         prelude::*,
         request::{JobPhase, RunRef, StepJobId, UnitId},
@@ -31,11 +32,19 @@
         upstream.heard = Some(now);
         upstream.echo_ms = report.clock_ms;
         let was_in_session = upstream.in_session;
-        let Some(worker) = report.worker else {
-            if was_in_session && upstream.life.is_some() {
-                self.lose_worker(name, now, "the worker has left");
+        let worker = match report.worker {
+            WorkerView::Known(worker) => worker,
+            WorkerView::Gone => {
+                self.unaccounted.remove(name);
+                self.lose_worker(name, now, "the worker has ended");
+                return;
+            }
+            WorkerView::Unknown => {
+                if was_in_session && upstream.life.is_some() {
+                    self.lose_worker(name, now, "another worker has begun");
+                }
+                return;
             }
-            return;
         };
         if upstream.life.as_ref() != Some(&worker.life) {
             self.begin_life(name, &worker.life, now);
--- a/src/process/scheduler/running_scheduler.rs
+++ b/src/process/scheduler/running_scheduler.rs
@@ -65,7 +65,8 @@
         tracing::info!(upstream = %name, "guard is no longer registered");
         self.sessions.borrow_mut().remove(name);
         self.wakes.borrow_mut().remove(name);
-        self.scheduler.borrow_mut().forget_guard(name);
+        let now = self.clock.now();
+        self.scheduler.borrow_mut().forget_guard(name, now);
     }
 
     /// Ends the term.
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -196,11 +196,13 @@
         dropped.collect()
     }
 
-    /// Forgets a guard whose leases have ended.
+    /// Forgets a guard that is no longer registered: its worker has ended, or all leases there have.
     pub fn forget_guard(
         &mut self,
         name: &UpstreamName,
+        now: Millis,
     ) {
+        self.lose_worker(name, now, "its guard is no longer registered");
         self.unaccounted.remove(name);
         self.upstreams.remove(name);
         self.orders.remove(name);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod fuzz;
 mod oracle;
 mod path;
+mod run_book;
 mod scheduler;
 mod store;
 mod wire;
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -852,7 +852,7 @@
                 leaving_ms: None,
             },
         };
-        g.changed |= g.book.take_beat(beat);
+        g.changed |= g.book.take_beat(beat, Millis(self.now));
     }
 
     fn look(
