Split the scheduler's turn; a trial of room kept for urgent work is not taken

Tried: work that is lost when stopped starts only beside the peak of urgent work of the last 6 s, on workers apart from work that saves its progress. Change: asks and victims of a turn in files of their own, no change of behaviour.

--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -16,6 +16,8 @@
 )]
 mod scheduler;
 mod turn;
+mod turn_asks;
+mod turn_victims;
 mod upstream;
 
 pub use {
