Announce jobs before they start, and replace a silent lead after 1.4 s

Ruled out: starting all jobs at once: those that the lost entry started may run at guards that do not report. Change: a scheduler starts a job only once its own record about it is stored or read back; a job without a record was never started, so it does not wait. Claims are renewed every 450 ms and a silent lead is replaced after 1.4 s (700 ms and 2.1 s before). The new test fails with the old rule.

--- a/src/process/ledger/lead.rs
+++ b/src/process/ledger/lead.rs
@@ -7,10 +7,11 @@
 };
 
 /// How often a lead renews its claim; three are missed before another entry claims.
-pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
 
-/// How long a lead may be silent on the ledger before another entry claims: three renewals.
-const LEAD_TIMEOUT: Duration = Duration::from_millis(2100);
+/// How long a lead may be silent on the ledger before another entry claims: three renewals. Urgent
+/// jobs that come meanwhile can still be on time.
+const LEAD_TIMEOUT: Duration = Duration::from_millis(1400);
 
 /// How often an entry looks whether it should claim.
 const CLAIM_POLL: Duration = Duration::from_millis(100);
--- a/src/process/scheduler/progress_writer.rs
+++ b/src/process/scheduler/progress_writer.rs
@@ -113,6 +113,7 @@
             core.scheduler.borrow_mut().note_recorded(id, change);
         }
         core.note_recorded();
+        core.turn_due.notify(usize::MAX);
     }
 }
 
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -39,6 +39,11 @@
     pub changed: u64,
     /// The number of the last change that is recorded.
     pub recorded: u64,
+    /// Whether an earlier scheduler may have started something of it. A scheduler starts a job only
+    /// once its own record about it is stored, so a job without a record was never started.
+    pub is_inherited: bool,
+    /// Whether a record about it of this term is stored, so that it may be started.
+    pub is_announced: bool,
     /// Whether the job's end was read back from the ledger. A job is forgotten only then: an older
     /// record that is read later would bring it back.
     pub is_final_read: bool,
@@ -100,7 +105,7 @@
 
 impl Scheduler {
     /// Creates the scheduler of a term. Until all of `guards` have reported or their workers'
-    /// leases have surely ended, only jobs accepted under this term are started.
+    /// leases have surely ended, only jobs that no earlier scheduler can have started are started.
     pub fn new(
         term: u64,
         leases: LeaseTerms,
@@ -133,11 +138,14 @@
     ) {
         let id = view.job.id;
         let is_final = view.progress.phase.is_final();
-        if !is_final {
-            self.jobs.entry(id).or_insert_with(|| OpenJob::new(view));
+        if !is_final && !self.jobs.contains_key(&id) {
+            self.jobs.insert(id, OpenJob::new(view));
+            self.touch(id);
         }
+        let term = self.term;
         if let Some(job) = self.jobs.get_mut(&id) {
             job.is_final_read = is_final;
+            job.is_announced |= view.progress.stamp.term == term;
         }
         if view.cancelled {
             self.end_job(id, JobPhase::Cancelled);
@@ -267,6 +275,7 @@
     ) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.recorded = job.recorded.max(change);
+            job.is_announced = true;
         }
         self.forget_if_over(id);
     }
@@ -450,6 +459,8 @@
             failed_on: BTreeMap::new(),
             changed: 0,
             recorded: 0,
+            is_inherited: view.progress.stamp != ProgressStamp::default(),
+            is_announced: false,
             is_final_read: false,
         }
     }
--- a/src/process/scheduler/turn_asks.rs
+++ b/src/process/scheduler/turn_asks.rs
@@ -17,11 +17,10 @@
         wall: Millis,
     ) -> Vec<Ask> {
         let is_held = !self.unaccounted.is_empty() && now < self.hold_until;
-        let term = self.term;
         let mut asks = Vec::new();
         for (id, open) in &mut self.jobs {
-            let is_known = is_held && open.offset < term;
-            if open.progress.phase.is_final() || is_known {
+            let may_run = is_held && open.is_inherited;
+            if open.progress.phase.is_final() || may_run || !open.is_announced {
                 continue;
             }
             for unit in ready_units(&open.job, &open.progress.done, wall) {
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -87,3 +87,35 @@
         assert_eq!(world.running(), 0, "delay {delay}");
     }
 }
+
+/// A job that was accepted while nothing scheduled is started by the next scheduler at once, also when
+/// a guard does not report; one that may run at that guard waits until all leases there have ended.
+#[test]
+fn a_job_that_was_never_started_does_not_wait_for_lost_guards() {
+    let mut world = World::new(1, 2, Faults::default());
+    world.run_for(1000);
+    let long = Step {
+        demand: Resources {
+            accelerators: 8,
+            ..one_subtask().demand
+        },
+        ..one_subtask()
+    };
+    let inherited = world.submit(vec![Step { count: 3, ..long }], 1, 4);
+    world.run_for(300);
+    world.cut_guard(0, 60_000);
+    world.lose_scheduler();
+    let fresh = world.submit(vec![one_subtask()], 0, 4);
+    world.run_for(1400);
+    world.take_over();
+    world.run_for(1000);
+    let starts = |world: &World, id| {
+        let own = world.oracle.starts.iter();
+        own.filter(|(_, r)| r.subtask.job == id).count()
+    };
+    let early = (starts(&world, inherited), starts(&world, fresh));
+    world.run_for(60_000);
+    world.oracle.finish();
+    let late = starts(&world, inherited);
+    insta::assert_debug_snapshot!((early, late >= 3, &world.oracle.violations));
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -372,6 +372,21 @@
         g.looking = false;
     }
 
+    /// Cuts a guard off from schedulers.
+    pub fn cut_guard(
+        &mut self,
+        guard: usize,
+        span: u64,
+    ) {
+        self.guards[guard].cut_until = self.now + span;
+        self.break_session(guard);
+    }
+
+    /// Kills the present scheduler.
+    pub fn lose_scheduler(&mut self) {
+        self.leads.clear();
+    }
+
     /// Lets another scheduler take over; the one before goes on for a while.
     pub fn take_over(&mut self) {
         self.term = self.offset + 1;
