Add a soak of real processes under faults from outside

Cause: the project had fuzz courses in virtual time, but nothing that runs the programs themselves while signals and spoiled connections strike. Change: tests/soak starts entries and guards as processes between stand-ins of the store and the workers, sends signals (kill, stop, pause, reload), restarts them, spoils the store and, by a loopback proxy, the links to the store and to workers (late, reset, cut one way, silent for good), crashes workers, and checks with the oracle of the fuzz courses what callers and workers see: one run at a time, order of steps, capacity, attempts, nothing lost, nothing run that was rejected, answers in time, ends by grace time, memory.

--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,174 @@
+//! A randomized soak: the real programs as processes of their own, between stand-ins of the platform,
+//! while signals, restarts and a spoiling proxy strike from outside. What callers and workers see is
+//! checked against the promises.
+//!
+//! `LIMPETQUAY_SOAK=FROM..TO` plays a range of seeds.
+
+mod callers;
+mod faults;
+mod fleet;
+#[path = "../platform/oracle.rs"]
+mod oracle;
+mod proxy;
+
+use {
+    callers::{Callers, Told},
+    compio::runtime::{Runtime, spawn},
+    faults::Faults,
+    fleet::Fleet,
+    limpetquay::{prelude::*, request::StepJobId},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::path::PathBuf,
+};
+
+/// The seeds that CI plays.
+const SEEDS: std::ops::Range<u64> = 1..3;
+
+/// Seeds of courses that once failed, each with its cause.
+const FAILED_SEEDS: [u64; 0] = [];
+
+/// How long faults strike.
+const FAULT_SPAN: Duration = Duration::from_secs(15);
+
+/// How long after the last fault every job has to have ended: all leases, a takeover and the work.
+const SETTLE_LIMIT: Duration = Duration::from_secs(40);
+
+/// How many callers there are at once.
+const CALLERS: u64 = 4;
+
+const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/q/",
+    "Priority":0,"Service":"s","Attempts":2,"Stretch":3.0}],"Tenants":[{"Name":"t","ApiKeys":["key"]}]}"#;
+
+/// Plays one course; returns what was wrong.
+async fn play(seed: u64) -> Vec<String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    drop(std::fs::remove_dir_all(&dir));
+    // The process's number keeps courses of several test runs apart.
+    let subnet = [1 + (std::process::id() % 200) as u8, (seed % 250) as u8];
+    let (entries, guards) = (rng.random_range(2..5), rng.random_range(3..7));
+    let fleet = Fleet::start(dir.clone(), subnet, entries, guards, CONFIG).await;
+    compio::time::sleep(Duration::from_millis(1500)).await;
+    let callers = Callers::new(fleet.clone());
+    let running = (0..CALLERS).map(|i| spawn(callers.clone().run(seed * 100 + i)));
+    let running: Vec<_> = running.collect();
+    Faults::new(fleet.clone()).run(seed, FAULT_SPAN).await;
+    fleet.note("the faults are over".to_owned());
+    callers.stopped.set(true);
+    for caller in running {
+        drop(caller.await);
+    }
+    settle(&fleet, &callers).await;
+    fleet.check_processes();
+    fleet.look();
+    fleet.oracle.borrow_mut().finish();
+    fleet.stop();
+    let mut wrong = fleet.oracle.borrow().violations.clone();
+    if wrong.is_empty() {
+        drop(std::fs::remove_dir_all(&dir));
+    } else {
+        wrong.push(format!("logs: {}", dir.display()));
+        wrong.push(fleet.notes.borrow().join("; "));
+    }
+    let (jobs, starts) = (callers.told.borrow().len(), fleet.oracle.borrow().starts.len());
+    println!("seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} findings",
+        fleet.notes.borrow().len(), wrong.len());
+    wrong
+}
+
+/// Waits until every accepted job has ended and nothing runs, and checks what callers were told.
+async fn settle(
+    fleet: &Rc<Fleet>,
+    callers: &Callers,
+) {
+    let start = fleet.clock.now();
+    let told: Vec<(StepJobId, Told)> = callers.told.borrow().clone().into_iter().collect();
+    for (id, told) in told {
+        let has_started = {
+            let oracle = fleet.oracle.borrow();
+            oracle.starts.iter().any(|(_, r)| r.subtask.job == id)
+        };
+        if told.rejected && has_started {
+            fleet.violate(format!("{id} ran though every try was rejected"));
+        }
+        if !told.accepted {
+            continue;
+        }
+        let mut state = callers.state(id).await;
+        while !state.as_ref().is_some_and(|s| is_final(s))
+            && fleet.clock.now().since(start) < SETTLE_LIMIT
+        {
+            compio::time::sleep(Duration::from_millis(200)).await;
+            state = callers.state(id).await;
+        }
+        check_state(fleet, id, &told, state.as_deref().unwrap_or("no answer"));
+    }
+    while fleet.running() > 0 && fleet.clock.now().since(start) < SETTLE_LIMIT {
+        compio::time::sleep(Duration::from_millis(100)).await;
+        fleet.look();
+    }
+    if fleet.running() > 0 {
+        fleet.violate(format!("{} runs go on", fleet.running()));
+    }
+}
+
+fn is_final(state: &str) -> bool {
+    let ends = ["completed", "failed", "cancelled", "410"];
+    ends.iter().any(|end| state.contains(end))
+}
+
+/// Checks a job's last state against what its workers did.
+fn check_state(
+    fleet: &Fleet,
+    id: StepJobId,
+    told: &Told,
+    state: &str,
+) {
+    let oracle = fleet.oracle.borrow();
+    let job = &oracle.jobs[&id];
+    let fails = job.payload.contains("fail");
+    let was_cancelled = oracle.cancelled.contains(&id);
+    let is_right = match state {
+        r#"200 {"State":"completed"}"# => !fails && !told.cancelled || was_cancelled,
+        r#"200 {"State":"failed"}"# => fails,
+        r#"200 {"State":"cancelled"}"# => was_cancelled,
+        _ => false,
+    };
+    let has_all_ends = job.steps.iter().enumerate().all(|(step, s)| {
+        (0..s.count).all(|index| {
+            oracle.ends.iter().any(|e| {
+                let subtask = e.run.subtask;
+                let is_it = s.gang || subtask.index == index;
+                e.kind == limpetquay::connection::EndKind::Done
+                    && (subtask.job, usize::from(subtask.step)) == (id, step)
+                    && is_it
+            })
+        })
+    });
+    let is_false = state.contains("completed") && !has_all_ends;
+    drop(oracle);
+    if !is_right || is_false {
+        fleet.violate(format!("{id} is {state}; {told:?}; all ends seen: {has_all_ends}"));
+    }
+}
+
+fn seeds() -> Vec<u64> {
+    let range = std::env::var("LIMPETQUAY_SOAK").ok();
+    let range = range.as_ref().and_then(|r| r.split_once(".."));
+    match range.map(|(from, to)| (from.parse(), to.parse())) {
+        Some((Ok(from), Ok(to))) => (from..to).collect(),
+        _ => FAILED_SEEDS.into_iter().chain(SEEDS).collect(),
+    }
+}
+
+#[test]
+fn courses_of_processes_keep_the_promises() {
+    let mut wrong = Vec::new();
+    for seed in seeds() {
+        let found = Runtime::new().expect("a runtime").block_on(play(seed));
+        if !found.is_empty() {
+            wrong.push(format!("seed {seed}:\n    {}", found.join("\n    ")));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
