Drop ended jobs from the ledger after their retention

Cause: nothing ever dropped a job from the keyed topic, so the topic, every entry's memory and each new entry's first read grew with every job, up to the store's limit of 400 MB; and a reader that re-read the newest records after lost history kept what had been dropped meanwhile (guards among them). Change: the scheduling entry drops job, progress and cancel together at twice the time for which callers may ask for the state; a re-read forgets what is no longer there, but not what was stored behind it.

--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -13,6 +13,10 @@
 /// How many ports behind the first internal one the metrics are served.
 const METRICS_PORT_OFFSET: u16 = 1;
 
+/// By how much longer ended jobs are kept than callers may ask for them, so that a submission that
+/// arrives again late still finds its job.
+const RETENTION_FACTOR: f64 = 2.0;
+
 /// Why the settings cannot be used.
 #[derive(Debug, Display, Error)]
 pub enum SettingsError {
@@ -68,6 +72,8 @@
     pub grace: Duration,
     /// How often a worker sends a heartbeat.
     pub heartbeat: Duration,
+    /// How long the end of a job is kept for its caller.
+    pub retention: Duration,
 }
 
 #[derive(Deserialize)]
@@ -98,6 +104,9 @@
     max_hold_ms: f64,
     remote_factor: f64,
     grace_period_s: f64,
+    /// How long callers may ask for a job's state after its end, in seconds.
+    #[serde(rename = "status_s")]
+    status_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -147,6 +156,7 @@
             far_factor: wire.bounds.remote_factor.ceil() as u64,
             grace: Duration::from_secs_f64(wire.bounds.grace_period_s),
             heartbeat: Duration::from_millis(wire.heartbeat_ms),
+            retention: Duration::from_secs_f64(wire.bounds.status_s * RETENTION_FACTOR),
         })
     }
 
--- a/src/platform/entry_role.rs
+++ b/src/platform/entry_role.rs
@@ -122,6 +122,7 @@
             table,
             leases: settings.leases,
             far_factor: settings.far_factor,
+            retention: settings.retention,
             metrics,
         };
         tasks.spawn(run_scheduler(parts));
--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -1,13 +1,13 @@
 //! What the records of the ledger amount to.
 
 use {
-    super::{KeyedRecord, LeadRecord, LedgerKey, LedgerRecord, Member},
+    super::{KeyedPage, KeyedRecord, LeadRecord, LedgerKey, LedgerRecord, Member},
     crate::{
         prelude::*,
         request::{JobPhase, JobProgress, StepJob, StepJobId},
         version::QueueName,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// One accepted job.
@@ -21,6 +21,8 @@
     pub progress: JobProgress,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
+    /// When its end was first read here.
+    pub ended: Option<Millis>,
 }
 
 impl JobView {
@@ -80,10 +82,12 @@
         match (key, postcard::from_bytes(value)) {
             (LedgerKey::Job(id), Ok(LedgerRecord::Job(job))) => {
                 self.take_job(id, job, record.offset);
+                self.note_end(id, now);
                 Some(id)
             }
             (LedgerKey::Progress(id), Ok(LedgerRecord::Progress(progress))) => {
                 self.take_progress(id, progress);
+                self.note_end(id, now);
                 Some(id)
             }
             (LedgerKey::Cancel(id), Ok(LedgerRecord::Cancel(_))) => {
@@ -112,6 +116,20 @@
         }
     }
 
+    /// Forgets what is no longer in a page of all newest records. The records that dropped it may be
+    /// gone from the topic's history. What was stored behind the page's end is read again from there.
+    pub fn retain_newest(
+        &mut self,
+        page: &KeyedPage,
+    ) {
+        let keys = page.records.iter().filter_map(|r| LedgerKey::parse(&r.key));
+        let keys: BTreeSet<LedgerKey> = keys.collect();
+        self.jobs
+            .retain(|id, v| v.offset >= page.end || keys.contains(&LedgerKey::Job(*id)));
+        self.members
+            .retain(|name, _| keys.contains(&LedgerKey::Member(name.clone())));
+    }
+
     /// Counts the jobs of a queue that wait for their first start, without recurring ones.
     pub fn pending(
         &self,
@@ -122,6 +140,41 @@
         waiting.count()
     }
 
+    /// Returns up to `limit` jobs that ended at least `retention` ago.
+    pub fn outdated_jobs(
+        &self,
+        now: Millis,
+        retention: Duration,
+        limit: usize,
+    ) -> Vec<StepJobId> {
+        let ended = self.jobs.iter().filter(|(_, v)| {
+            let ended = v.ended.filter(|at| now.since(*at) >= retention);
+            ended.is_some()
+        });
+        ended.map(|(id, _)| *id).take(limit).collect()
+    }
+
+    /// Returns the keys under which something about a job is stored.
+    pub fn keys_of(id: StepJobId) -> [LedgerKey; 3] {
+        [
+            LedgerKey::Job(id),
+            LedgerKey::Progress(id),
+            LedgerKey::Cancel(id),
+        ]
+    }
+
+    fn note_end(
+        &mut self,
+        id: StepJobId,
+        now: Millis,
+    ) {
+        if let Some(view) = self.jobs.get_mut(&id)
+            && view.progress.phase.is_final()
+        {
+            view.ended.get_or_insert(now);
+        }
+    }
+
     fn drop_key(
         &mut self,
         key: LedgerKey,
@@ -132,7 +185,9 @@
                 return Some(id);
             }
             LedgerKey::Member(name) => drop(self.members.remove(&name)),
-            LedgerKey::Progress(_) | LedgerKey::Cancel(_) | LedgerKey::Lead => {}
+            LedgerKey::Progress(id) => drop(self.early_progress.remove(&id)),
+            LedgerKey::Cancel(id) => drop(self.early_cancels.remove(&id)),
+            LedgerKey::Lead => {}
         }
         None
     }
@@ -150,6 +205,7 @@
             offset,
             progress,
             cancelled,
+            ended: None,
         });
     }
 
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -156,6 +156,9 @@
                     if self.read_at.get().is_none() {
                         tracing::info!(records = page.records.len(), end = page.end, "ledger read");
                     }
+                    if next.is_none() {
+                        self.fold.borrow_mut().retain_newest(&page);
+                    }
                     next = Some(self.take_page(&page));
                 }
                 Err(StoreError::Trimmed) => {
--- a/src/process/scheduler/progress_writer.rs
+++ b/src/process/scheduler/progress_writer.rs
@@ -7,8 +7,8 @@
         process::{
             clock::with_timeout,
             ledger::{
-                Condition, Fence, KeyedRecord, Lead, LedgerKey, LedgerRecord, RENEWAL_INTERVAL,
-                StoreError,
+                Condition, Fence, KeyedRecord, Lead, LedgerFold, LedgerKey, LedgerRecord,
+                RENEWAL_INTERVAL, StoreError,
             },
         },
         request::StepJobId,
@@ -18,6 +18,9 @@
 /// The most jobs in one append.
 const MAX_BATCH: usize = 100;
 
+/// The most ended jobs that are dropped with one renewal. Far more than can end in that time.
+const MAX_DROPPED_JOBS: usize = 50;
+
 /// How long changes are grouped before they are recorded.
 const GROUP_TIME: Duration = Duration::from_millis(10);
 
@@ -73,6 +76,7 @@
     core: Rc<SchedulerCore>,
     lead: Rc<Lead>,
     mut writer: FencedWriter,
+    retention: Duration,
 ) {
     let mut renewed = core.clock.now();
     loop {
@@ -95,6 +99,7 @@
                 .iter()
                 .map(|name| LedgerKey::Member(name.as_str().into()));
             records.extend(dropped.map(|key| key.dropped()));
+            records.extend(outdated(&lead, retention));
         }
         let mut written: Vec<(StepJobId, u64)> = Vec::new();
         for (id, change, progress) in batch.drain(..) {
@@ -117,6 +122,26 @@
     }
 }
 
+/// Returns the records that drop jobs whose callers have had time to learn how they ended. Otherwise
+/// the ledger would grow for ever.
+fn outdated(
+    lead: &Lead,
+    retention: Duration,
+) -> Vec<KeyedRecord> {
+    let now = lead.clock.now();
+    let ledger = &lead.ledger;
+    let ids = ledger.view(|f| f.outdated_jobs(now, retention, MAX_DROPPED_JOBS));
+    if !ids.is_empty() {
+        tracing::info!(
+            jobs = ids.len(),
+            retention_ms = Millis::from(retention).0,
+            "ended jobs are dropped from the ledger"
+        );
+    }
+    let keys = ids.into_iter().flat_map(LedgerFold::keys_of);
+    keys.map(|key| key.dropped()).collect()
+}
+
 /// Adds a record; one that cannot be encoded is a fault of the program and is left out.
 fn push_record(
     records: &mut Vec<KeyedRecord>,
--- a/src/process/scheduler/running_scheduler.rs
+++ b/src/process/scheduler/running_scheduler.rs
@@ -40,6 +40,8 @@
     pub leases: LeaseTerms,
     /// How many times as long work takes far from its data.
     pub far_factor: u64,
+    /// How long the end of a job is kept for its caller.
+    pub retention: Duration,
     /// The metrics.
     pub metrics: Rc<FleetMetrics>,
 }
@@ -143,7 +145,12 @@
         "scheduling begins"
     );
     let tasks = TaskGroup::default();
-    tasks.spawn(write_progress(core.clone(), lead.clone(), writer));
+    tasks.spawn(write_progress(
+        core.clone(),
+        lead.clone(),
+        writer,
+        parts.retention,
+    ));
     run_turns(parts, &core).await;
     tasks.cancel();
     parts.metrics.lead_term.set(0);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Jobs of steps on the platform: decisions, faults, decoding, and the whole path on stand-ins.
 
 mod fuzz;
+mod ledger;
 mod oracle;
 mod path;
 mod run_book;
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -232,6 +232,7 @@
             offset: self.offset,
             progress: JobProgress::default(),
             cancelled: false,
+            ended: None,
         };
         self.offset += 1;
         // A scheduler reads the ledger in order, so one that was replaced reads that first.
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -213,7 +213,8 @@
             2 => self.fleet.lose_starts(worker, rng.random_range(1..6)),
             _ => {
                 let link = random_link(rng);
-                self.fleet.note(format!("guard and worker {worker}: {link:?}"));
+                self.fleet
+                    .note(format!("guard and worker {worker}: {link:?}"));
                 self.fleet.set_worker_link(worker, link);
                 sleep_between(rng, 300, 5000).await;
                 self.fleet.set_worker_link(worker, Link::Open);
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -105,7 +105,11 @@
         spawn(server.expect("the store").run(std::future::pending())).detach();
         let mut nodes = Vec::new();
         for i in 0..entries + guards {
-            let role = if i < entries { Role::Entry } else { Role::Guard };
+            let role = if i < entries {
+                Role::Entry
+            } else {
+                Role::Guard
+            };
             nodes.push(Node::new(&dir, subnet, i, role, store_address).await);
         }
         let fleet = Rc::new(Self {
@@ -151,7 +155,11 @@
         &self,
         role: Role,
     ) -> Vec<usize> {
-        let own = self.nodes.iter().enumerate().filter(|(_, n)| n.role == role);
+        let own = self
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, n)| n.role == role);
         own.map(|(i, _)| i).collect()
     }
 
@@ -166,10 +174,15 @@
         let id = format!("w-{number}");
         let model = Rc::new(StandInWorker::new(self.clock.clone(), &id, model));
         let any = address(guard.ip, 0);
-        let server = HttpServer::bind(any, model.clone()).await.expect("a worker");
+        let server = HttpServer::bind(any, model.clone())
+            .await
+            .expect("a worker");
         let target = server.local_addr().expect("an address");
         let link = Proxy::start(any, target).await;
-        let url = format!("http://{}/Instances.Heartbeat/{id}", address(guard.ip, 8526));
+        let url = format!(
+            "http://{}/Instances.Heartbeat/{id}",
+            address(guard.ip, 8526)
+        );
         let beats = send_beats(self.client.clone(), url, link.address(), number);
         let life = Life {
             number,
@@ -303,7 +316,7 @@
         let text = format!(
             r#"{{"NodeName":"{name}","Ip":"{ip}","InternalPortRange":[7000,7015],"HeartbeatMs":{},
             "ListenAddrs":{{"Frontend":"{ip}:8521","Ready":"{ip}:8523","ControlPlane":"{ip}:8526"}},
-            "Bounds":{{"MaxHoldMs":{MAX_LEASE_MS},"RemoteFactor":3,"GracePeriodS":6}},
+            "Bounds":{{"MaxHoldMs":{MAX_LEASE_MS},"RemoteFactor":3,"GracePeriodS":6,"status_s":120}},
             "platform":{{"Address":"{}"}}}}"#,
             BEAT_INTERVAL.as_millis(),
             store_link.address(),
@@ -364,7 +377,10 @@
     /// Takes a process that was told to stop once it has ended; `None` while it runs.
     pub fn take_stopped(&self) -> Option<bool> {
         let mut child = self.child.borrow_mut();
-        let status = child.as_mut()?.try_wait().expect("the process is a child")?;
+        let status = child
+            .as_mut()?
+            .try_wait()
+            .expect("the process is a child")?;
         *child = None;
         Some(status.success())
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -70,9 +70,15 @@
         wrong.push(format!("logs: {}", dir.display()));
         wrong.push(fleet.notes.borrow().join("; "));
     }
-    let (jobs, starts) = (callers.told.borrow().len(), fleet.oracle.borrow().starts.len());
-    println!("seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} findings",
-        fleet.notes.borrow().len(), wrong.len());
+    let (jobs, starts) = (
+        callers.told.borrow().len(),
+        fleet.oracle.borrow().starts.len(),
+    );
+    println!(
+        "seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} findings",
+        fleet.notes.borrow().len(),
+        wrong.len()
+    );
     wrong
 }
 
@@ -148,7 +154,9 @@
     let is_false = state.contains("completed") && !has_all_ends;
     drop(oracle);
     if !is_right || is_false {
-        fleet.violate(format!("{id} is {state}; {told:?}; all ends seen: {has_all_ends}"));
+        fleet.violate(format!(
+            "{id} is {state}; {told:?}; all ends seen: {has_all_ends}"
+        ));
     }
 }
 
