--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -169,9 +169,19 @@
         let start = self.fleet.clock.now();
         let limit = Duration::from_millis(DEADLINE_MS + LATE_SLACK_MS);
         let client = &self.fleet.client;
+        let answered = node.answered(&id.to_string());
         let answer = client
             .call(method.clone(), &url, &headers, body, limit)
             .await;
+        if node.stopping.get()
+            && matches!(answer, Err(HttpClientError::AnswerLost(_)))
+            && node.answered(&id.to_string()) > answered
+        {
+            self.fleet.violate(format!(
+                "{}: the answer to {method} {id} was cut while it stopped",
+                node.name
+            ));
+        }
         let is_calm = node.calm_since.get() < start;
         if is_calm && matches!(answer, Err(HttpClientError::TimedOut)) {
             self.fleet.violate(format!(
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -91,8 +91,10 @@
                 process.start(&self.fleet.clock);
             }
             1 => {
+                process.stopping.set(true);
                 process.signal(Signal::TERM);
                 self.wait_for_end(node).await;
+                process.stopping.set(false);
                 sleep_between(rng, 50, 1000).await;
                 process.start(&self.fleet.clock);
             }
