Check the platform's settings, keep the demonstration readable, count submissions

Cause: limpetquay check knew no platform settings, so faults showed at a start; local wrote its log lines over its own table; limpetquay_submissions_total and limpetquay_submission_seconds were declared, but of submissions only those during an outage were counted and no time was observed.

--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -1,7 +1,11 @@
 //! The settings file that the platform writes for each process.
 
 use {
-    crate::{prelude::*, process::scheduler::LeaseTerms},
+    crate::{
+        prelude::*,
+        process::scheduler::LeaseTerms,
+        version::{Fault, Faults},
+    },
     derive_more::{Display, Error},
     serde::Deserialize,
     std::{env, fs, io, net::IpAddr},
@@ -115,6 +119,78 @@
     address: SocketAddr,
 }
 
+impl WireSettings {
+    /// Returns the keys whose values cannot be used, with what is wrong.
+    fn faults(&self) -> Vec<(&'static str, String)> {
+        let mut faults = Vec::new();
+        let mut check = |is_right: bool, key: &'static str, message: &str| {
+            if !is_right {
+                faults.push((key, message.to_owned()));
+            }
+        };
+        check(!self.node_name.is_empty(), "NodeName", "a name is expected");
+        let [first, last] = self.internal_port_range;
+        check(
+            first > 0 && last > first,
+            "InternalPortRange",
+            "two ports in rising order are expected",
+        );
+        let addresses = &self.listen_addrs;
+        let is_entry = addresses.frontend.is_some() && addresses.ready.is_some();
+        check(
+            is_entry || addresses.control_plane.is_some(),
+            "ListenAddrs",
+            "Frontend and Ready are expected for an entry, ControlPlane for a guard",
+        );
+        check(
+            self.bounds.max_hold_ms >= 1.0,
+            "MaxHoldMs",
+            "a lease of at least 1 ms is expected",
+        );
+        check(
+            self.bounds.remote_factor >= 1.0,
+            "RemoteFactor",
+            "a factor of at least 1 is expected",
+        );
+        check(
+            self.bounds.grace_period_s > 0.0,
+            "GracePeriodS",
+            "a time above 0 s is expected",
+        );
+        check(
+            self.bounds.status_s >= 0.0,
+            "status_s",
+            "a time of at least 0 s is expected",
+        );
+        check(
+            self.heartbeat_ms > 0,
+            "HeartbeatMs",
+            "an interval of at least 1 ms is expected",
+        );
+        check(
+            self.platform.address.port() > 0,
+            "Address",
+            "an address with a port is expected",
+        );
+        faults
+    }
+}
+
+fn fault(
+    path: &str,
+    line: usize,
+    key: &str,
+    message: String,
+) -> Fault {
+    Fault {
+        file: path.to_owned(),
+        line,
+        section: "settings".to_owned(),
+        key: key.to_owned(),
+        message,
+    }
+}
+
 impl BootSettings {
     /// Reads the settings from the file that the environment names.
     ///
@@ -160,6 +236,36 @@
         })
     }
 
+    /// Checks a settings file of either role, what a role would find out only later included.
+    ///
+    /// # Errors
+    /// Every fault with the line of its key.
+    pub fn check(
+        path: &str,
+        text: &str,
+    ) -> Result<(), Faults> {
+        let wire: WireSettings = match serde_json::from_str(text) {
+            Ok(wire) => wire,
+            Err(e) => {
+                let fault = fault(path, e.line(), "-", e.to_string());
+                return Err(Faults {
+                    faults: vec![fault],
+                });
+            }
+        };
+        let faults = wire.faults().into_iter().map(|(key, message)| {
+            let quoted = format!("\"{key}\"");
+            let line = text.lines().position(|l| l.contains(&quoted));
+            fault(path, line.map_or(1, |l| l + 1), key, message)
+        });
+        let mut faults: Vec<Fault> = faults.collect();
+        faults.sort_by_key(|f| f.line);
+        if faults.is_empty() {
+            return Ok(());
+        }
+        Err(Faults { faults })
+    }
+
     /// Returns an address that a role needs.
     ///
     /// # Errors
--- a/src/process/cli/check_command.rs
+++ b/src/process/cli/check_command.rs
@@ -5,11 +5,14 @@
         CliError, Command,
         command::{only_argument, read_file},
     },
-    crate::process::output::print_text,
     crate::{
-        process::settings::{
-            EntrySettings, GuardSettings, LocalSettings, StandInLogSettings,
-            StandInUpstreamSettings,
+        platform::BootSettings,
+        process::{
+            output::print_text,
+            settings::{
+                EntrySettings, GuardSettings, LocalSettings, StandInLogSettings,
+                StandInUpstreamSettings,
+            },
         },
         version::{Document, Faults},
     },
@@ -52,6 +55,9 @@
     path: &str,
     text: &str,
 ) -> Result<&'static str, Faults> {
+    if text.trim_start().starts_with('{') {
+        return BootSettings::check(path, text).map(|()| "platform settings file");
+    }
     let has = |header: &str| text.lines().any(|l| l.trim_start().starts_with(header));
     if has("[entry") {
         EntrySettings::parse(path, text).map(|_| "entry settings file")
--- a/src/process/cli/local_command.rs
+++ b/src/process/cli/local_command.rs
@@ -1,7 +1,9 @@
 //! `limpetquay local`.
 
 use {
-    super::{CliError, Command, command::read_file, role::run_async, signals::wait_for_stop},
+    super::{
+        CliError, Command, command::read_file, role::run_async_logging, signals::wait_for_stop,
+    },
     crate::{
         prelude::*,
         process::{
@@ -14,6 +16,9 @@
     getopts::{Matches, Options},
 };
 
+/// The log level of the demonstration, whose table would be lost between log lines.
+const LOG_LEVEL: &str = "off";
+
 /// Runs a whole system in one process.
 pub(super) struct LocalCommand;
 
@@ -35,6 +40,12 @@
             "serve",
             "stay up until a signal instead of the demonstration",
         );
+        opts.optopt(
+            "l",
+            "log",
+            "write log lines of this level and above to standard error (default: none)",
+            "LEVEL",
+        );
         opts.optopt("c", "settings", "the data centres and workers", "FILE");
         opts.optopt("d", "document", "the service document", "FILE");
     }
@@ -56,7 +67,9 @@
         };
         Document::parse(&path, &text)?;
         let serve = matches.opt_present("serve");
-        run_async(async move |clock| {
+        let log_level = matches.opt_str("log");
+        let log_level = log_level.as_deref().unwrap_or(LOG_LEVEL);
+        run_async_logging(log_level, async move |clock| {
             let system = LocalSystem::start(&settings, &text, clock).await?;
             system.print_addresses()?;
             if serve {
--- a/src/process/cli/role.rs
+++ b/src/process/cli/role.rs
@@ -87,7 +87,18 @@
 where
     F: AsyncFnOnce(Rc<dyn Clock>) -> Result<(), CliError>,
 {
-    logging::start(LOG_LEVEL);
+    run_async_logging(LOG_LEVEL, command)
+}
+
+/// Runs a command on a runtime of its own, with log lines of a level and above.
+pub(super) fn run_async_logging<F>(
+    log_level: &str,
+    command: F,
+) -> Result<(), CliError>
+where
+    F: AsyncFnOnce(Rc<dyn Clock>) -> Result<(), CliError>,
+{
+    logging::start(log_level);
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
     Runtime::new()?.block_on(command(clock))
 }
--- a/src/process/job_desk/job_desk.rs
+++ b/src/process/job_desk/job_desk.rs
@@ -87,6 +87,25 @@
         &self,
         job: StepJob,
         time: Duration,
+    ) -> Result<(), DeskError> {
+        let began = self.clock.now();
+        let result = self.submit_once(job, time).await;
+        let outcome = match &result {
+            Ok(()) => "accepted",
+            Err(DeskError::NotStored) => "rejected",
+            Err(DeskError::Unknown) => "unknown",
+            Err(DeskError::Gone | DeskError::Stale) => "failed",
+        };
+        self.metrics.submissions.with_label_values(&[outcome]).inc();
+        let took = self.clock.now().since(began);
+        self.metrics.submission_seconds.observe(took.as_secs_f64());
+        result
+    }
+
+    async fn submit_once(
+        &self,
+        job: StepJob,
+        time: Duration,
     ) -> Result<(), DeskError> {
         let id = job.id;
         if self.ledger.view(|f| f.jobs.contains_key(&id)) {
@@ -97,10 +116,6 @@
             // Nothing was sent to the store for this call, so the job cannot run by it.
             let age = self.ledger.age();
             tracing::info!(job = %id, view_age = ?age, "job rejected: the store is away");
-            self.metrics
-                .submissions
-                .with_label_values(&["rejected"])
-                .inc();
             return Err(DeskError::NotStored);
         }
         let (queue, account) = (job.queue.clone(), job.account.clone());
