--- a/src/process/cli/platform_command.rs
+++ b/src/process/cli/platform_command.rs
@@ -39,7 +39,7 @@
         &self,
         _matches: &Matches,
     ) -> Result<(), CliError> {
-        logging::start_on_stdout(LOG_LEVEL);
+        let _end = logging::start_on_stdout(LOG_LEVEL);
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
         let settings = BootSettings::read().map_err(|e| CliError::Usage(e.to_string()))?;
         let result = Runtime::new()?.block_on(async move {
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -9,6 +9,7 @@
             mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
         },
         thread,
+        time::Duration,
     },
     tracing_subscriber::{EnvFilter, fmt::MakeWriter},
 };
@@ -19,6 +20,10 @@
 /// The most lines that wait to be written; lines beyond are dropped and counted.
 const MAX_WAITING_LINES: usize = 2048;
 
+/// How long the end of a process waits for its last lines to be written; a reader that does not read
+/// must not hold it up.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Starts logging to standard error, one JSON object a line. A second call changes nothing.
 pub fn start(default_level: &str) {
     install(default_level, io::stderr);
@@ -26,20 +31,51 @@
 
 /// Starts logging to standard output, one JSON object a line. Lines are written by a thread of
 /// their own, so a reader that does not read never blocks the process; lines for which there is no
-/// room are dropped and their number is written with the next line.
+/// room are dropped and their number is written with the next line. When the returned value is
+/// dropped, the lines that wait are written, within a limit.
 ///
 /// # Panics
 /// When the system starts no thread.
-pub fn start_on_stdout(default_level: &str) {
+#[must_use]
+pub fn start_on_stdout(default_level: &str) -> LogEnd {
     let (tx, rx) = sync_channel(MAX_WAITING_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let counter = dropped.clone();
-    let writing = move || write_lines(&rx, &counter);
+    let (finished_tx, finished_rx) = sync_channel(0);
+    let writing = move || write_lines(&rx, &counter, &finished_tx);
     thread::Builder::new()
         .name("log".to_owned())
         .spawn(writing)
         .expect("the system starts threads");
+    let end = LogEnd {
+        tx: tx.clone(),
+        finished: finished_rx,
+    };
     install(default_level, LineSender { tx, dropped });
+    end
+}
+
+/// Writes the lines that wait when it is dropped.
+pub struct LogEnd {
+    tx: SyncSender<LogItem>,
+    finished: Receiver<()>,
+}
+
+impl Drop for LogEnd {
+    fn drop(&mut self) {
+        let is_asked = self.tx.try_send(LogItem::Finish).is_ok();
+        if !is_asked || self.finished.recv_timeout(FINISH_TIMEOUT).is_err() {
+            eprintln!("limpetquay: the last log lines were not read in time and are lost");
+        }
+    }
+}
+
+/// What the writing thread is handed.
+enum LogItem {
+    /// A line.
+    Line(Vec<u8>),
+    /// The question to say when all lines before it are written.
+    Finish,
 }
 
 fn install<W>(
@@ -63,7 +99,7 @@
 /// Hands lines to the writing thread.
 #[derive(Clone)]
 struct LineSender {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<LogItem>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -72,7 +108,7 @@
         &mut self,
         line: &[u8],
     ) -> io::Result<usize> {
-        match self.tx.try_send(line.to_vec()) {
+        match self.tx.try_send(LogItem::Line(line.to_vec())) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
@@ -96,11 +132,18 @@
 
 /// Writes lines until the process ends or its output is closed.
 fn write_lines(
-    rx: &Receiver<Vec<u8>>,
+    rx: &Receiver<LogItem>,
     dropped: &AtomicU64,
+    finished: &SyncSender<()>,
 ) {
     let mut out = io::stdout();
-    while let Ok(line) = rx.recv() {
+    while let Ok(item) = rx.recv() {
+        let LogItem::Line(line) = item else {
+            if finished.send(()).is_err() {
+                return;
+            }
+            continue;
+        };
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             let note = format!(
