--- a/src/connection/http/problem.rs
+++ b/src/connection/http/problem.rs
@@ -77,7 +77,10 @@
 
 impl From<Problem> for HttpReply {
     fn from(problem: Problem) -> Self {
-        let body = serde_json::to_vec(&problem).unwrap_or_default();
+        let body = serde_json::to_vec(&problem).unwrap_or_else(|e| {
+            tracing::error!(error = %e, status = problem.status, "problem details cannot be encoded");
+            Vec::new()
+        });
         let reply = Self::new(problem.status, "application/problem+json", body.into());
         match problem.retry_after_s {
             Some(s) => reply.with_header("retry-after", s),
--- a/src/connection/http/server.rs
+++ b/src/connection/http/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{HttpHandler, HttpReply, HttpRequest, Problem},
-    crate::{prelude::*, process::task_group::TaskGroup},
+    crate::{connection::send_without_delay, prelude::*, process::task_group::TaskGroup},
     compio::net::{TcpListener, TcpStream},
     cyper_core::{CompioTimer, HyperStream},
     futures_util::{
@@ -131,7 +131,7 @@
     handler: Rc<dyn HttpHandler>,
     stop: Stop,
 ) {
-    let _ = stream.set_nodelay(true);
+    send_without_delay(&stream);
     let answering = handler.clone();
     let service = service_fn(move |req| answer(answering.clone(), req));
     let connection = http1::Builder::new()
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod http;
 mod peer;
+mod socket;
 
 pub use {
     http::{
@@ -16,4 +17,5 @@
         RunStart, RunStatus, StartCall, StartRefusal, StopCause, Work, WorkerLife, WorkerReport,
         WorkerView, read_frame, write_frame,
     },
+    socket::send_without_delay,
 };
--- a/src/connection/peer/peer_link.rs
+++ b/src/connection/peer/peer_link.rs
@@ -3,6 +3,7 @@
 use {
     super::{FrameError, GuardPeer, GuardReply, GuardRequest, LinkError, read_frame, write_frame},
     crate::{
+        connection::send_without_delay,
         prelude::*,
         process::{clock::with_timeout, metrics::Metrics},
     },
@@ -80,12 +81,12 @@
         let connecting = TcpStream::connect(address);
         match with_timeout(&*clock, CONNECT_TIMEOUT, connecting).await {
             Some(Ok(stream)) => {
-                let _ = stream.set_nodelay(true);
+                send_without_delay(&stream);
                 serve_link(stream, first, &metrics, &mut rx).await;
             }
             _ => {
                 metrics.peer_connect_failures.inc();
-                let _ = first.reply.send(Err(LinkError::NotSent));
+                answer(first.reply, LinkError::NotSent);
             }
         }
     }
@@ -112,7 +113,17 @@
         tracing::warn!(error = %e, "peer link failed");
     }
     for (_, reply) in pending.borrow_mut().drain() {
-        let _ = reply.send(Err(LinkError::ReplyLost));
+        answer(reply, LinkError::ReplyLost);
+    }
+}
+
+/// Tells a caller that its call failed, unless it has stopped waiting.
+fn answer(
+    reply: oneshot::Sender<Result<GuardReply, LinkError>>,
+    error: LinkError,
+) {
+    if reply.send(Err(error)).is_err() {
+        tracing::debug!("the caller of a failed call has stopped waiting");
     }
 }
 
--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -3,6 +3,7 @@
 use {
     super::{FrameError, GuardReply, GuardRequest, peer_link::Numbered, read_frame, write_frame},
     crate::{
+        connection::send_without_delay,
         prelude::*,
         process::{metrics::Metrics, task_group::TaskGroup},
     },
@@ -67,7 +68,7 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
+                    send_without_delay(&stream);
                     let handler = self.handler.clone();
                     let metrics = self.metrics.clone();
                     let calls = self.tasks.clone();
@@ -123,7 +124,9 @@
         let handling = handler.clone().handle(req);
         let tx = tx.clone();
         calls.spawn(async move {
-            let _ = tx.unbounded_send((number, handling.await));
+            if tx.unbounded_send((number, handling.await)).is_err() {
+                tracing::debug!(number, "the peer is gone before its reply");
+            }
         });
     }
 }
--- a/src/process/decision_report/decision_report.rs
+++ b/src/process/decision_report/decision_report.rs
@@ -50,6 +50,7 @@
         for upstream in chosen.split(',').filter(|u| !u.is_empty()) {
             self.count(&line.decision, upstream, "chosen");
         }
+        // Lines of other versions may have another form; they are counted without what was passed over.
         let passed_over: Vec<PassedOverLine> =
             serde_json::from_str(&line.passed_over).unwrap_or_default();
         for passed in passed_over {
--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -196,9 +196,13 @@
         self.cpu_seconds.set(usage.cpu.as_secs_f64());
         self.resident_bytes.set(usage.resident_bytes as i64);
         let families = self.registry.gather();
-        TextEncoder::new()
-            .encode_to_string(&families)
-            .unwrap_or_default()
+        match TextEncoder::new().encode_to_string(&families) {
+            Ok(text) => text,
+            Err(e) => {
+                tracing::error!(error = %e, "the metrics cannot be encoded");
+                format!("# the metrics cannot be encoded: {e}\n")
+            }
+        }
     }
 }
 
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -3,7 +3,7 @@
 use {
     super::{StoreCall, StoreReply},
     crate::{
-        connection::{FrameError, read_frame, write_frame},
+        connection::{FrameError, read_frame, send_without_delay, write_frame},
         prelude::*,
         process::{
             clock::with_timeout,
@@ -264,7 +264,7 @@
     mut stream: TcpStream,
     call: &StoreCall,
 ) -> Result<StoreReply, FrameError> {
-    stream.set_nodelay(true)?;
+    send_without_delay(&stream);
     write_frame(&mut stream, call).await?;
     read_frame(&mut stream).await
 }
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -6,7 +6,9 @@
         order_task::{carry_out_start, carry_out_stop},
     },
     crate::{
-        connection::{FrameError, GuardOrders, WorkerView, read_frame, write_frame},
+        connection::{
+            FrameError, GuardOrders, WorkerView, read_frame, send_without_delay, write_frame,
+        },
         prelude::*,
         process::clock::with_timeout,
     },
@@ -37,9 +39,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                if let Err(e) = stream.set_nodelay(true) {
-                    tracing::debug!(error = %e, "delayed sending stays on");
-                }
+                send_without_delay(&stream);
                 let guard = guard.clone();
                 let serving = async move {
                     if let Err(e) = serve_session(&guard, stream).await {
--- a/src/process/scheduler/guard_task.rs
+++ b/src/process/scheduler/guard_task.rs
@@ -3,7 +3,7 @@
 use {
     super::{running_scheduler::SchedulerCore, scheduler::TERM_SHIFT},
     crate::{
-        connection::{FrameError, GuardReport, read_frame, write_frame},
+        connection::{FrameError, GuardReport, read_frame, send_without_delay, write_frame},
         prelude::*,
         process::{clock::with_timeout, ledger::Member},
     },
@@ -60,7 +60,7 @@
     stream: TcpStream,
     wake: &Event,
 ) -> Result<(), FrameError> {
-    stream.set_nodelay(true)?;
+    send_without_delay(&stream);
     let (mut read_half, mut write_half) = stream.into_split();
     let reading = read_reports(core, name, token, &mut read_half, wake);
     let writing = write_orders(core, name, token, &mut write_half, wake);
--- a/src/process/state/snapshot_record.rs
+++ b/src/process/state/snapshot_record.rs
@@ -72,7 +72,11 @@
         parts.push(record.data);
         if parts.len() == record.parts as usize {
             let parts = self.parts.remove(&key)?;
-            return Fold::from_bytes(&parts.concat()).ok();
+            let fold = Fold::from_bytes(&parts.concat());
+            if let Err(e) = &fold {
+                tracing::error!(error = ?e, "a snapshot cannot be read and is passed over");
+            }
+            return fold.ok();
         }
         if self.parts.len() > MAX_ASSEMBLED {
             self.parts.pop_first();
--- a/src/process/state/state_reader.rs
+++ b/src/process/state/state_reader.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Fold, LogCondition, Record, RecordBody, RecordKey, RecordOutcome, State, pace::backoff,
-        snapshot_record::SnapshotAssembly,
+        Fold, LogCondition, Record, RecordBody, RecordKey, RecordOutcome, State, outbox::Waiting,
+        pace::backoff, snapshot_record::SnapshotAssembly,
     },
     crate::{
         prelude::*,
@@ -95,7 +95,7 @@
             overtaken.ticket.maybe_on_log.set(false);
         }
         if let Some(waiting) = in_flight.remove(&key.sequence) {
-            let _ = waiting.reply.send((key, outcome));
+            tell(waiting, key, outcome);
         }
     }
 
@@ -178,7 +178,7 @@
                 sequence,
             };
             if let Some(version) = fold.accepted_as(key) {
-                let _ = waiting.reply.send((key, RecordOutcome::Accepted(version)));
+                tell(waiting, key, RecordOutcome::Accepted(version));
             }
         }
     }
@@ -204,3 +204,14 @@
         _ => None,
     }
 }
+
+/// Tells a writer what became of its record, unless it has stopped waiting.
+fn tell(
+    waiting: Waiting,
+    key: RecordKey,
+    outcome: RecordOutcome,
+) {
+    if waiting.reply.send((key, outcome)).is_err() {
+        tracing::debug!(?key, "nobody waits any more for the outcome of a record");
+    }
+}
