Hear signals from the start and without gaps

The library that hears signals restores the default action whenever nobody listens: before a guard had bound its sockets, and between two reloads, where a second SIGHUP ended the process. Ruled out: the grace period (the process was gone at once) and a panic (no line). Change: listeners exist from the first line of the command on; one for SIGHUP is kept for the life of the process, so that reloads in quick succession cannot end it. The soak demands that a process that has said that it starts ends without an error and says so.

--- a/src/process/cli/local_command.rs
+++ b/src/process/cli/local_command.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CliError, Command, command::read_file, role::run_async_logging, signals::wait_for_stop,
+        CliError, Command, command::read_file, role::run_async_logging, signals::listen_for_stop,
     },
     crate::{
         prelude::*,
@@ -73,7 +73,7 @@
             let system = LocalSystem::start(&settings, &text, clock).await?;
             system.print_addresses()?;
             if serve {
-                wait_for_stop().await;
+                listen_for_stop().await;
             } else {
                 demonstrate(&system).await?;
                 demonstrate_reclaim(&system).await?;
--- a/src/process/cli/platform_command.rs
+++ b/src/process/cli/platform_command.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         CliError, Command,
-        signals::{hear_reloads, wait_for_stop},
+        signals::{listen_for_reloads, listen_for_stop},
     },
     crate::{
         platform::{BootSettings, PlatformRole, run_role},
@@ -39,12 +39,14 @@
         &self,
         _matches: &Matches,
     ) -> Result<(), CliError> {
+        let reloads = listen_for_reloads(check_settings);
+        let stop = listen_for_stop();
         let _end = logging::start_on_stdout(LOG_LEVEL);
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
         let settings = BootSettings::read().map_err(|e| CliError::Usage(e.to_string()))?;
         let result = Runtime::new()?.block_on(async move {
-            let reloads = compio::runtime::spawn(hear_reloads(check_settings));
-            let result = run_role(self.0, settings, clock, wait_for_stop()).await;
+            let reloads = compio::runtime::spawn(reloads);
+            let result = run_role(self.0, settings, clock, stop).await;
             drop(reloads);
             result
         });
--- a/src/process/cli/roles.rs
+++ b/src/process/cli/roles.rs
@@ -1,7 +1,7 @@
 //! The roles of the system and of the stand-ins for the platform.
 
 use {
-    super::{CliError, role::Role, signals::wait_for_stop},
+    super::{CliError, role::Role, signals::listen_for_stop},
     crate::{
         connection::{HttpHandler, HttpServer},
         prelude::*,
@@ -46,7 +46,7 @@
         clock: Rc<dyn Clock>,
     ) -> Result<(), CliError> {
         let entry = RunningEntry::start(settings, clock).await?;
-        wait_for_stop().await;
+        listen_for_stop().await;
         entry.stop().await;
         Ok(())
     }
@@ -71,7 +71,7 @@
         clock: Rc<dyn Clock>,
     ) -> Result<(), CliError> {
         let guard = RunningGuard::start(settings, clock).await?;
-        wait_for_stop().await;
+        listen_for_stop().await;
         guard.stop().await;
         Ok(())
     }
@@ -128,6 +128,6 @@
     handler: Rc<dyn HttpHandler>,
 ) -> Result<(), CliError> {
     let server = HttpServer::bind(listen, handler).await?;
-    server.run(wait_for_stop()).await;
+    server.run(listen_for_stop()).await;
     Ok(())
 }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -63,6 +63,8 @@
     /// Since when the process runs without being signalled, in milliseconds.
     pub calm_since: std::cell::Cell<Millis>,
     log: PathBuf,
+    /// Where the lines of the present process begin in the log, in bytes.
+    log_start: std::cell::Cell<usize>,
     settings: PathBuf,
 }
 
@@ -349,6 +351,7 @@
         fs::write(&settings, text).expect("the settings are written");
         Self {
             log: dir.join(format!("{name}.log")),
+            log_start: std::cell::Cell::new(0),
             name,
             role,
             ip,
@@ -365,6 +368,9 @@
         &self,
         clock: &Rc<dyn Clock>,
     ) {
+        let before = fs::metadata(&self.log).map_or(0, |m| m.len());
+        self.log_start
+            .set(usize::try_from(before).expect("a small log"));
         let log = File::options().create(true).append(true).open(&self.log);
         let role = match self.role {
             Role::Entry => "entry",
@@ -388,7 +394,8 @@
     ) {
         if let Some(child) = &*self.child.borrow() {
             let pid = Pid::from_child(child);
-            kill_process(pid, signal).expect("the process is there until it is waited for");
+            // A child that has ended by itself stays known, and is found out, until it is waited for.
+            kill_process(pid, signal).expect("the process was not waited for");
         }
     }
 
@@ -422,9 +429,10 @@
     }
 
     fn fault(&self) -> Option<String> {
-        let mut child = self.child.borrow_mut();
-        let child = child.as_mut()?;
+        let mut running = self.child.borrow_mut();
+        let child = running.as_mut()?;
         if let Some(status) = child.try_wait().expect("the process is a child") {
+            *running = None;
             return Some(format!("ended by itself: {status}"));
         }
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -182,3 +182,26 @@
     }
     assert!(wrong.is_empty(), "seeds with findings: {wrong:?}");
 }
+
+/// Signals that come in quick succession, also just after a start, end no process.
+#[test]
+fn a_burst_of_reloads_ends_no_process() {
+    let found = Runtime::new().expect("a runtime").block_on(async {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reloads");
+        let subnet = [1 + (std::process::id() % 200) as u8, 251];
+        let fleet = Fleet::start(dir, subnet, 1, 1, CONFIG).await;
+        compio::time::sleep(Duration::from_millis(500)).await;
+        for round in 0..1000 {
+            for _ in 0..1 + round % 4 {
+                for node in &fleet.nodes {
+                    node.signal(rustix::process::Signal::HUP);
+                }
+            }
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleet.check_processes();
+        fleet.stop();
+        fleet.oracle.borrow().violations.clone()
+    });
+    assert!(found.is_empty(), "{found:?}");
+}
