--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -24,8 +24,9 @@
 /// The seeds that CI plays.
 const SEEDS: std::ops::Range<u64> = 1..3;
 
-/// Seeds of courses that once failed, each with its cause.
-const FAILED_SEEDS: [u64; 0] = [];
+/// Seeds of courses that once failed. 28: a guard that was told to stop just after its start was ended by
+/// the signal, because it did not listen yet.
+const FAILED_SEEDS: [u64; 1] = [28];
 
 /// How long faults strike.
 const FAULT_SPAN: Duration = Duration::from_secs(15);
