Split large files of the scheduler, the guard and the soak by their main types

Change: open jobs, orders, counts, sessions, heartbeats and the soak's processes in files of their own; moves only, no change of behaviour.

--- a/src/process/runs/mod.rs
+++ b/src/process/runs/mod.rs
@@ -6,10 +6,14 @@
 mod run_book;
 mod run_guard;
 mod run_worker;
+mod session;
 mod session_task;
+mod worker_beat;
 
 pub use {
-    run_book::{OrderedCall, RunBook, Session, WorkerBeat, WorkerInfo},
+    run_book::RunBook,
     run_guard::RunGuard,
     run_worker::{LookAnswer, LookCall, RunWorker, RunWorkerError, WorkerAddress},
+    session::{OrderedCall, Session},
+    worker_beat::{WorkerBeat, WorkerInfo},
 };
--- a/src/process/runs/run_book.rs
+++ b/src/process/runs/run_book.rs
@@ -1,14 +1,14 @@
 //! What a guard knows of its worker, as plain data.
 
 use {
-    super::{LookAnswer, WorkerAddress},
+    super::{LookAnswer, OrderedCall, Session, WorkerAddress, WorkerBeat, WorkerInfo},
     crate::{
         connection::{
-            GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStart, RunStatus,
-            StartRefusal, WorkerReport, WorkerView,
+            GuardOrders, GuardReport, RefusedStart, RunEnd, RunPhase, RunStatus, StartRefusal,
+            WorkerReport, WorkerView,
         },
         prelude::*,
-        request::{Resources, RunRef},
+        request::RunRef,
     },
     std::collections::BTreeMap,
 };
@@ -29,52 +29,6 @@
 /// The most refused starts that are reported again.
 const MAX_REFUSED: usize = 64;
 
-/// What a worker says of itself in a heartbeat.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WorkerBeat {
-    /// Where it is, and its life.
-    pub worker: WorkerAddress,
-    /// The heartbeat's number within the life.
-    pub sequence: u64,
-    /// The worker itself.
-    pub info: WorkerInfo,
-}
-
-/// A worker's standing.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WorkerInfo {
-    /// The service that it works for.
-    pub service: Arc<str>,
-    /// What it has in all.
-    pub capacity: Resources,
-    /// Its labels.
-    pub labels: Vec<Arc<str>>,
-    /// Whether it leaves, with the least time that is left, in milliseconds.
-    pub leaving_ms: Option<u64>,
-}
-
-/// A call that a message of the session asks for.
-#[derive(Clone, Debug)]
-pub enum OrderedCall {
-    /// Start a run.
-    Start(RunStart),
-    /// Stop a run.
-    Stop(RunRef),
-}
-
-/// One session with the entry that schedules.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Session {
-    /// The fencing token.
-    pub token: u64,
-    /// The number of the last message that was carried out.
-    pub handled: u64,
-    /// Until when the worker's lease may be extended.
-    pub lease_until: Millis,
-    /// How long the worker may run on without its guard.
-    pub worker_lease: Millis,
-}
-
 /// A run and how surely it is known.
 #[derive(Clone, Debug, PartialEq)]
 struct BookedRun {
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -4,6 +4,8 @@
 mod ask;
 mod guard_task;
 mod lease_terms;
+mod open_job;
+mod orders;
 mod outcome;
 mod placement;
 mod preemption;
@@ -15,6 +17,7 @@
     reason = "a file bears the name of its main type"
 )]
 mod scheduler;
+mod scheduler_counts;
 mod turn;
 mod turn_asks;
 mod turn_victims;
@@ -24,9 +27,12 @@
     active_unit::ActiveUnit,
     ask::Ask,
     lease_terms::LeaseTerms,
+    open_job::OpenJob,
+    orders::Orders,
     placement::{Host, PlaceRequest, PlaceRules, RackFirstPlacing},
     preemption::{Victim, choose_victims},
     running_scheduler::{SchedulerParts, run_scheduler},
-    scheduler::{OpenJob, Orders, Scheduler, SchedulerCounts},
+    scheduler::Scheduler,
+    scheduler_counts::SchedulerCounts,
     upstream::{PlacedRun, UpstreamState},
 };
--- /dev/null
+++ b/src/process/scheduler/orders.rs
@@ -0,0 +1,12 @@
+//! Orders that wait to be sent to a guard.
+
+use crate::{connection::RunStart, request::RunRef};
+
+/// What a guard is to be told.
+#[derive(Clone, Debug, Default)]
+pub struct Orders {
+    /// What to start.
+    pub starts: Vec<RunStart>,
+    /// What to stop.
+    pub stops: Vec<RunRef>,
+}
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -1,14 +1,15 @@
 //! The scheduler's state, as plain data.
 
 use {
-    super::{ActiveUnit, LeaseTerms, PlaceRules, PlacedRun, UpstreamState},
+    super::{
+        ActiveUnit, LeaseTerms, OpenJob, Orders, PlaceRules, PlacedRun, SchedulerCounts,
+        UpstreamState,
+    },
     crate::{
         connection::{GuardOrders, RunPhase, RunStart},
         prelude::*,
         process::ledger::JobView,
-        request::{
-            JobPhase, JobProgress, ProgressStamp, RunRef, StepJob, StepJobId, SubtaskId, UnitId,
-        },
+        request::{JobPhase, JobProgress, ProgressStamp, RunRef, StepJobId, SubtaskId, UnitId},
         version::QueueTable,
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -18,65 +19,6 @@
 /// sessions and starts of one term.
 pub(super) const TERM_SHIFT: u32 = 16;
 
-/// A job that has not ended, or whose end is not recorded yet.
-#[derive(Clone, Debug)]
-pub struct OpenJob {
-    /// The job.
-    pub job: Rc<StepJob>,
-    /// The offset of the record that accepted it.
-    pub offset: u64,
-    /// How far it is, what is not recorded yet included.
-    pub progress: JobProgress,
-    /// The units that run.
-    pub active: BTreeMap<UnitId, ActiveUnit>,
-    /// Since when units could start.
-    pub ready_since: BTreeMap<UnitId, Millis>,
-    /// The highest run number of each unit.
-    pub last_run: BTreeMap<UnitId, u64>,
-    /// The workers on which runs of a unit have failed; others are tried first.
-    pub failed_on: BTreeMap<UnitId, BTreeSet<UpstreamName>>,
-    /// The number of the last change of its progress.
-    pub changed: u64,
-    /// The number of the last change that is recorded.
-    pub recorded: u64,
-    /// Whether an earlier scheduler may have started something of it. A scheduler starts a job only
-    /// once its own record about it is stored, so a job without a record was never started.
-    pub is_inherited: bool,
-    /// Whether a record about it of this term is stored, so that it may be started.
-    pub is_announced: bool,
-    /// Whether the job's end was read back from the ledger. A job is forgotten only then: an older
-    /// record that is read later would bring it back.
-    pub is_final_read: bool,
-}
-
-/// What a guard is to be told.
-#[derive(Clone, Debug, Default)]
-pub struct Orders {
-    /// What to start.
-    pub starts: Vec<RunStart>,
-    /// What to stop.
-    pub stops: Vec<RunRef>,
-}
-
-/// What has happened since the counts were last taken.
-#[derive(Clone, Debug, Default)]
-pub struct SchedulerCounts {
-    /// What became of runs: how often each event happened.
-    pub runs: BTreeMap<&'static str, u64>,
-    /// For each placed unit, its priority and how long it waited.
-    pub waits: Vec<(u32, Duration)>,
-}
-
-impl SchedulerCounts {
-    /// Counts an event of a run.
-    pub(super) fn count(
-        &mut self,
-        event: &'static str,
-    ) {
-        *self.runs.entry(event).or_default() += 1;
-    }
-}
-
 /// All that the scheduling entry knows and has ordered.
 pub struct Scheduler {
     /// The fencing term.
@@ -446,22 +388,3 @@
         }
     }
 }
-
-impl OpenJob {
-    fn new(view: &JobView) -> Self {
-        Self {
-            job: view.job.clone(),
-            offset: view.offset,
-            progress: view.progress.clone(),
-            active: BTreeMap::new(),
-            ready_since: BTreeMap::new(),
-            last_run: BTreeMap::new(),
-            failed_on: BTreeMap::new(),
-            changed: 0,
-            recorded: 0,
-            is_inherited: view.progress.stamp != ProgressStamp::default(),
-            is_announced: false,
-            is_final_read: false,
-        }
-    }
-}
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that submit jobs, ask for them and cancel some, and what they were told.
 
 use {
-    super::fleet::{Fleet, Role},
+    super::{fleet::Fleet, node::Role},
     hyper::Method,
     limpetquay::{
         connection::{HttpAnswer, HttpClientError},
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -1,10 +1,7 @@
 //! Faults from outside, in series that overlap.
 
 use {
-    super::{
-        fleet::{Fleet, Role},
-        proxy::Link,
-    },
+    super::{fleet::Fleet, node::Role, proxy::Link},
     compio::runtime::{JoinHandle, spawn},
     limpetquay::{platform::stand_in::StoreFaults, prelude::*},
     rand::{RngExt, SeedableRng, rngs::StdRng},
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod faults;
 mod fleet;
+mod node;
 #[path = "../platform/oracle.rs"]
 mod oracle;
 mod proxy;
