Test the choice of what gives way to urgent work

Change: one test plays an urgent job over a full worker whose run ends within its patience; one clears the rack where the least work is lost.

--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -2,7 +2,13 @@
 
 use {
     super::world::{Faults, World},
-    limpetquay::request::{Resources, Step},
+    limpetquay::{
+        connection::EndKind,
+        prelude::*,
+        process::scheduler::{Host, PlaceRequest, RackFirstPlacing, Victim, choose_victims},
+        request::{Resources, Step, StepJobId, UnitId},
+    },
+    std::collections::BTreeMap,
 };
 
 fn one_subtask() -> Step {
@@ -119,3 +125,112 @@
     let late = starts(&world, inherited);
     insta::assert_debug_snapshot!((early, late >= 3, &world.oracle.violations));
 }
+
+/// A burst of urgent work over a full service: an urgent job finds room that becomes free by itself
+/// within its patience, so nothing is thrown away for it, and it still starts in time.
+#[test]
+fn urgent_work_waits_a_moment_before_it_displaces() {
+    let whole_worker = Resources {
+        accelerators: 8,
+        ..one_subtask().demand
+    };
+    // A gang of one member works for two seconds in these courses.
+    let step = Step {
+        demand: whole_worker,
+        gang: true,
+        ..one_subtask()
+    };
+    let mut world = World::new(1, 1, Faults::default());
+    world.run_for(1000);
+    world.submit(vec![step.clone()], 2, 4);
+    world.run_for(1900);
+    let urgent = world.submit(vec![step], 0, 4);
+    let submitted = world.now;
+    world.run_for(3000);
+    let started = world.oracle.starts.iter();
+    let started = started.filter(|(_, r)| r.subtask.job == urgent);
+    let waits: Vec<bool> = started.map(|(at, _)| at - submitted < 500).collect();
+    let ends = world.oracle.ends.iter();
+    let stopped = ends.filter(|e| e.kind == EndKind::Stopped).count();
+    assert_eq!((waits, stopped), (vec![true], 0));
+}
+
+fn host(
+    name: &str,
+    rack: &str,
+    free: u64,
+) -> Host {
+    Host {
+        upstream: UpstreamName::from(name),
+        rack: Some(rack.into()),
+        room: Resources {
+            accelerators: free,
+            ..Resources::default()
+        },
+        capacity: Resources {
+            accelerators: 8,
+            ..Resources::default()
+        },
+        siblings: 0,
+    }
+}
+
+fn victim(
+    number: u32,
+    on: &str,
+    accelerators: u64,
+    loss: u64,
+) -> Victim {
+    let freed = Resources {
+        accelerators,
+        ..Resources::default()
+    };
+    Victim {
+        unit: (
+            StepJobId(1),
+            UnitId {
+                occurrence: 0,
+                step: 0,
+                index: number,
+            },
+        ),
+        loss,
+        frees: BTreeMap::from([(UpstreamName::from(on), freed)]),
+    }
+}
+
+/// For a gang that needs two whole workers of one rack, the rack is cleared where the least work is
+/// lost, though its units are dearer one by one than those of the other rack.
+#[test]
+fn the_rack_with_the_least_loss_is_cleared() {
+    let step = Step {
+        count: 2,
+        demand: Resources {
+            accelerators: 8,
+            ..Resources::default()
+        },
+        gang: true,
+        rack_bound: true,
+        ..Step::default()
+    };
+    let req = PlaceRequest {
+        step: &step,
+        members: 2,
+        waited: Duration::ZERO,
+        far_factor: 3,
+    };
+    let hosts = [
+        host("a1", "a", 0),
+        host("a2", "a", 0),
+        host("b1", "b", 0),
+        host("b2", "b", 8),
+    ];
+    let mut victims = vec![victim(0, "a1", 8, 9), victim(1, "a2", 8, 9)];
+    victims.extend((2..10).map(|i| victim(i, "b1", 1, 3)));
+    let choice = choose_victims(&RackFirstPlacing, &req, &hosts, &victims);
+    let choice = choice.map(|(chosen, placed)| {
+        let loss: u64 = chosen.iter().map(|v| v.loss).sum();
+        (chosen.len(), loss, placed)
+    });
+    insta::assert_debug_snapshot!(choice);
+}
