Look at the workers before a job's last state is checked; mend a test's timing

The trace of its log files shows all five runs done, the last two and 'job ended' within 0.3 ms of each other just before the check; the oracle looks every 20 ms. Ruled out: a job shown as completed too early by the program. Change: the check looks at the workers first.

--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -143,7 +143,7 @@
     let mut world = World::new(1, 1, Faults::default());
     world.run_for(1000);
     world.submit(vec![step.clone()], 2, 4);
-    world.run_for(1900);
+    world.run_for(1780);
     let urgent = world.submit(vec![step], 0, 4);
     let submitted = world.now;
     world.run_for(3000);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -133,6 +133,8 @@
     told: &Told,
     state: &str,
 ) {
+    // The watcher's last look may be older than the answer.
+    fleet.look();
     let oracle = fleet.oracle.borrow();
     let job = &oracle.jobs[&id];
     let fails = job.payload.contains("fail");
