Bound the length of a course of the soak

Cause: with the leases' horizon broken on purpose (0.3 s in place of 5 s), a course did not end for two minutes: work was lost and started again for ever, and runs went on ending, so it never counted as stalled. Change: a course that takes longer than 180 s counts as stalled, which is a finding. Courses of the present code take 35 to 60 s.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -27,6 +27,9 @@
 /// How long a worker takes to stop a run, in milliseconds.
 const STOP_MS: u64 = 100;
 
+/// The longest course: its faults, and several times the work that callers hand in meanwhile.
+const COURSE_LIMIT: Millis = Millis(180_000);
+
 /// How often the workers are looked at by the oracle.
 const WATCH_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -227,7 +230,8 @@
         oracle.starts.iter().any(|(_, r)| r.subtask.job == id)
     }
 
-    /// Tells whether no run has ended for some time, counted from the last note at the earliest.
+    /// Tells whether no run has ended for some time, counted from the last note at the earliest, or the
+    /// course takes so long that its work goes round in circles.
     pub fn is_stalled(
         &self,
         limit: Duration,
@@ -235,7 +239,8 @@
         let oracle = self.oracle.borrow();
         let last = oracle.ends.last().map_or(0, |e| e.at);
         let since = Millis(last).max(self.noted_at.get());
-        self.clock.now().since(since) > limit
+        let now = self.clock.now();
+        now.since(since) > limit || now > COURSE_LIMIT
     }
 
     /// Looks at all workers: first at what ended, then at what started.
