Move registration out of the adapter

Cause: when a guard registers and unregisters was decided in src/platform, which is to translate only. Change: register and unregister stand beside the ledger, the guard's part beside its runs; moves only, no change of behaviour. Measured: the 23 tests of the platform pass.

--- a/src/platform/entry_role.rs
+++ b/src/platform/entry_role.rs
@@ -7,7 +7,7 @@
         prelude::*,
         process::{
             job_desk::JobDesk,
-            ledger::{KeyedStore, Lead, Ledger, LedgerKey, LedgerRecord, Member, MemberRole},
+            ledger::{KeyedStore, Lead, Ledger, Member, MemberRole, register},
             metrics::FleetMetrics,
             relay::{RelayServer, RelayedStore},
             scheduler::{SchedulerParts, run_scheduler},
@@ -30,9 +30,6 @@
 /// From which time of a first call on the store counts as far.
 const FAR_STORE: Duration = Duration::from_millis(15);
 
-/// The pause before a failed registration is tried again.
-const REGISTER_RETRY: Duration = Duration::from_millis(300);
-
 /// A started entry.
 pub(super) struct PlatformEntry {
     desk: Rc<JobDesk>,
@@ -200,21 +197,3 @@
     };
     Rc::new(Lead::new(ledger.clone(), clock.clone(), entry, boot, delay))
 }
-
-/// Records where a process is reached, so that the others find it.
-pub(super) async fn register(
-    ledger: Rc<Ledger>,
-    clock: Rc<dyn Clock>,
-    member: Member,
-) {
-    let key = LedgerKey::Member(member.name.clone());
-    let record = LedgerRecord::Member(member);
-    while let Err(e) = ledger
-        .put(&key, &record, crate::process::ledger::Condition::Always)
-        .await
-    {
-        tracing::warn!(error = %e, "registering failed");
-        clock.sleep(REGISTER_RETRY).await;
-    }
-    tracing::info!(%key, "registered");
-}
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -9,6 +9,7 @@
 )]
 mod ledger;
 mod record;
+mod registration;
 
 pub use {
     fold::{JobView, LeadView, LedgerFold},
@@ -16,4 +17,5 @@
     lead::{Lead, RENEWAL_INTERVAL},
     ledger::Ledger,
     record::{LeadRecord, LedgerKey, LedgerRecord, Member, MemberRole},
+    registration::{register, unregister},
 };
--- a/src/process/runs/mod.rs
+++ b/src/process/runs/mod.rs
@@ -1,6 +1,7 @@
 //! A guard's part in running subtasks: it looks at its worker, extends the worker's lease, and
 //! carries out the orders of the entry that schedules.
 
+mod keep_registered;
 mod look_task;
 mod order_task;
 mod run_book;
@@ -11,6 +12,7 @@
 mod worker_beat;
 
 pub use {
+    keep_registered::keep_registered,
     run_book::RunBook,
     run_guard::RunGuard,
     run_worker::{LookAnswer, LookCall, RunWorker, RunWorkerError, WorkerAddress},
