Review case 5: a large job with a long payload never starts

Cause: all starts of one pass for a guard go into one message, which exceeds the frame limit, and the same message is built again in each session. Change: none to the software; a script that shows it.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -x target/release/limpetquay ] && [ -x target/review/stand_ins ] || exit 2
+exec target/review/stand_ins long-specs "$here"
