--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/stand_ins review/stand_ins/main.rs
+rustc --edition 2024 -O -o target/review/stand_ins review/stand_ins.rs
--- a/review/stand_ins/cases.rs
+++ b/review/cases.rs
@@ -6,6 +6,7 @@
     worker::{Kind, Worker},
 };
 use std::{
+    collections::BTreeSet,
     io,
     sync::Arc,
     thread::sleep,
@@ -151,6 +152,25 @@
     Ok((fleet, workers))
 }
 
+/// Fails unless at least `count` subtasks of the jobs whose ids begin with `prefix` have started, since
+/// a check of their runs would otherwise pass for nothing.
+fn require_started(
+    record: &Record,
+    prefix: &str,
+    count: usize,
+) -> io::Result<()> {
+    let runs = record.runs();
+    let of_jobs = runs.iter().filter(|r| r.task.starts_with(prefix));
+    let tasks: BTreeSet<&str> = of_jobs.map(|r| r.task.as_str()).collect();
+    if tasks.len() >= count {
+        return Ok(());
+    }
+    let found = tasks.len();
+    Err(io::Error::other(format!(
+        "only {found} of {count} subtasks have started"
+    )))
+}
+
 fn overlaps(record: &Record) -> Broken {
     let pairs = record.overlapping_runs().into_iter();
     let pairs = pairs.map(|(a, b)| format!("TWICE: {a:?} and {b:?}"));
@@ -192,6 +212,7 @@
         )?;
     }
     sleep(seconds(12.0));
+    require_started(record, "00000000000001a", 2)?;
     Ok(overlaps(record))
 }
 
@@ -251,6 +272,9 @@
         }
     }
     sleep(seconds(10.0));
+    if cancelled.is_empty() {
+        return Err(io::Error::other("no job was accepted and cancelled"));
+    }
     let runs = record.runs();
     let mut broken = Vec::new();
     for (id, status, acknowledged_ms) in cancelled {
@@ -308,6 +332,7 @@
         accept(&fleet, &id, &job(1, 1000, 100, 8, "ms=2500"))?;
         sleep(seconds(4.0));
     }
+    require_started(record, "00000000000005", 12)?;
     Ok(overlaps(record))
 }
 
@@ -364,6 +389,7 @@
         wait_until_completed(&fleet, id, seconds(30.0));
     }
     sleep(seconds(2.0));
+    require_started(record, "00000000000007", 1200)?;
     let mut broken = overlaps(record);
     let again = record.starts_after_done().into_iter();
     broken.extend(again.map(|(a, b)| format!("TWICE: {a:?} was done, and then {b:?}")));
