Review: keep the scripts of cases 1 and 2 within 4.5 s, and crash at a set time after a heartbeat

When a guard notices the crash depends on the time since the worker's last heartbeat, so it may deregister only after the worker is back, and the disruption does not come about. The checks are as they were.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -8,7 +8,10 @@
 use std::{
     collections::BTreeSet,
     io,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::sleep,
     time::{Duration, Instant},
 };
@@ -27,6 +30,13 @@
 const CONTROL_PORT: u16 = 8526;
 const NO_DELAY: Duration = Duration::ZERO;
 
+/// How long a crashed worker is away, in seconds, as in the site file.
+const AWAY_S: f64 = 4.5;
+
+/// How long after a heartbeat a worker crashes, in seconds. Its guard misses the next one soon and has
+/// deregistered before the worker is back.
+const CRASH_DELAY_S: f64 = 1.2;
+
 pub fn run(
     case: &str,
     has_trouble: bool,
@@ -177,29 +187,34 @@
     pairs.collect()
 }
 
-/// A worker crashes and is back after 5 s. The store does not answer the append by which its guard
+/// A worker crashes and is back after 4.5 s. The store does not answer the append by which its guard
 /// deregisters meanwhile, and does it 4 s later.
 fn late_deregistration(
     has_trouble: bool,
     record: &Arc<Record>,
 ) -> io::Result<Broken> {
     let (fleet, mut workers) = start_fleet(3, 3, record)?;
+    let is_late = Arc::new(AtomicBool::new(false));
     if has_trouble {
         let name = format!("member/{}", fleet.guards[0].name);
-        let own = record.clone();
+        let (own, seen) = (record.clone(), is_late.clone());
         fleet.store.set_lateness(Some(Box::new(move |_, records| {
             let is_tombstone = records
                 .iter()
                 .any(|(key, value)| *key == name && value.is_empty());
             if is_tombstone {
+                seen.store(true, Ordering::SeqCst);
                 own.line("the store does not answer a deregistration and does it 4 s later");
             }
             is_tombstone.then(|| seconds(4.0))
         })));
-        workers[0].crash();
+        workers[0].crash_after_heartbeat(seconds(CRASH_DELAY_S));
     }
-    sleep(seconds(5.0));
+    sleep(seconds(AWAY_S));
     if has_trouble {
+        if !is_late.load(Ordering::SeqCst) {
+            return Err(io::Error::other("the guard has not deregistered"));
+        }
         workers[0] = start_worker(&fleet, 0, "i-1-2", NO_DELAY)?;
     }
     sleep(seconds(1.0));
@@ -216,7 +231,7 @@
     Ok(overlaps(record))
 }
 
-/// Each worker crashes several times, one after the other, and is back after 5 s each time. Then
+/// Each worker crashes several times, one after the other, and is back after 4.5 s each time. Then
 /// all workers are up and idle, and a job is submitted.
 fn shut_out(
     has_trouble: bool,
@@ -226,8 +241,8 @@
     for round in 2..6 {
         for guard in 0..workers.len() {
             if has_trouble {
-                workers[guard].crash();
-                sleep(seconds(5.0));
+                workers[guard].crash_after_heartbeat(seconds(CRASH_DELAY_S));
+                sleep(seconds(AWAY_S));
                 workers[guard] =
                     start_worker(&fleet, guard, &format!("i-{}-{round}", guard + 1), NO_DELAY)?;
             }
--- a/review/worker.rs
+++ b/review/worker.rs
@@ -59,6 +59,8 @@
     changed: Condvar,
     is_gone: AtomicBool,
     sequence: AtomicU64,
+    /// When the last heartbeat was sent, by the worker's own clock in milliseconds.
+    heartbeat_at_ms: AtomicU64,
     record: Arc<Record>,
     server: Mutex<Option<Server>>,
 }
@@ -85,6 +87,7 @@
             changed: Condvar::new(),
             is_gone: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
+            heartbeat_at_ms: AtomicU64::new(0),
             record: record.clone(),
             server: Mutex::default(),
         });
@@ -113,6 +116,19 @@
         Ok(worker)
     }
 
+    /// Waits until some time after a heartbeat, and crashes the worker then.
+    pub fn crash_after_heartbeat(
+        &self,
+        delay: Duration,
+    ) {
+        let first = self.heartbeat_at_ms.load(Ordering::SeqCst);
+        while self.heartbeat_at_ms.load(Ordering::SeqCst) == first {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(delay);
+        self.crash();
+    }
+
     /// Crashes the worker: everything that runs on it is gone.
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
@@ -142,6 +158,8 @@
         kind: &Kind,
     ) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        self.heartbeat_at_ms
+            .store(self.clock_ms(), Ordering::SeqCst);
         let body = format!(
             "{{\"Service\":\"triagehub\",\"Address\":\"{}\",\"Zone\":\"jozi-north\",\"Version\":\"v1\",\
              \"Slots\":8,\"State\":\"in_service\",\"ColdRemainingMs\":0,\"Sequence\":{sequence},\
