--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 trouble=${TROUBLE:-1}
 cd "$here/../.." || exit 2
 [ -x target/release/limpetquay ] && [ -x target/review/stand_ins ] || exit 2
-exec target/review/stand_ins long-specs "$here" "$trouble"
+exec target/review/stand_ins many-ends "$here" "$trouble"
