Review: a stand-in for a stop that is lost while a guard restarts

Cause: a guard that has restarted knows no worker until its next heartbeat, up to 1.5 s later, and drops the stops of that time (renew_session). The leader counts them as ordered and never repeats them (stop_if_unwanted), so a cancelled job's subtask runs to its end. Change: the stand-in lost-stop, not among the five cases.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -50,6 +50,7 @@
         "guard-restart" => guard_restart(has_trouble, record),
         "many-ends" => many_ends(has_trouble, record),
         "same-id" => same_id(has_trouble, record),
+        "lost-stop" => lost_stop(has_trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -410,3 +411,50 @@
     broken.extend(again.map(|(a, b)| format!("TWICE: {a:?} was done, and then {b:?}")));
     Ok(broken)
 }
+
+/// `ContactTimeoutMs` of the small deployments: how long after a disruption all is calm.
+const CONTACT_TIMEOUT_MS: u64 = 4000;
+
+/// The guard of a busy worker is killed and is back 0.3 s later. A client cancels the job that runs there
+/// before the worker has sent its next heartbeat.
+fn lost_stop(
+    has_trouble: bool,
+    record: &Arc<Record>,
+) -> io::Result<Broken> {
+    let (mut fleet, workers) = start_fleet(3, 3, record)?;
+    let id = "00000000000008a0";
+    accept(&fleet, id, &job(1, 1000, 100, 8, "ms=11000"))?;
+    sleep(seconds(0.5));
+    let Some(guard) = workers.iter().position(|w| w.running() > 0) else {
+        return Err(io::Error::other("the job does not run"));
+    };
+    workers[guard].wait_for_heartbeat();
+    sleep(seconds(0.1));
+    if has_trouble {
+        fleet.guards[guard].kill();
+        record.line("the guard beside the busy worker was killed");
+    }
+    sleep(seconds(0.3));
+    if has_trouble {
+        fleet.guards[guard].start()?;
+        record.line("the guard has started again");
+    }
+    let calm_ms = record.now_ms() + CONTACT_TIMEOUT_MS;
+    sleep(seconds(0.6));
+    let (status, _) = fleet.client_call(0, "DELETE", id, "");
+    if !(200..300).contains(&status) {
+        return Err(io::Error::other("the job is not cancelled"));
+    }
+    let limit = calm_ms + CANCEL_MS + STOP_TIMEOUT_MS;
+    sleep(seconds(12.0));
+    let (_, state) = fleet.client_call(1, "GET", id, "");
+    let runs = record.runs();
+    let of_job = runs.iter().filter(|r| r.task.starts_with(id));
+    let late = of_job.filter(|r| r.ended.is_none_or(|(at, _)| at > limit));
+    let broken = late.map(|r| {
+        format!(
+            "UNASKED: a subtask of a cancelled job ran on after {limit} ms: {r:?}; state {state}"
+        )
+    });
+    Ok(broken.collect())
+}
--- a/review/worker.rs
+++ b/review/worker.rs
@@ -116,15 +116,20 @@
         Ok(worker)
     }
 
+    /// Waits until the worker has sent its next heartbeat.
+    pub fn wait_for_heartbeat(&self) {
+        let first = self.heartbeat_at_ms.load(Ordering::SeqCst);
+        while self.heartbeat_at_ms.load(Ordering::SeqCst) == first {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Waits until some time after a heartbeat, and crashes the worker then.
     pub fn crash_after_heartbeat(
         &self,
         delay: Duration,
     ) {
-        let first = self.heartbeat_at_ms.load(Ordering::SeqCst);
-        while self.heartbeat_at_ms.load(Ordering::SeqCst) == first {
-            thread::sleep(Duration::from_millis(5));
-        }
+        self.wait_for_heartbeat();
         thread::sleep(delay);
         self.crash();
     }
