Number the registrations of guards, so that a late deregistration ends only its own

Cause: the guard's tombstone had no condition; the store carried it out after the guard had registered again, and the leader took the missing record for the end of all runs there.

Change: registrations have a number; a deregistration names the one that it ends, and readers ignore it for another. Runs no longer end with a record. A guard uses no worker while its record may be going, and a leader starts only where the reported number is the one that it has read. Ruled out: a fence with the guard as producer (needs an epoch that rises over restarts, by a clock that may jump), deregistration by the leader only (its own appends would carry the tombstone).

--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -70,6 +70,8 @@
     pub highest_token: u64,
     /// The state of the guard's worker.
     pub worker: WorkerView,
+    /// The number of the guard's registration; `None` while it is not known to be stored.
+    pub registration: Option<u64>,
 }
 
 /// What a guard has observed of the worker on its machine.
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -126,7 +126,7 @@
             name: settings.instance.clone(),
             role: MemberRole::Entry,
             address: settings.peers,
-            boot,
+            registration: boot,
         };
         tasks.spawn(register(ledger, clock.clone(), member));
         let cx = SchedulerContext {
--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -48,7 +48,7 @@
             name: settings.instance.clone(),
             role: MemberRole::Guard,
             address: settings.peers,
-            boot: rand::random(),
+            registration: rand::random(),
         };
         tasks.spawn(keep_registered(guard, ledger, clock, member));
         Ok(Self {
--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -60,10 +60,14 @@
     pub jobs: BTreeMap<StepJobId, JobView>,
     /// The registered processes, by the name of their instance.
     pub members: BTreeMap<Arc<str>, Member>,
+    /// The members whose record a late deregistration has removed from the store.
+    pub unstored_members: BTreeSet<Arc<str>>,
     /// The entry that claimed leadership last; `None` before the first claim.
     pub leader: Option<LeadView>,
     /// Progress that was read before the record of its job.
     early_progress: BTreeMap<StepJobId, JobProgress>,
+    /// Registrations that were ended by a record whose tombstone was not read yet.
+    ending_registrations: BTreeMap<Arc<str>, u64>,
     /// Offsets of cancellations that were read before the record of their job.
     early_cancels: BTreeMap<StepJobId, u64>,
 }
@@ -101,9 +105,14 @@
                 Some(id)
             }
             (LedgerKey::Member(name), Ok(LedgerRecord::Member(member))) => {
+                self.unstored_members.remove(&name);
                 self.members.insert(name, member);
                 None
             }
+            (LedgerKey::Member(name), Ok(LedgerRecord::Deregistered(registration))) => {
+                self.ending_registrations.insert(name, registration);
+                None
+            }
             (LedgerKey::Leader, Ok(LedgerRecord::Leader(leader))) => {
                 self.apply_leader(leader, record.offset, now);
                 None
@@ -198,7 +207,7 @@
                 self.jobs.remove(&id);
                 return Some(id);
             }
-            LedgerKey::Member(name) => drop(self.members.remove(&name)),
+            LedgerKey::Member(name) => self.remove_member(name),
             LedgerKey::Progress(id) => drop(self.early_progress.remove(&id)),
             LedgerKey::Cancel(id) => drop(self.early_cancels.remove(&id)),
             LedgerKey::Leader => {}
@@ -206,6 +215,23 @@
         None
     }
 
+    /// Removes a process from the members. A deregistration that the store has carried out late
+    /// removes no later registration, whose record has to be stored again.
+    fn remove_member(
+        &mut self,
+        name: Arc<str>,
+    ) {
+        let ending = self.ending_registrations.remove(&name);
+        let registration = self.members.get(&name).map(|m| m.registration);
+        if ending.is_some() && registration.is_some() && ending != registration {
+            tracing::warn!(%name, ?ending, ?registration, "late deregistration ignored");
+            self.unstored_members.insert(name);
+            return;
+        }
+        self.unstored_members.remove(&name);
+        self.members.remove(&name);
+    }
+
     fn apply_job(
         &mut self,
         id: StepJobId,
--- a/src/process/ledger/record.rs
+++ b/src/process/ledger/record.rs
@@ -28,8 +28,8 @@
     pub role: MemberRole,
     /// The address to which peers connect.
     pub address: SocketAddr,
-    /// A random number that the process drew at its start.
-    pub boot: u64,
+    /// A random number that identifies the registration.
+    pub registration: u64,
 }
 
 /// A claim, renewal or resignation of leadership.
@@ -62,6 +62,9 @@
     /// A claim, renewal or resignation of leadership.
     #[serde(rename = "Lead")]
     Leader(LeaderRecord),
+    /// The end of the registration with this number. It precedes the tombstone of the process's key
+    /// in the same append, so that a reader knows which registration the tombstone removes.
+    Deregistered(u64),
 }
 
 /// The key of a record.
--- a/src/process/ledger/registration.rs
+++ b/src/process/ledger/registration.rs
@@ -1,7 +1,7 @@
 //! Registers processes in the ledger, so that others can connect to them.
 
 use {
-    super::{Condition, Ledger, LedgerKey, LedgerRecord, Member},
+    super::{Condition, Ledger, LedgerKey, LedgerRecord, Member, StoreError},
     crate::prelude::*,
 };
 
@@ -23,15 +23,30 @@
     tracing::info!(%key, "registered");
 }
 
-/// Removes the record of a guard whose worker has ended. If that fails, the scheduling entry
-/// removes the record once all leases have expired.
+/// Removes the record of a guard whose worker has ended. Returns whether the registration may have
+/// ended: `false` if the store has certainly not removed the record. The scheduling entry then
+/// removes it once all leases have expired.
 pub async fn deregister(
     ledger: &Ledger,
     member: &Member,
-) {
+) -> bool {
     let key = LedgerKey::Member(member.name.clone());
-    match ledger.append(&[key.tombstone()], Condition::Always).await {
-        Ok(_) => tracing::info!(%key, "deregistered: the worker has ended"),
-        Err(e) => tracing::warn!(%key, error = %e, "failed to deregister"),
+    let ending = match key.record(&LedgerRecord::Deregistered(member.registration)) {
+        Ok(ending) => ending,
+        Err(e) => {
+            tracing::error!(%key, error = %e, "the end of the registration cannot be encoded");
+            return false;
+        }
+    };
+    let records = [ending, key.tombstone()];
+    match ledger.append(&records, Condition::Always).await {
+        Ok(_) => {
+            tracing::info!(%key, "deregistered: the worker has ended");
+            true
+        }
+        Err(e) => {
+            tracing::warn!(%key, error = %e, "failed to deregister");
+            !matches!(e, StoreError::Refused(_))
+        }
     }
 }
--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -25,22 +25,32 @@
 /// Registers the guard at its start, and again whenever no scheduling entry has sent it a message
 /// for some time, since its record may have been dropped in the meantime. Deregisters it when its
 /// worker has ended, so that no scheduling entry waits for the guard if its instance is removed as
-/// well; a new worker makes it register again.
+/// well. A new worker makes it register again, under another number; the guard does not use the
+/// worker before that is stored, because an entry that takes over does not wait for a guard without
+/// a record.
 pub async fn keep_registered(
     guard: Rc<RunGuard>,
     ledger: Rc<Ledger>,
     clock: Rc<dyn Clock>,
-    member: Member,
+    mut member: Member,
 ) {
     loop {
         register(ledger.clone(), clock.clone(), member.clone()).await;
+        guard.confirm_registration(member.registration);
         let registered_at = clock.now();
-        if wait_for_change(&guard, &*clock, registered_at).await == RegistrationChange::WorkerEnded
+        if wait_for_change(&guard, &*clock, registered_at).await
+            == RegistrationChange::SchedulerUnresponsive
         {
-            deregister(&ledger, &member).await;
-            while guard.tracker.borrow().has_worker_ended() {
-                with_timeout(&*clock, CHECK_INTERVAL, guard.changed.listen()).await;
-            }
+            continue;
+        }
+        guard.tracker.borrow_mut().withdraw_registration();
+        if deregister(&ledger, &member).await {
+            member.registration = rand::random();
+        } else {
+            guard.confirm_registration(member.registration);
+        }
+        while guard.tracker.borrow().has_worker_ended() {
+            with_timeout(&*clock, CHECK_INTERVAL, guard.changed.listen()).await;
         }
     }
 }
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -75,6 +75,19 @@
         }
     }
 
+    /// Records that the guard's registration is stored, and uses a worker that has waited for it.
+    pub(super) fn confirm_registration(
+        &self,
+        registration: u64,
+    ) {
+        let now = self.clock.now();
+        self.tracker
+            .borrow_mut()
+            .confirm_registration(registration, now);
+        self.poll_due.notify(usize::MAX);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Applies a worker's deregistration.
     pub fn apply_deregistration(
         &self,
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -50,6 +50,12 @@
     pub acknowledged_end: u64,
     /// When the last message of a session arrived.
     pub last_orders_at: Millis,
+    /// The number of the guard's registration while it is known to be stored.
+    registration: Option<u64>,
+    /// Whether the registration is being removed, so that no worker may be used.
+    is_withdrawn: bool,
+    /// The last heartbeat of a worker that waits for the guard's registration.
+    waiting_heartbeat: Option<WorkerHeartbeat>,
     info: Option<WorkerInfo>,
     heartbeat_sequence: u64,
     /// When the last heartbeat arrived.
@@ -78,6 +84,11 @@
         heartbeat: WorkerHeartbeat,
         now: Millis,
     ) -> bool {
+        if self.is_withdrawn {
+            let is_first = self.waiting_heartbeat.is_none();
+            self.waiting_heartbeat = Some(heartbeat);
+            return is_first;
+        }
         let is_same = self.worker.as_ref() == Some(&heartbeat.worker);
         let known_born_ms = self.worker.as_ref().map_or(0, |w| w.life.started_at_ms);
         let life = &heartbeat.worker.life;
@@ -101,6 +112,26 @@
         is_new || !is_same
     }
 
+    /// Stops using workers, because the guard's registration is being removed.
+    pub fn withdraw_registration(&mut self) {
+        self.registration = None;
+        self.is_withdrawn = true;
+    }
+
+    /// Records that the guard is registered under a number, and uses a worker that has waited for
+    /// that.
+    pub fn confirm_registration(
+        &mut self,
+        registration: u64,
+        now: Millis,
+    ) {
+        self.registration = Some(registration);
+        self.is_withdrawn = false;
+        if let Some(heartbeat) = self.waiting_heartbeat.take() {
+            self.apply_heartbeat(heartbeat, now);
+        }
+    }
+
     /// Records that another incarnation has answered at the worker's address.
     pub fn record_other_incarnation(&mut self) {
         self.is_replaced = true;
@@ -111,6 +142,13 @@
         &mut self,
         id: &str,
     ) -> bool {
+        if self
+            .waiting_heartbeat
+            .as_ref()
+            .is_some_and(|h| &*h.worker.life.id == id)
+        {
+            self.waiting_heartbeat = None;
+        }
         let is_known = self.worker.as_ref().is_some_and(|w| &*w.life.id == id);
         if is_known {
             self.departed = self.worker.as_ref().map(|w| w.life.clone());
@@ -150,7 +188,7 @@
 
     /// Returns whether the last worker has ended and no other one has sent a heartbeat since.
     pub fn has_worker_ended(&self) -> bool {
-        self.worker_ended
+        self.worker_ended && self.waiting_heartbeat.is_none()
     }
 
     /// Opens a session. Returns `false` if its token is not higher than all earlier ones.
@@ -405,6 +443,7 @@
             clock_ms: now.0,
             highest_token: self.highest_token,
             worker: self.worker_view(last_poll.map(|(_, at)| now.since(at))),
+            registration: self.registration,
         }
     }
 
--- a/src/process/scheduler/progress_writer.rs
+++ b/src/process/scheduler/progress_writer.rs
@@ -120,6 +120,10 @@
                 .iter()
                 .map(|name| LedgerKey::Member(name.as_str().into()));
             records.extend(removed.map(|key| key.tombstone()));
+            for member in shared.lost_registrations(&election.ledger) {
+                let key = LedgerKey::Member(member.name.clone());
+                push_record(&mut records, &key, &LedgerRecord::Member(member));
+            }
             records.extend(expired_job_tombstones(&election, retention));
         }
         let mut written: Vec<(StepJobId, u64)> = Vec::new();
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -32,6 +32,7 @@
         let upstream = self.upstreams.entry(name.clone()).or_default();
         upstream.last_report_at = Some(now);
         upstream.guard_clock_ms = report.clock_ms;
+        upstream.reported_registration = report.registration;
         let had_session_report = upstream.has_session_report;
         let worker = match report.worker {
             WorkerView::Known(worker) => worker,
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -143,6 +143,40 @@
         }
     }
 
+    /// Records the number of a guard's registration that was read from the ledger; `None` if its
+    /// record is gone.
+    pub fn set_stored_registration(
+        &mut self,
+        name: &UpstreamName,
+        registration: Option<u64>,
+    ) {
+        let upstream = self.upstreams.entry(name.clone()).or_default();
+        upstream.stored_registration = registration;
+    }
+
+    /// Returns whether a guard whose record is gone can be removed. A missing record shows nothing
+    /// about the worker: its runs end by a report or by their leases.
+    pub fn is_removable(
+        &self,
+        name: &UpstreamName,
+    ) -> bool {
+        self.upstreams.get(name).is_none_or(|u| {
+            let has_worker = u.is_connected && u.incarnation.is_some();
+            !has_worker && u.runs.is_empty()
+        })
+    }
+
+    /// Returns the connected guards whose registration is stored under another number or not at
+    /// all, although the store has confirmed it to them, each with that number.
+    pub fn displaced_registrations(&self) -> Vec<(UpstreamName, u64)> {
+        let connected = self.upstreams.iter().filter(|(_, u)| u.is_connected);
+        let displaced = connected.filter_map(|(name, u)| {
+            let reported = u.reported_registration?;
+            (u.stored_registration != Some(reported)).then(|| (name.clone(), reported))
+        });
+        displaced.collect()
+    }
+
     /// Records that the session with a guard has closed.
     pub fn close_session(
         &mut self,
@@ -180,8 +214,7 @@
         names.collect()
     }
 
-    /// Removes a guard that is no longer registered: its worker has ended, or all its leases have
-    /// expired.
+    /// Removes a guard that is no longer registered and has no runs.
     pub fn remove_guard(
         &mut self,
         name: &UpstreamName,
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -11,7 +11,7 @@
         prelude::*,
         process::{
             clock::with_timeout,
-            ledger::{LeaderElection, Ledger, LedgerKey, Member, MemberRole},
+            ledger::{LeaderElection, Ledger, LedgerFold, LedgerKey, Member, MemberRole},
             metrics::PlatformMetrics,
             task_group::TaskGroup,
         },
@@ -115,6 +115,33 @@
         }
     }
 
+    /// Returns the records of guards that have to be stored again, because a late deregistration
+    /// has removed them or a late registration has replaced them.
+    pub(super) fn lost_registrations(
+        &self,
+        ledger: &Ledger,
+    ) -> Vec<Member> {
+        let unstored = |fold: &LedgerFold| {
+            let names = fold.unstored_members.iter();
+            let members = names.filter_map(|name| fold.members.get(name).cloned());
+            members.collect::<Vec<Member>>()
+        };
+        let mut lost = ledger.view(unstored);
+        let guards = self.guards.borrow();
+        for (name, registration) in self.scheduler.borrow().displaced_registrations() {
+            if let Some((member, _)) = guards.get(&name) {
+                lost.push(Member {
+                    registration,
+                    ..member.clone()
+                });
+            }
+        }
+        for member in &lost {
+            tracing::info!(name = %member.name, registration = member.registration, "the record of a guard is stored again");
+        }
+        lost
+    }
+
     fn wake_session(
         &self,
         name: &UpstreamName,
@@ -245,7 +272,7 @@
 }
 
 /// Opens sessions with guards that are new on the ledger or have another address, and ends those
-/// with guards that are no longer registered.
+/// with guards that are no longer registered and have no runs.
 fn sync_sessions(
     shared: &Rc<SchedulerTerm>,
     ledger: &Ledger,
@@ -253,15 +280,26 @@
     let guards = registered_guards(ledger);
     let known: Vec<UpstreamName> = shared.guards.borrow().keys().cloned().collect();
     for name in known.iter().filter(|n| !guards.contains_key(n)) {
-        shared.drop_session(name);
+        let is_removable = {
+            let mut scheduler = shared.scheduler.borrow_mut();
+            scheduler.set_stored_registration(name, None);
+            scheduler.is_removable(name)
+        };
+        if is_removable {
+            shared.drop_session(name);
+        }
     }
     for (name, member) in guards {
-        let is_known = shared
-            .guards
-            .borrow()
-            .get(&name)
-            .is_some_and(|(m, _)| m.address == member.address);
-        if is_known {
+        let registration = Some(member.registration);
+        let known_address = shared.guards.borrow().get(&name).map(|(m, _)| m.address);
+        {
+            let mut scheduler = shared.scheduler.borrow_mut();
+            scheduler.set_stored_registration(&name, registration);
+            if known_address.is_some_and(|known| known != member.address) {
+                scheduler.close_session(&name);
+            }
+        }
+        if known_address == Some(member.address) {
             continue;
         }
         let wake = Rc::new(Event::new());
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -44,6 +44,11 @@
     pub is_connected: bool,
     /// Whether its guard is being deregistered.
     pub is_deregistering: bool,
+    /// The number of the guard's registration that was read from the ledger.
+    pub stored_registration: Option<u64>,
+    /// The number of the guard's registration in its last report; `None` before its first one is
+    /// stored.
+    pub reported_registration: Option<u64>,
     /// Whether a report that describes the worker was received in the session.
     pub has_session_report: bool,
     /// The worker incarnation that the last report described.
@@ -92,6 +97,7 @@
         self.is_connected
             && self.has_session_report
             && !self.is_deregistering
+            && self.is_registered()
             && is_report_recent
             && self.incarnation.is_some()
             && self.leaving_since.is_none()
@@ -99,6 +105,14 @@
             && self.avoid_until <= now
     }
 
+    /// Returns whether the guard's present registration was read from the ledger. An entry that
+    /// takes over waits for registered guards only, so nothing may be started on another one.
+    pub fn is_registered(&self) -> bool {
+        self.stored_registration.is_some()
+            && (self.reported_registration.is_none()
+                || self.reported_registration == self.stored_registration)
+    }
+
     /// Returns the capacity that no run uses.
     pub fn free_capacity(&self) -> Resources {
         let used = self.runs.values().map(|r| r.demand);
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -167,7 +167,7 @@
         role,
         // Nothing listens there, so sessions are not opened.
         address: "127.0.0.1:1".parse().expect("an address"),
-        boot: 1,
+        registration: 1,
     };
     let key = LedgerKey::Member(name.into());
     let record = key.record(&LedgerRecord::Member(member));
--- a/tests/platform/ledger.rs
+++ b/tests/platform/ledger.rs
@@ -44,7 +44,7 @@
         name: name.into(),
         role: MemberRole::Guard,
         address: "127.0.0.1:1".parse().expect("an address"),
-        boot: 1,
+        registration: 1,
     };
     (LedgerKey::Member(name.into()), LedgerRecord::Member(member))
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod malformed;
 mod oracle;
 mod path;
+mod registration;
 mod run_tracker;
 mod scheduler;
 mod store;
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -1037,7 +1037,9 @@
             sim.next_session += 1;
             let token = (sim.scheduler.term << 16) + sim.next_session;
             sim.sessions.insert(guard, (sim.next_session, token, 0));
-            sim.scheduler.open_session(&self.guards[guard].name);
+            let name = &self.guards[guard].name;
+            sim.scheduler.set_stored_registration(name, Some(0));
+            sim.scheduler.open_session(name);
         }
     }
 
