Count sessions for the whole term, and give new guards time to report

Cause: the session counter began again when a guard's record was removed and stored again, so its tokens were refused; and a guard without a report counted as expired as soon as the term was older than all leases, so its record was dropped with the next renewal.

Change: the count lives as long as the term and rises only when a connection stands; a guard has until registration + 7.6 s for its first report; a removal ends when it is read back, so a guard that reports or registers again meanwhile is used. Ruled out: retrying with the guard's highest token (a leader that is deposed would do the same).

Tests that failed first: tokens_rise_when_a_guard_registers_again ("[10001, 10002, 10001, 10002, ...]"), a_guard_that_has_just_registered_has_not_expired ("left: Some(Millis(0)), right: Some(Millis(7700))"). Both hold now.

--- a/src/process/scheduler/guard_task.rs
+++ b/src/process/scheduler/guard_task.rs
@@ -1,7 +1,7 @@
 //! Keeps a session with one guard, which sends it orders and reads its reports.
 
 use {
-    super::{scheduler::TERM_SHIFT_BITS, scheduler_term::SchedulerTerm},
+    super::scheduler_term::SchedulerTerm,
     crate::{
         connection::{FrameError, GuardReport, read_frame, set_nodelay, write_frame},
         prelude::*,
@@ -34,13 +34,13 @@
     wake: Rc<Event>,
 ) {
     let name = UpstreamName::from(&*member.name);
-    let mut session = 0;
     loop {
-        session += 1;
-        let token = (shared.term << TERM_SHIFT_BITS) + session;
         let connecting = TcpStream::connect(member.address);
         match with_timeout(&*shared.clock, CONNECT_TIMEOUT, connecting).await {
             Some(Ok(stream)) => {
+                let Some(token) = shared.next_token(&name) else {
+                    return;
+                };
                 shared.scheduler.borrow_mut().open_session(&name);
                 let result = run_session(&shared, &name, token, stream, &wake).await;
                 shared.scheduler.borrow_mut().close_session(&name);
--- a/src/process/scheduler/progress_writer.rs
+++ b/src/process/scheduler/progress_writer.rs
@@ -106,6 +106,7 @@
             continue;
         }
         let mut records = Vec::new();
+        let mut expired = Vec::new();
         if is_renewal_due {
             renewed = shared.clock.now();
             push_record(
@@ -115,7 +116,7 @@
             );
             // A guard that is still alive registers again.
             let now = shared.clock.now();
-            let expired = shared.scheduler.borrow_mut().mark_expired_guards(now);
+            expired = shared.scheduler.borrow_mut().mark_expired_guards(now);
             let removed = expired
                 .iter()
                 .map(|name| LedgerKey::Member(name.as_str().into()));
@@ -139,10 +140,11 @@
             shared.end("another entry has appended under a higher term");
             return;
         };
-        shared
-            .scheduler
-            .borrow_mut()
-            .confirm_leadership(appended.sent_at);
+        {
+            let mut scheduler = shared.scheduler.borrow_mut();
+            scheduler.confirm_leadership(appended.sent_at);
+            scheduler.confirm_deregistrations(&expired, appended.offset + records.len() as u64);
+        }
         for (id, change) in written {
             shared.scheduler.borrow_mut().mark_recorded(id, change);
         }
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -149,11 +149,45 @@
         &mut self,
         name: &UpstreamName,
         registration: Option<u64>,
+        now: Millis,
     ) {
         let upstream = self.upstreams.entry(name.clone()).or_default();
+        if upstream.stored_registration.is_none() {
+            upstream.registered_at = now;
+        }
         upstream.stored_registration = registration;
     }
 
+    /// Records that the deregistrations of guards are stored before an offset of the ledger.
+    pub fn confirm_deregistrations(
+        &mut self,
+        names: &[UpstreamName],
+        end: u64,
+    ) {
+        for name in names {
+            if let Some(upstream) = self.upstreams.get_mut(name) {
+                upstream.deregistered_before = Some(end);
+            }
+        }
+    }
+
+    /// Ends the deregistrations that were read back, now that the ledger is read up to an offset. A
+    /// guard that has registered again meanwhile, or reports again, may be used from then on.
+    pub fn finish_deregistrations(
+        &mut self,
+        read_to: u64,
+    ) {
+        for upstream in self.upstreams.values_mut() {
+            if upstream
+                .deregistered_before
+                .is_some_and(|end| end <= read_to)
+            {
+                upstream.deregistered_before = None;
+                upstream.is_deregistering = false;
+            }
+        }
+    }
+
     /// Returns whether a guard whose record is gone can be removed. A missing record shows nothing
     /// about the worker: its runs end by a report or by their leases.
     pub fn is_removable(
@@ -187,24 +221,20 @@
         }
     }
 
-    /// Marks the guards that have not reported for so long that all their leases have expired, and
-    /// returns them to be deregistered. Nothing is placed there until they register again. A
+    /// Marks the guards that have not reported for so long that all their leases have expired, or
+    /// not since they registered, and returns them to be deregistered. Nothing is placed there until they register again. A
     /// scheduler that takes over waits for registered guards only, so it need not wait for these.
     pub fn mark_expired_guards(
         &mut self,
         now: Millis,
     ) -> Vec<UpstreamName> {
         let expiry_delay = self.leases.expiry_delay();
-        if self.hold_starts_until < now {
-            for name in &self.unreported_guards {
-                self.upstreams.entry(name.clone()).or_default();
-            }
-        }
         let hold_starts_until = self.hold_starts_until;
         let expired = self.upstreams.iter_mut().filter(|(_, u)| {
-            let expires_at = u
-                .last_report_at
-                .map_or(hold_starts_until, |at| at + expiry_delay);
+            let expires_at = match u.last_report_at {
+                Some(at) => at + expiry_delay,
+                None => hold_starts_until.max(u.registered_at + expiry_delay),
+            };
             !u.is_deregistering && !u.is_connected && expires_at < now
         });
         let names = expired.map(|(name, u)| {
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -59,6 +59,9 @@
     pub(super) recording_due: Event,
     guards: RefCell<BTreeMap<UpstreamName, (Member, Rc<Event>)>>,
     sessions: RefCell<BTreeMap<UpstreamName, TaskGroup>>,
+    /// The number of sessions that were opened with each guard. It outlasts the guard's record,
+    /// because tokens must rise for the rest of the term.
+    session_counts: RefCell<BTreeMap<UpstreamName, u64>>,
     is_over: Cell<bool>,
     /// Whether this entry gave up the leadership because it cannot lead.
     is_unfit: Cell<bool>,
@@ -97,6 +100,22 @@
         self.end(why);
     }
 
+    /// Returns the token of the next session with a guard. Ends the term, and returns `None`, once
+    /// no numbers are left.
+    pub(super) fn next_token(
+        &self,
+        name: &UpstreamName,
+    ) -> Option<u64> {
+        let mut counts = self.session_counts.borrow_mut();
+        let count = counts.entry(name.clone()).or_default();
+        *count += 1;
+        if *count >> TERM_SHIFT_BITS > 0 {
+            self.end("the session numbers of the term are used up");
+            return None;
+        }
+        Some((self.term << TERM_SHIFT_BITS) + *count)
+    }
+
     /// Ends the term if a guard knows a fencing token of a higher one.
     pub(super) fn check_token(
         &self,
@@ -236,6 +255,7 @@
         recording_due: Event::new(),
         guards: RefCell::default(),
         sessions: RefCell::default(),
+        session_counts: RefCell::default(),
         is_over: Cell::new(false),
         is_unfit: Cell::new(false),
     }
@@ -277,12 +297,18 @@
     shared: &Rc<SchedulerTerm>,
     ledger: &Ledger,
 ) {
+    let now = shared.clock.now();
     let guards = registered_guards(ledger);
+    let read_to = ledger.view(|fold| fold.next_offset);
+    shared
+        .scheduler
+        .borrow_mut()
+        .finish_deregistrations(read_to);
     let known: Vec<UpstreamName> = shared.guards.borrow().keys().cloned().collect();
     for name in known.iter().filter(|n| !guards.contains_key(n)) {
         let is_removable = {
             let mut scheduler = shared.scheduler.borrow_mut();
-            scheduler.set_stored_registration(name, None);
+            scheduler.set_stored_registration(name, None, now);
             scheduler.is_removable(name)
         };
         if is_removable {
@@ -294,7 +320,7 @@
         let known_address = shared.guards.borrow().get(&name).map(|(m, _)| m.address);
         {
             let mut scheduler = shared.scheduler.borrow_mut();
-            scheduler.set_stored_registration(&name, registration);
+            scheduler.set_stored_registration(&name, registration, now);
             if known_address.is_some_and(|known| known != member.address) {
                 scheduler.close_session(&name);
             }
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -44,6 +44,10 @@
     pub is_connected: bool,
     /// Whether its guard is being deregistered.
     pub is_deregistering: bool,
+    /// The offset after the record that deregisters the guard, once that is stored.
+    pub deregistered_before: Option<u64>,
+    /// When the guard's record was first read.
+    pub registered_at: Millis,
     /// The number of the guard's registration that was read from the ledger.
     pub stored_registration: Option<u64>,
     /// The number of the guard's registration in its last report; `None` before its first one is
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod registration;
 mod run_tracker;
 mod scheduler;
+mod sessions;
 mod store;
 mod wire;
 mod world;
--- /dev/null
+++ b/tests/platform/sessions.rs
@@ -0,0 +1,140 @@
+//! The sessions of a leader with guards: a real term over a store in memory, and a stand-in guard on
+//! a socket.
+
+use {
+    super::fake_store::{FakeStore, SharedStore},
+    compio::{
+        net::TcpListener,
+        runtime::{Runtime, spawn},
+    },
+    limpetquay::{
+        connection::{GuardOrders, read_frame},
+        prelude::*,
+        process::{
+            clock::{SystemClock, with_timeout},
+            ledger::{
+                CandidateMachine, Condition, KeyedRecord, KeyedStore, LeaderElection, Ledger,
+                LedgerKey, LedgerRecord, Member, MemberRole,
+            },
+            metrics::PlatformMetrics,
+            scheduler::{
+                LeaseTerms, RackFirstPlacement, Scheduler, SchedulerContext, run_scheduler,
+            },
+        },
+    },
+    std::collections::BTreeSet,
+};
+
+const LEASES_MS: u64 = 6000;
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn append(
+    shared: &SharedStore,
+    record: KeyedRecord,
+) {
+    let mut model = shared.model.borrow_mut();
+    let appended = model.append("keyed.limpetquay", &[record], Condition::Always);
+    appended.expect("an append without a condition");
+}
+
+fn registration(
+    address: SocketAddr,
+    registration: u64,
+) -> KeyedRecord {
+    let member = Member {
+        name: "guard-1".into(),
+        role: MemberRole::Guard,
+        address,
+        registration,
+    };
+    let record = LedgerKey::Member(member.name.clone()).record(&LedgerRecord::Member(member));
+    record.expect("an encodable record")
+}
+
+/// Accepts a session and returns the token of its first message.
+async fn accept_session(
+    listener: &TcpListener,
+    clock: &dyn Clock,
+) -> u64 {
+    let accepting = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let orders: GuardOrders = read_frame(&mut stream).await.expect("a message");
+        orders.token
+    };
+    let token = with_timeout(clock, TIMEOUT, accepting).await;
+    token.expect("a session is opened in time")
+}
+
+/// Guards against workers that get no more work until another entry leads: a guard refuses a token
+/// that is not above all earlier ones, so tokens go on rising when its record is removed and stored
+/// again within a term. Review case 3.
+#[test]
+fn tokens_rise_when_a_guard_registers_again() {
+    let runtime = Runtime::new().expect("a runtime");
+    let tokens = runtime.block_on(async {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let shared: Rc<SharedStore> = Rc::default();
+        let store = FakeStore::new(shared.clone(), clock.clone(), Duration::from_millis(2));
+        let keyed: Rc<dyn KeyedStore> = store.clone();
+        let ledger = Rc::new(Ledger::new(keyed, clock.clone()));
+        let election = Rc::new(LeaderElection::new(
+            ledger.clone(),
+            clock.clone(),
+            store.health.clone(),
+            EntryName::from("entry-1"),
+            1,
+            CandidateMachine {
+                cpu_milli: 500,
+                link_kbps: 200_000,
+            },
+        ));
+        let cx = SchedulerContext {
+            election,
+            clock: clock.clone(),
+            queue_table: Rc::default(),
+            leases: LeaseTerms::new(Millis(LEASES_MS)),
+            remote_factor: 3,
+            retention: Duration::from_secs(240),
+            metrics: Rc::new(PlatformMetrics::default()),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        append(&shared, registration(address, 1));
+        let _following = spawn(async move { ledger.follow().await });
+        let _leading = spawn(run_scheduler(cx));
+        let mut tokens = Vec::new();
+        for number in 2..5 {
+            // The stand-in guard closes each session at once, so the leader opens a second one.
+            tokens.push(accept_session(&listener, &*clock).await);
+            tokens.push(accept_session(&listener, &*clock).await);
+            append(&shared, LedgerKey::Member("guard-1".into()).tombstone());
+            clock.sleep(Duration::from_millis(150)).await;
+            append(&shared, registration(address, number));
+        }
+        tokens
+    });
+    assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:x?}");
+}
+
+/// Guards against a record that is removed as soon as it is stored: a guard that registers during a
+/// term has as long for its first report as any other guard between two. Review case 3.
+#[test]
+fn a_guard_that_has_just_registered_has_not_expired() {
+    let leases = LeaseTerms::new(Millis(LEASES_MS));
+    let policy = Box::new(RackFirstPlacement);
+    let mut scheduler = Scheduler::new(1, leases, 3, policy, BTreeSet::new(), Millis(0));
+    let name = UpstreamName::from("guard-1");
+    let registered_at = Millis(60_000);
+    scheduler.set_stored_registration(&name, Some(1), registered_at);
+    scheduler.open_session(&name);
+    scheduler.close_session(&name);
+    let expired_at = (0..30_000).step_by(100).map(Millis).find(|after| {
+        let expired = scheduler.mark_expired_guards(registered_at + *after);
+        !expired.is_empty()
+    });
+    let expiry_delay = leases.expiry_delay();
+    assert_eq!(
+        expired_at,
+        Some(expiry_delay + Millis(100 - expiry_delay.0 % 100))
+    );
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -1038,7 +1038,8 @@
             let token = (sim.scheduler.term << 16) + sim.next_session;
             sim.sessions.insert(guard, (sim.next_session, token, 0));
             let name = &self.guards[guard].name;
-            sim.scheduler.set_stored_registration(name, Some(0));
+            sim.scheduler
+                .set_stored_registration(name, Some(0), Millis(self.now));
             sim.scheduler.open_session(name);
         }
     }
