Count leases from what a guard knows of its worker

Cause: a restarted guard reports that it knows nothing of its worker, and the leader counted leases from any report.

Change: leases count from the last report that describes the worker, or from the last time at which its guard was able to extend them, which the guard reports (a new field at the end of the report). A leader that takes over judges guards without a description by the same time. Ruled out: counting an unknown worker as lost at once (a guard with lost answers may still extend the lease).

Test that failed first: work_of_a_lost_worker_goes_on_although_its_guard_has_restarted (phase Running after 30 s for all three delays; Completed now).

--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -72,6 +72,9 @@
     pub worker: WorkerView,
     /// The number of the guard's registration; `None` while it is not known to be stored.
     pub registration: Option<u64>,
+    /// The time since the guard was last able to extend the worker's lease, in milliseconds; `None`
+    /// if the worker has not answered it since its start.
+    pub lease_age_ms: Option<u64>,
 }
 
 /// What a guard has observed of the worker on its machine.
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -292,6 +292,16 @@
         Some(clock_ms + (now - read_at).0 + session.worker_lease.0)
     }
 
+    /// Returns the time since the worker's lease could last be extended, which takes a recent
+    /// answer; `None` if the worker has not answered yet.
+    fn lease_age(
+        &self,
+        now: Millis,
+    ) -> Option<Duration> {
+        let (_, read_at) = self.worker_clock?;
+        Some(now.since(read_at + Millis::from(MAX_ANSWER_AGE)))
+    }
+
     /// Returns whether the worker has announced that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.info.as_ref().is_some_and(|i| i.leaving_ms.is_some())
@@ -444,6 +454,7 @@
             highest_token: self.highest_token,
             worker: self.worker_view(last_poll.map(|(_, at)| now.since(at))),
             registration: self.registration,
+            lease_age_ms: self.lease_age(now).map(|age| Millis::from(age).0),
         }
     }
 
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -29,21 +29,21 @@
 
 impl Scheduler {
     /// Marks the runs as lost whose guards have not reported for so long that all leases have
-    /// expired.
+    /// expired, or know nothing of their worker for as long.
     pub fn drop_expired_runs(
         &mut self,
         now: Millis,
     ) {
         let expiry_delay = self.leases.expiry_delay();
         let expired = self.upstreams.iter().filter(|(_, u)| {
-            !u.runs.is_empty() && u.last_report_at.is_none_or(|at| at + expiry_delay < now)
+            !u.runs.is_empty() && u.leased_at.is_none_or(|at| at + expiry_delay < now)
         });
         let expired: Vec<UpstreamName> = expired.map(|(name, _)| name.clone()).collect();
         for name in expired {
             self.mark_runs_lost(
                 &name,
                 now,
-                "the guard does not report and all its leases have expired",
+                "the guard does not report on the worker and all leases have expired",
             );
         }
     }
--- a/src/process/scheduler/pass_pending_units.rs
+++ b/src/process/scheduler/pass_pending_units.rs
@@ -16,7 +16,7 @@
         now: Millis,
         wall: Millis,
     ) -> Vec<PendingUnit> {
-        let is_held = !self.unreported_guards.is_empty() && now < self.hold_starts_until;
+        let is_held = self.may_have_inherited_runs(now);
         let mut units = Vec::new();
         for (id, open) in &mut self.jobs {
             let may_run_elsewhere = is_held && open.may_have_started;
@@ -46,6 +46,19 @@
         units
     }
 
+    /// Returns whether a guard that has not reported since the takeover may have a worker on which
+    /// runs of earlier schedulers continue.
+    fn may_have_inherited_runs(
+        &self,
+        now: Millis,
+    ) -> bool {
+        let expiry_delay = self.leases.expiry_delay();
+        self.unreported_guards.iter().any(|name| {
+            let leased_at = self.upstreams.get(name).and_then(|u| u.leased_at);
+            now < self.hold_starts_until || leased_at.is_some_and(|at| now < at + expiry_delay)
+        })
+    }
+
     /// Marks the urgent units that fit into the unused part of their account's guarantee, the ones
     /// with the earliest due time first.
     fn mark_guaranteed(
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -35,13 +35,21 @@
         upstream.reported_registration = report.registration;
         let had_session_report = upstream.has_session_report;
         let worker = match report.worker {
-            WorkerView::Known(worker) => worker,
+            WorkerView::Known(worker) => {
+                upstream.leased_at = Some(now);
+                worker
+            }
             WorkerView::Ended => {
                 self.unreported_guards.remove(name);
                 self.mark_worker_lost(name, now, "the worker has ended");
                 return;
             }
             WorkerView::Unknown => {
+                // A guard that has restarted extends no lease before the worker answers it.
+                let leased_at = report
+                    .lease_age_ms
+                    .map(|age| Millis(now.0.saturating_sub(age)));
+                upstream.leased_at = upstream.leased_at.max(leased_at);
                 if had_session_report && upstream.incarnation.is_some() {
                     self.mark_worker_lost(name, now, "the worker was replaced by another one");
                 }
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -67,6 +67,9 @@
     pub leaving_since: Option<Millis>,
     /// When the last report was received.
     pub last_report_at: Option<Millis>,
+    /// The time from which the leases of its runs count: the last report that describes the worker,
+    /// or the last time at which its guard was able to extend them without one.
+    pub leased_at: Option<Millis>,
     /// The time since the worker's last answer to its guard, as of the last report, in
     /// milliseconds.
     pub unresponsive_ms: u64,
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -153,6 +153,34 @@
     }
 }
 
+/// Guards against jobs that never go on: their worker is lost for good, and its guard restarts
+/// before it has noticed, so that it can say nothing about the worker. Review case 4.
+#[test]
+fn work_of_a_lost_worker_goes_on_although_its_guard_has_restarted() {
+    let mut waits = Vec::new();
+    for delay in [100, 300, 1000] {
+        let mut world = World::new(1, 2, Faults::default());
+        world.run_for(1000);
+        let id = world.submit(
+            vec![Step {
+                count: 8,
+                ..one_subtask()
+            }],
+            1,
+            4,
+        );
+        world.run_for(300);
+        world.lose_worker(0);
+        world.restart_guard(0, delay);
+        world.run_for(30_000);
+        world.oracle.check_history();
+        let found = &world.oracle.violations;
+        assert!(found.is_empty(), "delay {delay}: {found:?}");
+        waits.push((delay, world.progress(id).phase()));
+    }
+    insta::assert_debug_snapshot!(waits);
+}
+
 /// Guards against needless preemption when urgent work arrives at a full service: capacity that
 /// becomes free within the preemption delay is used, nothing is stopped, and the job starts in
 /// time.
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -126,6 +126,8 @@
     reported_at: u64,
     has_changes: bool,
     heartbeats: u64,
+    /// Whether the worker was lost for good: it sends nothing and answers nothing.
+    is_worker_lost: bool,
 }
 
 /// The state of one start of a gang.
@@ -204,6 +206,7 @@
                 reported_at: 0,
                 has_changes: true,
                 heartbeats: 0,
+                is_worker_lost: false,
             });
         }
         world.take_over();
@@ -384,6 +387,15 @@
         g.is_polling = false;
     }
 
+    /// Ends a worker for good. Its guard runs on.
+    pub fn lose_worker(
+        &mut self,
+        guard: usize,
+    ) {
+        self.crash_worker(guard);
+        self.guards[guard].is_worker_lost = true;
+    }
+
     /// Partitions a guard from all schedulers for a span in milliseconds.
     pub fn partition_guard(
         &mut self,
@@ -893,6 +905,9 @@
         guard: usize,
     ) {
         let g = &mut self.guards[guard];
+        if g.is_worker_lost {
+            return;
+        }
         g.heartbeats += 1;
         let heartbeat = WorkerHeartbeat {
             worker: WorkerAddress {
@@ -923,7 +938,7 @@
         let Some(session) = g.tracker.session else {
             return;
         };
-        if g.is_polling || g.next_poll_at > now {
+        if g.is_worker_lost || g.is_polling || g.next_poll_at > now {
             return;
         }
         g.is_polling = true;
