Take a worker for ended only when its runs are certainly over

Cause, reproduced in real processes: the guard took a worker for ended as soon as it deregistered, which it does before it ends, and one that refused connections and sent no heartbeat, as a cut does. The leader then started the runs elsewhere at once.

Change: the guard knows until when leases were granted, also by a process before it. A worker that refuses counts as ended after its lease; one that deregistered gets no further lease or start, is polled on, and counts as ended when it refuses, or after its lease. The soak plays both at random. Ruled out: waiting for a fixed time after a deregistration (a worker may end many seconds later).

Tests that failed first: runs_of_a_worker_that_deregisters_go_on_until_it_ends ("2328: ... runs twice", all eight subtasks), runs_of_a_worker_that_refuses_connections_are_not_started_again ("3090: ... runs twice"). Both hold now; 47 tests of tests/platform hold.

--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -33,7 +33,12 @@
         let discovery = discovery.map_err(io::Error::other)?;
         let client = HttpClient::new(clock.clone());
         let worker = Rc::new(HttpRunWorker::new(client.clone()));
-        let guard = Rc::new(RunGuard::new(worker, clock.clone(), settings.heartbeat));
+        let guard = Rc::new(RunGuard::new(
+            worker,
+            clock.clone(),
+            settings.heartbeat,
+            settings.leases.worker,
+        ));
         let server = HttpServer::bind(discovery, Rc::new(DiscoveryApi::new(guard.clone()))).await?;
         let sessions = guard.start(TcpListener::bind(settings.peers).await?);
         let tasks = TaskGroup::default();
--- a/src/process/runs/order_task.rs
+++ b/src/process/runs/order_task.rs
@@ -71,7 +71,7 @@
     token: u64,
     start: &RunStart,
 ) -> Result<(), RunWorkerError> {
-    let deadline = guard.tracker.borrow().deadline_ms(guard.clock.now());
+    let deadline = guard.tracker.borrow_mut().deadline_ms(guard.clock.now());
     match deadline {
         Some(deadline_ms) => guard.worker.start(worker, token, deadline_ms, start).await,
         None => Err(RunWorkerError::Refused(StartRefusal::Late)),
--- a/src/process/runs/poll_task.rs
+++ b/src/process/runs/poll_task.rs
@@ -27,6 +27,7 @@
 pub(super) async fn poll_worker(guard: Rc<RunGuard>) {
     let mut is_answered = false;
     loop {
+        guard.end_expired_departure();
         let due = guard.poll_due.listen();
         let planned = plan_poll(&guard, is_answered);
         let Some((worker, call)) = planned else {
@@ -53,7 +54,7 @@
     guard: &RunGuard,
     is_answered: bool,
 ) -> Option<(WorkerAddress, PollRequest)> {
-    let tracker = guard.tracker.borrow();
+    let mut tracker = guard.tracker.borrow_mut();
     let session = tracker.session?;
     let worker = tracker.worker.clone()?;
     let is_first = !tracker.is_polled();
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -29,14 +29,18 @@
 }
 
 impl RunGuard {
-    /// Creates a guard without a worker. Workers send a heartbeat in each `heartbeat_interval`.
+    /// Creates a guard without a worker. Workers send a heartbeat in each `heartbeat_interval`, and
+    /// a guard before this one may have granted a lease of up to `max_lease`.
     pub fn new(
         worker: Rc<dyn RunWorker>,
         clock: Rc<dyn Clock>,
         heartbeat_interval: Duration,
+        max_lease: Millis,
     ) -> Self {
+        let mut tracker = RunTracker::default();
+        tracker.assume_leases_until(clock.now() + max_lease);
         Self {
-            tracker: RefCell::default(),
+            tracker: RefCell::new(tracker),
             worker,
             clock,
             changed: Event::new(),
@@ -88,6 +92,15 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Ends a worker that has deregistered once its lease has expired.
+    pub(super) fn end_expired_departure(&self) {
+        let now = self.clock.now();
+        if self.tracker.borrow_mut().end_expired_departure(now) {
+            tracing::info!("the worker has ended: it has deregistered and its lease has expired");
+            self.changed.notify(usize::MAX);
+        }
+    }
+
     /// Applies a worker's deregistration.
     pub fn apply_deregistration(
         &self,
@@ -95,6 +108,7 @@
     ) {
         let is_known = self.tracker.borrow_mut().apply_deregistration(id);
         tracing::info!(id, is_known, "worker deregistered");
+        self.poll_due.notify(usize::MAX);
         self.changed.notify(usize::MAX);
     }
 
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -26,6 +26,9 @@
 /// of the heartbeat interval. A live worker sends one heartbeat in each interval.
 const HEARTBEAT_TIMEOUT_PERCENT: u32 = 140;
 
+/// The most by which a worker's clock may run slow, in percent.
+const WORKER_CLOCK_ERROR_PERCENT: u64 = 2;
+
 /// The maximum number of refused starts that are kept for the reports; the oldest are dropped.
 const MAX_REFUSED_STARTS: usize = 64;
 
@@ -63,6 +66,10 @@
     /// When the worker's address began to refuse connections.
     refused_since: Option<Millis>,
     worker_ended: bool,
+    /// Whether the worker has deregistered and may not have ended yet.
+    is_departing: bool,
+    /// When the last lease that was granted to the worker expires; zero if none was.
+    leases_expire_at: Millis,
     /// Whether another incarnation has answered at the worker's address.
     is_replaced: bool,
     /// The incarnation that has deregistered last.
@@ -101,6 +108,9 @@
             return false;
         }
         if !is_same {
+            if self.worker.is_some() {
+                self.leases_expire_at = Millis(0);
+            }
             self.remove_worker();
             self.worker = Some(heartbeat.worker);
         }
@@ -137,7 +147,17 @@
         self.is_replaced = true;
     }
 
-    /// Removes the worker after its deregistration. Returns whether `id` was the current worker.
+    /// Takes into account that a process before this one may have granted leases until `expire_at`.
+    pub fn assume_leases_until(
+        &mut self,
+        expire_at: Millis,
+    ) {
+        self.leases_expire_at = self.leases_expire_at.max(expire_at);
+    }
+
+    /// Records that the worker has deregistered. It ends only afterwards, so until then, or until its
+    /// lease expires, its runs go on; it is not used for new ones, and its lease is not extended.
+    /// Returns whether `id` was the current worker.
     pub fn apply_deregistration(
         &mut self,
         id: &str,
@@ -152,22 +172,43 @@
         let is_known = self.worker.as_ref().is_some_and(|w| &*w.life.id == id);
         if is_known {
             self.departed = self.worker.as_ref().map(|w| w.life.clone());
-            self.remove_worker();
-            self.worker_ended = true;
+            self.is_departing = true;
+            if self.leases_expire_at == Millis(0) {
+                self.end_worker();
+            }
         }
         is_known
     }
 
+    /// Ends a worker that has deregistered once its lease has expired. Returns whether it did.
+    pub fn end_expired_departure(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        let has_ended = self.is_departing && now >= self.leases_expire_at;
+        if has_ended {
+            self.end_worker();
+        }
+        has_ended
+    }
+
     /// Records that the worker's address, which is on this machine, has refused a connection.
-    /// Returns whether the worker has therefore ended: its address has refused connections for some
-    /// time, and a heartbeat is overdue or the remaining time that it announced is over.
+    /// Returns whether the worker has therefore ended: it has deregistered, or its address has refused
+    /// connections for some time, and a heartbeat is overdue or the remaining time that it announced
+    /// is over. A worker that is only cut off looks the same, so one that has not deregistered counts
+    /// as ended only after its lease.
     pub fn record_refused_connection(
         &mut self,
         now: Millis,
         heartbeat_interval: Duration,
     ) -> bool {
         let since = *self.refused_since.get_or_insert(now);
-        if self.worker.is_none() || now.since(since) < MIN_REFUSAL_DURATION {
+        if self.is_departing {
+            self.end_worker();
+            return true;
+        }
+        let is_leased = now < self.leases_expire_at;
+        if self.worker.is_none() || is_leased || now.since(since) < MIN_REFUSAL_DURATION {
             return false;
         }
         let heartbeat_age = now.since(self.heartbeat_at);
@@ -176,8 +217,7 @@
         if !has_left && heartbeat_age < heartbeat_interval * HEARTBEAT_TIMEOUT_PERCENT / 100 {
             return false;
         }
-        self.remove_worker();
-        self.worker_ended = true;
+        self.end_worker();
         true
     }
 
@@ -279,16 +319,23 @@
 
     /// Returns the end of the worker's lease, in milliseconds by its own clock; `None` if the
     /// session's lease has expired, if the worker's clock is unknown, or if the worker has not
-    /// answered a poll recently.
+    /// answered a poll recently or has deregistered. The caller grants the lease, so it counts from
+    /// now on.
     pub fn deadline_ms(
-        &self,
+        &mut self,
         now: Millis,
     ) -> Option<u64> {
+        if self.is_departing {
+            return None;
+        }
         let session = self.session.filter(|s| s.lease_expires_at > now)?;
         let (clock_ms, read_at) = self.worker_clock?;
         if now.since(read_at) > MAX_ANSWER_AGE {
             return None;
         }
+        let lease = session.worker_lease.0;
+        let longest = Millis(lease * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100);
+        self.leases_expire_at = self.leases_expire_at.max(now + longest);
         Some(clock_ms + (now - read_at).0 + session.worker_lease.0)
     }
 
@@ -304,7 +351,7 @@
 
     /// Returns whether the worker has announced that it is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.info.as_ref().is_some_and(|i| i.leaving_ms.is_some())
+        self.is_departing || self.info.as_ref().is_some_and(|i| i.leaving_ms.is_some())
     }
 
     /// Returns whether `token` belongs to the current session.
@@ -486,7 +533,11 @@
             service: info.service.clone(),
             capacity: info.capacity,
             labels: info.labels.clone(),
-            remaining_ms: info.leaving_ms,
+            remaining_ms: if self.is_departing {
+                Some(0)
+            } else {
+                info.leaving_ms
+            },
             unresponsive_ms: Millis::from(answer_age).0,
             runs: self.runs.values().map(|r| r.status.clone()).collect(),
             ends: self.ends.values().cloned().collect(),
@@ -529,8 +580,15 @@
             .collect()
     }
 
+    fn end_worker(&mut self) {
+        self.remove_worker();
+        self.leases_expire_at = Millis(0);
+        self.worker_ended = true;
+    }
+
     fn remove_worker(&mut self) {
         self.worker = None;
+        self.is_departing = false;
         self.info = None;
         self.heartbeat_sequence = 0;
         self.last_poll = None;
--- a/tests/platform/registration.rs
+++ b/tests/platform/registration.rs
@@ -148,6 +148,7 @@
             Rc::new(UnusedWorker),
             cx.clone(),
             HEARTBEAT_INTERVAL,
+            Millis(0),
         ));
         let member = Member {
             name: "guard-1".into(),
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -78,6 +78,30 @@
         }
     }
 
+    /// Submits a job of one step with `count` subtasks of one accelerator and `work_ms` of work.
+    pub async fn submit_one(
+        &self,
+        count: u32,
+        work_ms: u64,
+    ) -> StepJobId {
+        let id = StepJobId(self.next_job.replace(self.next_job.get() + 1));
+        let step = Step {
+            count,
+            demand: Resources {
+                cpu_milli: 1000,
+                memory_mb: 1000,
+                accelerators: 1,
+            },
+            estimate_ms: work_ms,
+            ..Step::default()
+        };
+        let (job, body) = encode_job(id, vec![step], format!("work_ms={work_ms}"));
+        self.fleet.oracle.borrow_mut().jobs.insert(id, job);
+        let mut rng = StdRng::seed_from_u64(id.0);
+        self.submit(&mut rng, id, &body).await;
+        id
+    }
+
     /// Returns a job's state from the first entry that knows it, or `None` if none does.
     pub async fn state(
         &self,
@@ -219,6 +243,15 @@
         });
     }
     let payload = format!("work_ms={work_ms}{}", if is_failing { " fail" } else { "" });
+    encode_job(id, steps, payload)
+}
+
+/// Returns a job of the given steps for the oracle and the body that submits it.
+fn encode_job(
+    id: StepJobId,
+    steps: Vec<Step>,
+    payload: String,
+) -> (StepJob, String) {
     let encoded_steps = steps.iter().map(|s| {
         serde_json::json!({"Count": s.count, "Cpu": s.demand.cpu_milli, "MemMb": s.demand.memory_mb,
             "Gpu": s.demand.accelerators, "EstRuntimeMs": s.estimate_ms, "DependsOn": s.after,
--- a/tests/soak/fault_injector.rs
+++ b/tests/soak/fault_injector.rs
@@ -214,7 +214,24 @@
         rng: &mut StdRng,
     ) {
         let worker = self.random_worker(rng);
-        match rng.random_range(0..5) {
+        match rng.random_range(0..7) {
+            5 => {
+                self.fleet.log_event(format!(
+                    "worker {worker} is cut off and refuses connections"
+                ));
+                self.fleet.cut_worker(worker, true);
+                sleep_between(rng, 300, 5000).await;
+                self.fleet.cut_worker(worker, false);
+            }
+            6 => {
+                self.fleet.log_event(format!("worker {worker} leaves"));
+                self.fleet.deregister_worker(worker).await;
+                sleep_between(rng, 50, 2000).await;
+                self.fleet.crash_worker(worker);
+                sleep_between(rng, 100, 4000).await;
+                self.fleet.crash_worker(worker);
+                self.fleet.start_worker(worker).await;
+            }
             0 => self.fleet.disrupt_worker_connections(worker, true),
             1 => self.fleet.disrupt_worker_connections(worker, false),
             2 => self
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -39,6 +39,7 @@
     number: u64,
     model: Rc<StandInWorker>,
     link: Proxy,
+    sends_heartbeats: Rc<std::cell::Cell<bool>>,
     _server: JoinHandle<()>,
     _heartbeats: JoinHandle<()>,
 }
@@ -162,11 +163,19 @@
             "http://{}/Instances.Heartbeat/{id}",
             address(guard.ip, 8526)
         );
-        let heartbeats = send_heartbeats(self.client.clone(), url, link.address(), number);
+        let sends_heartbeats = Rc::new(std::cell::Cell::new(true));
+        let heartbeats = send_heartbeats(
+            self.client.clone(),
+            url,
+            link.address(),
+            number,
+            sends_heartbeats.clone(),
+        );
         let incarnation = WorkerIncarnation {
             number,
             model,
             link,
+            sends_heartbeats,
             _server: spawn(server.run(std::future::pending())),
             _heartbeats: spawn(heartbeats),
         };
@@ -184,6 +193,43 @@
         }
     }
 
+    /// Cuts a worker off from its guard, or ends the cut: connections are refused, and no heartbeats
+    /// arrive, while its runs go on.
+    pub fn cut_worker(
+        &self,
+        worker: usize,
+        is_cut: bool,
+    ) {
+        if let Some(incarnation) = &self.workers.borrow()[worker] {
+            incarnation.sends_heartbeats.set(!is_cut);
+            incarnation.link.set_state(if is_cut {
+                LinkState::Refused
+            } else {
+                LinkState::Open
+            });
+        }
+    }
+
+    /// Lets a worker deregister at its guard. Its runs go on until it ends.
+    pub async fn deregister_worker(
+        &self,
+        worker: usize,
+    ) {
+        let Some(number) = self.workers.borrow()[worker].as_ref().map(|w| {
+            w.sends_heartbeats.set(false);
+            w.number
+        }) else {
+            return;
+        };
+        let guard = &self.nodes[self.nodes_of_role(Role::Guard)[worker]];
+        let guard = address(guard.ip, 8526);
+        let url = format!("http://{guard}/Instances.Deregister/w-{number}");
+        let confirmed = self.client.post(&url, &[], "{}".into(), HEARTBEAT_INTERVAL);
+        if confirmed.await.is_err() {
+            self.log_event(format!("the deregistration of w-{number} is not confirmed"));
+        }
+    }
+
     /// Sets the state of the link between a guard and its worker.
     pub fn set_worker_link_state(
         &self,
@@ -323,8 +369,12 @@
     url: String,
     worker: SocketAddr,
     incarnation: u64,
+    sends: Rc<std::cell::Cell<bool>>,
 ) {
     for sequence in 1.. {
+        while !sends.get() {
+            compio::time::sleep(HEARTBEAT_INTERVAL).await;
+        }
         let heartbeat = format!(
             r#"{{"Service":"s","Address":"{worker}","State":"in_service","Sequence":{sequence},
             "Capacity":{{"Cpu":{},"MemMb":{},"Gpu":{}}},"Labels":["a","r1"],"born":{incarnation}}}"#,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -200,6 +200,61 @@
 }
 
 /// Checks that signals in quick succession, also just after a start, do not end a process.
+/// Runs a job on two workers while `disturb` acts on the first one, and returns the violations.
+fn violations_while<F>(
+    seed: u64,
+    disturb: F,
+) -> Vec<String>
+where
+    F: AsyncFnOnce(&Rc<Fleet>),
+{
+    let runtime = Runtime::new().expect("the runtime can be created");
+    runtime.block_on(async {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        drop(std::fs::remove_dir_all(&dir));
+        let subnet = [1 + (std::process::id() % 200) as u8, seed as u8];
+        let fleet = Fleet::start(dir, subnet, 1, 2, CONFIG).await;
+        let callers = Callers::new(fleet.clone());
+        compio::time::sleep(Duration::from_millis(2000)).await;
+        let job = callers.submit_one(8, 2500).await;
+        compio::time::sleep(Duration::from_millis(300)).await;
+        disturb(&fleet).await;
+        let state = wait_for_end(&fleet, &callers, job).await;
+        fleet.observe_workers();
+        fleet.oracle.borrow_mut().check_history();
+        fleet.stop();
+        let mut violations = fleet.oracle.borrow().violations.clone();
+        if !state.contains("completed") {
+            violations.push(format!("the job has state {state}"));
+        }
+        violations
+    })
+}
+
+/// Guards against work that is started again while it runs: a worker is cut off from its guard and
+/// refuses connections, and its runs go on within their lease.
+#[test]
+fn runs_of_a_worker_that_refuses_connections_are_not_started_again() {
+    let violations = violations_while(251, async |fleet| {
+        fleet.cut_worker(0, true);
+        compio::time::sleep(Duration::from_millis(1700)).await;
+        fleet.cut_worker(0, false);
+    });
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Guards against work that is started again while it runs: a worker has deregistered, and its runs
+/// go on until it ends.
+#[test]
+fn runs_of_a_worker_that_deregisters_go_on_until_it_ends() {
+    let violations = violations_while(252, async |fleet| {
+        fleet.deregister_worker(0).await;
+        compio::time::sleep(Duration::from_millis(1500)).await;
+        fleet.crash_worker(0);
+    });
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[test]
 fn a_burst_of_reloads_ends_no_process() {
     let violations = Runtime::new()
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -31,6 +31,8 @@
     BlockedToClient,
     /// Nothing is forwarded in either direction until the state changes.
     Blocked,
+    /// Connections are closed and new ones refused until the state changes.
+    Refused,
 }
 
 /// The state of a proxy, shared by all its connections.
@@ -65,7 +67,7 @@
             .local_addr()
             .expect("a bound socket has an address");
         let state = Rc::<ProxyState>::default();
-        let task = spawn(accept_connections(listener, target, state.clone()));
+        let task = spawn(serve(listener, target, state.clone()));
         Self {
             state,
             address,
@@ -99,6 +101,35 @@
     }
 }
 
+/// Accepts connections, and stops listening while the link refuses them.
+async fn serve(
+    mut listener: TcpListener,
+    target: SocketAddr,
+    state: Rc<ProxyState>,
+) {
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    loop {
+        let accepting = accept_connections(listener, target, state.clone());
+        let refusing = wait_until(|| state.link.get() == LinkState::Refused);
+        futures_util::future::select(Box::pin(accepting), Box::pin(refusing)).await;
+        wait_until(|| state.link.get() != LinkState::Refused).await;
+        listener = std::net::TcpListener::bind(address)
+            .and_then(TcpListener::from_std)
+            .expect("the address is free again");
+    }
+}
+
+async fn wait_until<F>(condition: F)
+where
+    F: Fn() -> bool,
+{
+    while !condition() {
+        compio::time::sleep(BLOCKED_CHECK_INTERVAL).await;
+    }
+}
+
 async fn accept_connections(
     listener: TcpListener,
     target: SocketAddr,
@@ -175,7 +206,7 @@
         LinkState::Open | LinkState::Slow(_) => false,
         LinkState::BlockedToServer => is_to_server,
         LinkState::BlockedToClient => !is_to_server,
-        LinkState::Blocked => true,
+        LinkState::Blocked | LinkState::Refused => true,
     };
     is_direction_blocked || generation < state.stalled_below.get()
 }
