Grant no lease by the clock of an earlier process of a guard

Callers could see a subtask run twice: a guard that is cut off within one round trip after its restart keeps its worker's lease for as long as the process before had lived, while the leader starts the work elsewhere. Seen by the review in virtual time and by reading; no run of real processes showed it.

Cause: the first message of a session echoed the clock of the guard's last report, and each process's clock counts from its start.

Change: no clock is kept over sessions, and a message before the session's first report grants no lease. A report under another token ends the session, so that a refused session is no sign of life. Ruled out: comparing the echo with the guard's present clock (an earlier process may have lived for less).

--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -25,7 +25,8 @@
     pub token: u64,
     /// The message number within the session, counted from 1.
     pub number: u64,
-    /// The guard's clock in its latest report, in milliseconds; the guard's lease starts from it.
+    /// The guard's clock in its latest report of the session, in milliseconds; the guard's lease
+    /// starts from it. Without a report there is no lease.
     #[serde(rename = "echo_ms")]
     pub echoed_clock_ms: u64,
     /// How long the guard may keep extending its worker's lease without another message, in
--- a/src/process/scheduler/guard_task.rs
+++ b/src/process/scheduler/guard_task.rs
@@ -92,6 +92,10 @@
             shared.check_token(report.highest_token);
             return Ok(());
         }
+        if report.token != token {
+            tracing::warn!(upstream = %name, token, reported = report.token, "the guard has refused the session");
+            return Ok(());
+        }
         let now = shared.clock.now();
         shared
             .scheduler
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -31,7 +31,7 @@
     ) {
         let upstream = self.upstreams.entry(name.clone()).or_default();
         upstream.last_report_at = Some(now);
-        upstream.guard_clock_ms = report.clock_ms;
+        upstream.guard_clock_ms = Some(report.clock_ms);
         upstream.reported_registration = report.registration;
         let had_session_report = upstream.has_session_report;
         let worker = match report.worker {
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -137,6 +137,8 @@
         let upstream = self.upstreams.entry(name.clone()).or_default();
         upstream.is_connected = true;
         upstream.has_session_report = false;
+        // The guard may have restarted since, and its clock with it.
+        upstream.guard_clock_ms = None;
         // The new token fences orders in flight, so stops have to be ordered again.
         for placed in upstream.runs.values_mut() {
             placed.is_stopping = false;
@@ -280,7 +282,7 @@
         GuardOrders {
             token,
             number,
-            echoed_clock_ms: upstream.map_or(0, |u| u.guard_clock_ms),
+            echoed_clock_ms: upstream.and_then(|u| u.guard_clock_ms).unwrap_or(0),
             guard_lease_ms: self.guard_lease(upstream).0,
             worker_lease_ms: self.leases.worker.0,
             worker: upstream.and_then(|u| u.incarnation.clone()),
@@ -290,13 +292,16 @@
         }
     }
 
-    /// Returns the lease of a guard from the clock in its last report on. It never outlasts the
-    /// leader's own lease.
+    /// Returns the lease of a guard from the clock in its last report on; none before its first
+    /// report of the session. It never outlasts the leader's own lease.
     fn guard_lease(
         &self,
         upstream: Option<&UpstreamState>,
     ) -> Millis {
-        let reported_at = upstream.and_then(|u| u.last_report_at).unwrap_or_default();
+        let reported = upstream.filter(|u| u.guard_clock_ms.is_some());
+        let Some(reported_at) = reported.and_then(|u| u.last_report_at) else {
+            return Millis(0);
+        };
         let remaining = self.lease_expires_at().since(reported_at);
         self.leases.guard.min(remaining.into())
     }
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -73,8 +73,8 @@
     /// The time since the worker's last answer to its guard, as of the last report, in
     /// milliseconds.
     pub unresponsive_ms: u64,
-    /// The guard's clock in the last report, in milliseconds.
-    pub guard_clock_ms: u64,
+    /// The guard's clock in the last report of the session, in milliseconds.
+    pub guard_clock_ms: Option<u64>,
     /// The runs that are or may be there.
     pub runs: BTreeMap<RunRef, PlacedRun>,
     /// The ends that are not acknowledged yet, by number, each with the job's change that has to be
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -1,10 +1,16 @@
 //! Tests of how a guard detects the end of its worker.
 
-use limpetquay::{
-    connection::WorkerIncarnation,
-    prelude::*,
-    process::runs::{RunTracker, WorkerAddress, WorkerHeartbeat, WorkerInfo},
-    request::Resources,
+use {
+    limpetquay::{
+        connection::WorkerIncarnation,
+        prelude::*,
+        process::{
+            runs::{RunTracker, WorkerAddress, WorkerHeartbeat, WorkerInfo},
+            scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
+        },
+        request::Resources,
+    },
+    std::collections::BTreeSet,
 };
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
@@ -72,3 +78,28 @@
         ("accepts in between", ended_at(&[(950, None)], Some(2500))),
     ]);
 }
+
+/// Guards against a lease that is counted by another process's clock: the first message of a session
+/// echoes no clock, because the guard may have restarted since its last report.
+#[test]
+fn the_first_message_of_a_session_grants_no_lease() {
+    let name = UpstreamName::from("guard-1");
+    let leases = LeaseTerms::new(Millis(6000));
+    let policy = Box::new(RackFirstPlacement);
+    let mut scheduler = Scheduler::new(1, leases, 3, policy, BTreeSet::new(), Millis(0));
+    let now = Millis(60_000);
+    scheduler.confirm_leadership(now);
+    scheduler.open_session(&name);
+    scheduler.apply_report(&name, RunTracker::default().report(now), now);
+    scheduler.open_session(&name);
+    let orders = scheduler.next_message(&name, 2);
+    let mut restarted = RunTracker::default();
+    assert!(restarted.open_session(2));
+    let restarted_for = Millis(500);
+    restarted.renew_session(&orders, restarted_for);
+    let lease_expires_at = restarted.session.map(|s| s.lease_expires_at);
+    assert!(
+        lease_expires_at <= Some(restarted_for),
+        "the lease expires at {lease_expires_at:?}"
+    );
+}
