Deregister a guard with the lease that its worker still has

A guard that is lost with its worker would also hold a takeover up for longer.

Cause: one question, whether runs may go on, also answered the other one, whether to wait for the guard.

Change: a worker that seems to have ended makes its guard deregister after 2 s as before, with the time that the last lease lasts; a leader that takes over waits for the guard until then. A guard that is deregistering extends no lease and carries out no start.

--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -1,7 +1,9 @@
 //! The state that results from the records of the ledger.
 
 use {
-    super::{KeyedPage, KeyedRecord, LeaderRecord, LedgerKey, LedgerRecord, Member},
+    super::{
+        Deregistration, KeyedPage, KeyedRecord, LeaderRecord, LedgerKey, LedgerRecord, Member,
+    },
     crate::{
         prelude::*,
         request::{JobPhase, JobProgress, StepJob, StepJobId},
@@ -62,12 +64,15 @@
     pub members: BTreeMap<Arc<str>, Member>,
     /// The members whose record a late deregistration has removed from the store.
     pub unstored_members: BTreeSet<Arc<str>>,
+    /// The guards that have deregistered, each with the time by which the leases of its worker have
+    /// expired.
+    pub departed_guards: BTreeMap<Arc<str>, Millis>,
     /// The entry that claimed leadership last; `None` before the first claim.
     pub leader: Option<LeadView>,
     /// Progress that was read before the record of its job.
     early_progress: BTreeMap<StepJobId, JobProgress>,
     /// Registrations that were ended by a record whose tombstone was not read yet.
-    ending_registrations: BTreeMap<Arc<str>, u64>,
+    ending_registrations: BTreeMap<Arc<str>, Deregistration>,
     /// Offsets of cancellations that were read before the record of their job.
     early_cancels: BTreeMap<StepJobId, u64>,
 }
@@ -84,7 +89,7 @@
             return None;
         };
         let Some(value) = &record.value else {
-            return self.remove_key(key);
+            return self.remove_key(key, now);
         };
         match (key, postcard::from_bytes(value)) {
             (LedgerKey::Job(id), Ok(LedgerRecord::Job(job))) => {
@@ -106,11 +111,12 @@
             }
             (LedgerKey::Member(name), Ok(LedgerRecord::Member(member))) => {
                 self.unstored_members.remove(&name);
+                self.departed_guards.remove(&name);
                 self.members.insert(name, member);
                 None
             }
-            (LedgerKey::Member(name), Ok(LedgerRecord::Deregistered(registration))) => {
-                self.ending_registrations.insert(name, registration);
+            (LedgerKey::Member(name), Ok(LedgerRecord::Deregistered(ending))) => {
+                self.ending_registrations.insert(name, ending);
                 None
             }
             (LedgerKey::Leader, Ok(LedgerRecord::Leader(leader))) => {
@@ -201,13 +207,14 @@
     fn remove_key(
         &mut self,
         key: LedgerKey,
+        now: Millis,
     ) -> Option<StepJobId> {
         match key {
             LedgerKey::Job(id) => {
                 self.jobs.remove(&id);
                 return Some(id);
             }
-            LedgerKey::Member(name) => self.remove_member(name),
+            LedgerKey::Member(name) => self.remove_member(name, now),
             LedgerKey::Progress(id) => drop(self.early_progress.remove(&id)),
             LedgerKey::Cancel(id) => drop(self.early_cancels.remove(&id)),
             LedgerKey::Leader => {}
@@ -220,13 +227,18 @@
     fn remove_member(
         &mut self,
         name: Arc<str>,
+        now: Millis,
     ) {
         let ending = self.ending_registrations.remove(&name);
         let registration = self.members.get(&name).map(|m| m.registration);
-        if ending.is_some() && registration.is_some() && ending != registration {
-            tracing::warn!(%name, ?ending, ?registration, "late deregistration ignored");
-            self.unstored_members.insert(name);
-            return;
+        if let (Some(ending), Some(registration)) = (ending, registration) {
+            if ending.registration != registration {
+                tracing::warn!(%name, ended = ending.registration, registration, "late deregistration ignored");
+                self.unstored_members.insert(name);
+                return;
+            }
+            self.departed_guards
+                .insert(name.clone(), now + Millis(ending.lease_ms));
         }
         self.unstored_members.remove(&name);
         self.members.remove(&name);
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -20,7 +20,7 @@
     keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, StoreError},
     leader_election::{LEADER_RENEWAL_INTERVAL, LEADER_TIMEOUT, LeaderElection},
     ledger::Ledger,
-    record::{LeaderRecord, LedgerKey, LedgerRecord, Member, MemberRole},
+    record::{Deregistration, LeaderRecord, LedgerKey, LedgerRecord, Member, MemberRole},
     registration::{deregister, register},
     store_health::StoreHealth,
 };
--- a/src/process/ledger/record.rs
+++ b/src/process/ledger/record.rs
@@ -62,9 +62,18 @@
     /// A claim, renewal or resignation of leadership.
     #[serde(rename = "Lead")]
     Leader(LeaderRecord),
-    /// The end of the registration with this number. It precedes the tombstone of the process's key
-    /// in the same append, so that a reader knows which registration the tombstone removes.
-    Deregistered(u64),
+    /// The end of a guard's registration. It precedes the tombstone of the guard's key in the same
+    /// append, so that a reader knows which registration the tombstone removes.
+    Deregistered(Deregistration),
+}
+
+/// The end of a guard's registration.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Deregistration {
+    /// The number of the registration.
+    pub registration: u64,
+    /// How long the last lease of the guard's worker still lasts, in milliseconds.
+    pub lease_ms: u64,
 }
 
 /// The key of a record.
--- a/src/process/ledger/registration.rs
+++ b/src/process/ledger/registration.rs
@@ -1,7 +1,7 @@
 //! Registers processes in the ledger, so that others can connect to them.
 
 use {
-    super::{Condition, Ledger, LedgerKey, LedgerRecord, Member, StoreError},
+    super::{Condition, Deregistration, Ledger, LedgerKey, LedgerRecord, Member, StoreError},
     crate::prelude::*,
 };
 
@@ -23,15 +23,20 @@
     tracing::info!(%key, "registered");
 }
 
-/// Removes the record of a guard whose worker has ended. Returns whether the registration may have
-/// ended: `false` if the store has certainly not removed the record. The scheduling entry then
-/// removes it once all leases have expired.
+/// Removes the record of a guard whose worker has gone, and whose last lease lasts for `lease`.
+/// Returns whether the registration may have ended: `false` if the store has certainly not removed
+/// the record. The scheduling entry then removes it once all leases have expired.
 pub async fn deregister(
     ledger: &Ledger,
     member: &Member,
+    lease: Duration,
 ) -> bool {
     let key = LedgerKey::Member(member.name.clone());
-    let ending = match key.record(&LedgerRecord::Deregistered(member.registration)) {
+    let ending = Deregistration {
+        registration: member.registration,
+        lease_ms: Millis::from(lease).0,
+    };
+    let ending = match key.record(&LedgerRecord::Deregistered(ending)) {
         Ok(ending) => ending,
         Err(e) => {
             tracing::error!(%key, error = %e, "the end of the registration cannot be encoded");
@@ -41,7 +46,7 @@
     let records = [ending, key.tombstone()];
     match ledger.append(&records, Condition::Always).await {
         Ok(_) => {
-            tracing::info!(%key, "deregistered: the worker has ended");
+            tracing::info!(%key, "deregistered: the worker has gone");
             true
         }
         Err(e) => {
--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -18,13 +18,13 @@
 /// The interval at which a guard checks whether its registration has to change.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a guard whose worker has ended stays registered, in case another one starts: longer
+/// How long a guard whose worker has gone stays registered, in case another one starts: longer
 /// than the pauses of a worker that restarts repeatedly.
 const WORKER_RESTART_GRACE: Duration = Duration::from_millis(2000);
 
 /// Registers the guard at its start, and again whenever no scheduling entry has sent it a message
 /// for some time, since its record may have been dropped in the meantime. Deregisters it when its
-/// worker has ended, so that no scheduling entry waits for the guard if its instance is removed as
+/// worker has gone, so that no scheduling entry waits for the guard if its instance is removed as
 /// well. A new worker makes it register again, under another number; the guard does not use the
 /// worker before that is stored, because an entry that takes over does not wait for a guard without
 /// a record.
@@ -43,13 +43,17 @@
         {
             continue;
         }
-        guard.tracker.borrow_mut().withdraw_registration();
-        if deregister(&ledger, &member).await {
+        let lease = {
+            let mut tracker = guard.tracker.borrow_mut();
+            tracker.withdraw_registration();
+            tracker.remaining_lease(clock.now())
+        };
+        if deregister(&ledger, &member, lease).await {
             member.registration = rand::random();
         } else {
             guard.confirm_registration(member.registration);
         }
-        while guard.tracker.borrow().has_worker_ended() {
+        while guard.tracker.borrow().is_worker_gone() {
             with_timeout(&*clock, CHECK_INTERVAL, guard.changed.listen()).await;
         }
     }
@@ -60,8 +64,8 @@
 enum RegistrationChange {
     /// No scheduling entry has sent a message for some time.
     SchedulerUnresponsive,
-    /// The worker has ended, and no other one has started.
-    WorkerEnded,
+    /// The worker has gone, and no other one has started.
+    WorkerGone,
 }
 
 async fn wait_for_change(
@@ -73,15 +77,15 @@
     loop {
         clock.sleep(CHECK_INTERVAL).await;
         let now = clock.now();
-        let (has_worker_ended, last_orders_at) = {
+        let (is_worker_gone, last_orders_at) = {
             let tracker = guard.tracker.borrow();
-            (tracker.has_worker_ended(), tracker.last_orders_at)
+            (tracker.is_worker_gone(), tracker.last_orders_at)
         };
-        if !has_worker_ended {
+        if !is_worker_gone {
             last_present_at = now;
         }
         if now.since(last_present_at) > WORKER_RESTART_GRACE {
-            return RegistrationChange::WorkerEnded;
+            return RegistrationChange::WorkerGone;
         }
         if now.since(last_orders_at.max(registered_at)) > MAX_SCHEDULER_SILENCE {
             return RegistrationChange::SchedulerUnresponsive;
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -66,6 +66,8 @@
     /// When the worker's address began to refuse connections.
     refused_since: Option<Millis>,
     worker_ended: bool,
+    /// Whether the worker looks as if it had ended, although its lease has not expired.
+    seems_ended: bool,
     /// Whether the worker has deregistered and may not have ended yet.
     is_departing: bool,
     /// When the last lease that was granted to the worker expires; zero if none was.
@@ -117,12 +119,14 @@
         self.heartbeat_sequence = heartbeat.sequence;
         self.heartbeat_at = now;
         self.worker_ended = false;
+        self.seems_ended = false;
         let is_new = self.info.as_ref() != Some(&heartbeat.info);
         self.info = Some(heartbeat.info);
         is_new || !is_same
     }
 
-    /// Stops using workers, because the guard's registration is being removed.
+    /// Stops extending leases and using new workers, because the guard's registration is being
+    /// removed.
     pub fn withdraw_registration(&mut self) {
         self.registration = None;
         self.is_withdrawn = true;
@@ -207,8 +211,7 @@
             self.end_worker();
             return true;
         }
-        let is_leased = now < self.leases_expire_at;
-        if self.worker.is_none() || is_leased || now.since(since) < MIN_REFUSAL_DURATION {
+        if self.worker.is_none() || now.since(since) < MIN_REFUSAL_DURATION {
             return false;
         }
         let heartbeat_age = now.since(self.heartbeat_at);
@@ -217,6 +220,10 @@
         if !has_left && heartbeat_age < heartbeat_interval * HEARTBEAT_TIMEOUT_PERCENT / 100 {
             return false;
         }
+        self.seems_ended = true;
+        if now < self.leases_expire_at {
+            return false;
+        }
         self.end_worker();
         true
     }
@@ -224,6 +231,7 @@
     /// Clears the record of refused connections, after a call that ended in any other way.
     pub fn clear_refused_connections(&mut self) {
         self.refused_since = None;
+        self.seems_ended = false;
     }
 
     /// Returns whether the last worker has ended and no other one has sent a heartbeat since.
@@ -231,6 +239,19 @@
         self.worker_ended && self.waiting_heartbeat.is_none()
     }
 
+    /// Returns whether the worker has ended or looks so, and no other one has sent a heartbeat since.
+    pub fn is_worker_gone(&self) -> bool {
+        (self.worker_ended || self.seems_ended) && self.waiting_heartbeat.is_none()
+    }
+
+    /// Returns how long the last lease that was granted to the worker still lasts.
+    pub fn remaining_lease(
+        &self,
+        now: Millis,
+    ) -> Duration {
+        self.leases_expire_at.since(now)
+    }
+
     /// Opens a session. Returns `false` if its token is not higher than all earlier ones.
     pub fn open_session(
         &mut self,
@@ -307,8 +328,8 @@
                 // The stop was ordered last; a run that is started now would not be stopped.
                 tracing::info!(run = %start.run, "start refused: the same message stops the run");
                 self.refuse_start(start.run, StartRefusal::Old);
-            } else if self.is_leaving() {
-                tracing::info!(run = %start.run, "start refused: the worker is leaving");
+            } else if self.is_leaving() || self.is_withdrawn {
+                tracing::info!(run = %start.run, "start refused: the worker is leaving, or the guard is not registered");
                 self.refuse_start(start.run, StartRefusal::Unhealthy);
             } else if self.begin_start(start.run) {
                 calls.push(WorkerOrder::Start(start.clone()));
@@ -319,13 +340,13 @@
 
     /// Returns the end of the worker's lease, in milliseconds by its own clock; `None` if the
     /// session's lease has expired, if the worker's clock is unknown, or if the worker has not
-    /// answered a poll recently or has deregistered. The caller grants the lease, so it counts from
+    /// answered a poll recently or has deregistered, or while the guard is not registered. The caller grants the lease, so it counts from
     /// now on.
     pub fn deadline_ms(
         &mut self,
         now: Millis,
     ) -> Option<u64> {
-        if self.is_departing {
+        if self.is_departing || self.is_withdrawn {
             return None;
         }
         let session = self.session.filter(|s| s.lease_expires_at > now)?;
@@ -588,6 +609,7 @@
 
     fn remove_worker(&mut self) {
         self.worker = None;
+        self.seems_ended = false;
         self.is_departing = false;
         self.info = None;
         self.heartbeat_sequence = 0;
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -18,7 +18,10 @@
         version::QueueTable,
     },
     event_listener::Event,
-    std::{cell::Cell, collections::BTreeMap},
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, BTreeSet},
+    },
 };
 
 /// The longest time between two scheduling passes.
@@ -236,9 +239,14 @@
     confirmed_at: Millis,
 ) -> SchedulerTerm {
     let now = ctx.clock.now();
-    let guards = registered_guards(&ctx.election.ledger)
+    let mut guards: BTreeSet<UpstreamName> = registered_guards(&ctx.election.ledger)
         .into_keys()
         .collect();
+    ctx.election.ledger.view(|fold| {
+        let departed = fold.departed_guards.iter();
+        let leased = departed.filter(|(_, expire_at)| **expire_at > now);
+        guards.extend(leased.map(|(name, _)| UpstreamName::from(&**name)));
+    });
     let policy = Box::new(RackFirstPlacement);
     let mut scheduler = Scheduler::new(term, ctx.leases, ctx.remote_factor, policy, guards, now);
     scheduler.confirm_leadership(confirmed_at);
--- a/tests/platform/ledger.rs
+++ b/tests/platform/ledger.rs
@@ -3,7 +3,8 @@
 use limpetquay::{
     prelude::*,
     process::ledger::{
-        KeyedPage, KeyedRecord, LedgerFold, LedgerKey, LedgerRecord, Member, MemberRole,
+        Deregistration, KeyedPage, KeyedRecord, LedgerFold, LedgerKey, LedgerRecord, Member,
+        MemberRole,
     },
     request::{JobPhase, JobProgress, ProgressStamp, Step, StepJob, StepJobId},
     version::QueueName,
@@ -120,3 +121,31 @@
     let members: Vec<Arc<str>> = fold.members.keys().cloned().collect();
     insta::assert_debug_snapshot!((jobs, members));
 }
+
+/// Guards against a takeover that does not wait for a guard whose worker may still run: a
+/// deregistration leaves the guard known until the last lease of its worker has expired. One that
+/// ends an earlier registration changes nothing.
+#[test]
+fn a_deregistered_guard_is_known_until_its_last_lease_expires() {
+    let mut fold = LedgerFold::default();
+    let (key, record) = member("guard-1");
+    let now = Millis(1000);
+    let ending = |registration| {
+        LedgerRecord::Deregistered(Deregistration {
+            registration,
+            lease_ms: 3000,
+        })
+    };
+    let mut seen = Vec::new();
+    for registration in [7, 1] {
+        fold.apply(&key.record(&record).expect("a record"), now);
+        fold.apply(&key.record(&ending(registration)).expect("a record"), now);
+        fold.apply(&key.tombstone(), now);
+        seen.push((
+            fold.members.len(),
+            fold.unstored_members.clone(),
+            fold.departed_guards.clone(),
+        ));
+    }
+    insta::assert_debug_snapshot!(seen);
+}
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -5,7 +5,7 @@
         connection::WorkerIncarnation,
         prelude::*,
         process::{
-            runs::{RunTracker, WorkerAddress, WorkerHeartbeat, WorkerInfo},
+            runs::{PollResponse, RunTracker, WorkerAddress, WorkerHeartbeat, WorkerInfo},
             scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
         },
         request::Resources,
@@ -103,3 +103,54 @@
         "the lease expires at {lease_expires_at:?}"
     );
 }
+
+/// Guards against runs that are taken for ended while their lease lasts: a worker that refuses
+/// connections and sends no heartbeat makes its guard deregister, but counts as ended only after the
+/// last lease, which the guard no longer extends. A returning worker ends that.
+#[test]
+fn a_worker_that_seems_to_have_ended_keeps_its_lease() {
+    let mut course = Vec::new();
+    for returns_at in [None, Some(4000)] {
+        let mut tracker = RunTracker::default();
+        tracker.apply_heartbeat(heartbeat(1, None), Millis(0));
+        assert!(tracker.open_session(1));
+        let response = PollResponse {
+            clock_ms: 0,
+            born_ms: None,
+            running: vec![],
+            ended: vec![],
+        };
+        tracker.apply_poll(1, Millis(0), Millis(0), response);
+        if let Some(session) = &mut tracker.session {
+            session.lease_expires_at = Millis(20_000);
+            session.worker_lease = Millis(5000);
+        }
+        let granted = tracker.deadline_ms(Millis(100));
+        let (mut gone_at, mut ended_at) = (None, None);
+        for now in (200..9000).step_by(50) {
+            if returns_at == Some(now) {
+                tracker.clear_refused_connections();
+            } else if returns_at.is_none_or(|at| now < at) {
+                tracker.record_refused_connection(Millis(now), HEARTBEAT_INTERVAL);
+            }
+            if tracker.is_worker_gone() && gone_at.is_none() {
+                gone_at = Some(now);
+                tracker.withdraw_registration();
+                let remaining = tracker.remaining_lease(Millis(now));
+                course.push(format!(
+                    "gone at {now} with a lease of {} ms, extended: {:?}",
+                    Millis::from(remaining).0,
+                    tracker.deadline_ms(Millis(now))
+                ));
+            }
+            if tracker.has_worker_ended() && ended_at.is_none() {
+                ended_at = Some(now);
+            }
+        }
+        course.push(format!(
+            "granted {granted:?}, ended at {ended_at:?}, gone in the end: {}",
+            tracker.is_worker_gone()
+        ));
+    }
+    insta::assert_debug_snapshot!(course);
+}
