Let the announced end of a worker count, and give the leader's lease and registrations files of their own

Change: a worker whose announced time is over and that refuses connections has ended, without the wait for its lease. A guard that withdraws its registration reports that at once, so that the leader does not store it again. Moved without other changes: the leader's lease, the registrations of guards and the end of workers to files of their own; one copy of the error of a worker's clock.

--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -48,6 +48,8 @@
             tracker.withdraw_registration();
             tracker.remaining_lease(clock.now())
         };
+        // The scheduling entry would store a registration again that a report still names.
+        guard.changed.notify(usize::MAX);
         if deregister(&ledger, &member, lease).await {
             member.registration = rand::random();
         } else {
--- a/src/process/runs/mod.rs
+++ b/src/process/runs/mod.rs
@@ -9,6 +9,7 @@
 mod run_worker;
 mod session;
 mod session_task;
+mod worker_end;
 mod worker_heartbeat;
 
 pub use {
@@ -17,5 +18,6 @@
     run_tracker::RunTracker,
     run_worker::{PollRequest, PollResponse, RunWorker, RunWorkerError, WorkerAddress},
     session::{Session, WorkerOrder},
+    worker_end::WORKER_CLOCK_ERROR_PERCENT,
     worker_heartbeat::{WorkerHeartbeat, WorkerInfo},
 };
--- a/src/process/scheduler/lease_terms.rs
+++ b/src/process/scheduler/lease_terms.rs
@@ -1,6 +1,6 @@
 //! The durations of leases: how long guards and workers keep running without the leader.
 
-use crate::prelude::*;
+use crate::{prelude::*, process::runs::WORKER_CLOCK_ERROR_PERCENT};
 
 /// How long a guard extends its worker's lease without a message from the leader. Together with the
 /// worker's lease it outlasts the election of another leader, so that a change of leader stops no
@@ -20,9 +20,6 @@
 /// longer lease would delay the next start of work whose guard is lost.
 const MAX_WORKER_LEASE: Millis = Millis(5500);
 
-/// The most by which a worker's clock may run slow, in percent.
-const WORKER_CLOCK_ERROR_PERCENT: u64 = 2;
-
 /// The time that is added to the leases, for calls in transit, before they count as expired.
 const LEASE_SLACK: Millis = Millis(400);
 
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -3,6 +3,7 @@
 
 mod active_unit;
 mod guard_task;
+mod leader_lease;
 mod lease_terms;
 mod open_job;
 mod outcome;
@@ -12,6 +13,7 @@
 mod pending_unit;
 mod preemption;
 mod progress_writer;
+mod registrations;
 mod report;
 #[expect(
     clippy::module_inception,
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -40,7 +40,7 @@
     pub(super) messages_sent: BTreeMap<UpstreamName, u64>,
     pub(super) change_count: u64,
     /// When the last append was sent that the store has confirmed under this term.
-    confirmed_at: Millis,
+    pub(super) confirmed_at: Millis,
     /// Whether the leader's lease was valid in the last pass.
     pub(super) was_leased: bool,
     /// Guards registered at the takeover that have not reported yet, so that their runs are
@@ -81,28 +81,6 @@
         }
     }
 
-    /// Extends the leader's lease, because the store has confirmed an append that was sent at
-    /// `sent_at`. Until the store rejects an append, no later term can have begun before it.
-    pub fn confirm_leadership(
-        &mut self,
-        sent_at: Millis,
-    ) {
-        self.confirmed_at = self.confirmed_at.max(sent_at);
-    }
-
-    /// Returns whether the leader's lease is valid. Without it another leader may have started the
-    /// same work elsewhere.
-    pub fn is_leased(
-        &self,
-        now: Millis,
-    ) -> bool {
-        now < self.lease_expires_at()
-    }
-
-    fn lease_expires_at(&self) -> Millis {
-        self.confirmed_at + self.leases.leader
-    }
-
     /// Applies the ledger's view of a job: adds an open job that is new and cancels a job whose
     /// caller has cancelled it.
     pub fn apply_job(
@@ -145,74 +123,6 @@
         }
     }
 
-    /// Records the number of a guard's registration that was read from the ledger; `None` if its
-    /// record is gone.
-    pub fn set_stored_registration(
-        &mut self,
-        name: &UpstreamName,
-        registration: Option<u64>,
-        now: Millis,
-    ) {
-        let upstream = self.upstreams.entry(name.clone()).or_default();
-        if upstream.stored_registration.is_none() {
-            upstream.registered_at = now;
-        }
-        upstream.stored_registration = registration;
-    }
-
-    /// Records that the deregistrations of guards are stored before an offset of the ledger.
-    pub fn confirm_deregistrations(
-        &mut self,
-        names: &[UpstreamName],
-        end: u64,
-    ) {
-        for name in names {
-            if let Some(upstream) = self.upstreams.get_mut(name) {
-                upstream.deregistered_before = Some(end);
-            }
-        }
-    }
-
-    /// Ends the deregistrations that were read back, now that the ledger is read up to an offset. A
-    /// guard that has registered again meanwhile, or reports again, may be used from then on.
-    pub fn finish_deregistrations(
-        &mut self,
-        read_to: u64,
-    ) {
-        for upstream in self.upstreams.values_mut() {
-            if upstream
-                .deregistered_before
-                .is_some_and(|end| end <= read_to)
-            {
-                upstream.deregistered_before = None;
-                upstream.is_deregistering = false;
-            }
-        }
-    }
-
-    /// Returns whether a guard whose record is gone can be removed. A missing record shows nothing
-    /// about the worker: its runs end by a report or by their leases.
-    pub fn is_removable(
-        &self,
-        name: &UpstreamName,
-    ) -> bool {
-        self.upstreams.get(name).is_none_or(|u| {
-            let has_worker = u.is_connected && u.incarnation.is_some();
-            !has_worker && u.runs.is_empty()
-        })
-    }
-
-    /// Returns the connected guards whose registration is stored under another number or not at
-    /// all, although the store has confirmed it to them, each with that number.
-    pub fn displaced_registrations(&self) -> Vec<(UpstreamName, u64)> {
-        let connected = self.upstreams.iter().filter(|(_, u)| u.is_connected);
-        let displaced = connected.filter_map(|(name, u)| {
-            let reported = u.reported_registration?;
-            (u.stored_registration != Some(reported)).then(|| (name.clone(), reported))
-        });
-        displaced.collect()
-    }
-
     /// Records that the session with a guard has closed.
     pub fn close_session(
         &mut self,
@@ -223,42 +133,6 @@
         }
     }
 
-    /// Marks the guards that have not reported for so long that all their leases have expired, or
-    /// not since they registered, and returns them to be deregistered. Nothing is placed there until they register again. A
-    /// scheduler that takes over waits for registered guards only, so it need not wait for these.
-    pub fn mark_expired_guards(
-        &mut self,
-        now: Millis,
-    ) -> Vec<UpstreamName> {
-        let expiry_delay = self.leases.expiry_delay();
-        let hold_starts_until = self.hold_starts_until;
-        let expired = self.upstreams.iter_mut().filter(|(_, u)| {
-            let expires_at = match u.last_report_at {
-                Some(at) => at + expiry_delay,
-                None => hold_starts_until.max(u.registered_at + expiry_delay),
-            };
-            !u.is_deregistering && !u.is_connected && expires_at < now
-        });
-        let names = expired.map(|(name, u)| {
-            u.is_deregistering = true;
-            name.clone()
-        });
-        names.collect()
-    }
-
-    /// Removes a guard that is no longer registered and has no runs.
-    pub fn remove_guard(
-        &mut self,
-        name: &UpstreamName,
-        now: Millis,
-    ) {
-        self.mark_worker_lost(name, now, "its guard is no longer registered");
-        self.unreported_guards.remove(name);
-        self.upstreams.remove(name);
-        self.pending_orders.remove(name);
-        self.messages_sent.remove(name);
-    }
-
     /// Returns whether a guard has unsent orders.
     pub fn has_orders(
         &self,
@@ -292,20 +166,6 @@
         }
     }
 
-    /// Returns the lease of a guard from the clock in its last report on; none before its first
-    /// report of the session. It never outlasts the leader's own lease.
-    fn guard_lease(
-        &self,
-        upstream: Option<&UpstreamState>,
-    ) -> Millis {
-        let reported = upstream.filter(|u| u.guard_clock_ms.is_some());
-        let Some(reported_at) = reported.and_then(|u| u.last_report_at) else {
-            return Millis(0);
-        };
-        let remaining = self.lease_expires_at().since(reported_at);
-        self.leases.guard.min(remaining.into())
-    }
-
     /// Returns the progress of up to `limit` jobs that have unrecorded changes, each with the
     /// number of its last change.
     pub fn unrecorded_progress(
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -91,23 +91,6 @@
         }
     }
 
-    /// Returns whether the leader's lease is valid, and logs when that changes.
-    fn check_lease(
-        &mut self,
-        now: Millis,
-    ) -> bool {
-        let is_leased = self.is_leased(now);
-        if is_leased != self.was_leased {
-            self.was_leased = is_leased;
-            tracing::info!(
-                term = self.term,
-                is_leased,
-                "leader's lease changed; without it nothing is started"
-            );
-        }
-        is_leased
-    }
-
     fn log_placement(
         &self,
         pending: &PendingUnit,
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -106,13 +106,14 @@
 
 /// Guards against runs that are taken for ended while their lease lasts: a worker that refuses
 /// connections and sends no heartbeat makes its guard deregister, but counts as ended only after the
-/// last lease, which the guard no longer extends. A returning worker ends that.
+/// last lease, which the guard no longer extends. A returning worker ends that, and one that has
+/// announced its end counts as ended at once.
 #[test]
 fn a_worker_that_seems_to_have_ended_keeps_its_lease() {
     let mut course = Vec::new();
-    for returns_at in [None, Some(4000)] {
+    for (returns_at, leaving_ms) in [(None, None), (Some(4000), None), (None, Some(1500))] {
         let mut tracker = RunTracker::default();
-        tracker.apply_heartbeat(heartbeat(1, None), Millis(0));
+        tracker.apply_heartbeat(heartbeat(1, leaving_ms), Millis(0));
         assert!(tracker.open_session(1));
         let response = PollResponse {
             clock_ms: 0,
