Grant no lease with polls that the worker refuses

Cause: after a crash the guard went on to count a lease with each poll for 1.5 s, though the worker refused them.

Change: no deadline is sent from the first refused connection to the next answer. Departed guards are forgotten once their time is over.

Test that failed first: a_worker_that_refuses_polls_is_granted_no_lease ("left: Some(6600), right: Some(5300)"). It holds now; tests/platform 51 passed.

--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -237,6 +237,7 @@
                 self.unstored_members.insert(name);
                 return;
             }
+            self.departed_guards.retain(|_, expire_at| *expire_at > now);
             self.departed_guards
                 .insert(name.clone(), now + Millis(ending.lease_ms));
         }
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -229,15 +229,15 @@
         calls
     }
 
-    /// Returns the end of the worker's lease, in milliseconds by its own clock; `None` if the
-    /// session's lease has expired, if the worker's clock is unknown, or if the worker has not
-    /// answered a poll recently or has deregistered, or while the guard is not registered. The caller grants the lease, so it counts from
-    /// now on.
+    /// Returns the end of the worker's lease, in milliseconds by its own clock. The caller grants the
+    /// lease, so it counts from now on. Returns `None` if the session's lease has expired, the
+    /// worker's clock is unknown or its last answer too old, and while the worker has deregistered or
+    /// refuses connections or the guard is not registered.
     pub fn deadline_ms(
         &mut self,
         now: Millis,
     ) -> Option<u64> {
-        if self.is_departing || self.is_withdrawn {
+        if self.is_departing || self.is_withdrawn || self.refused_since.is_some() {
             return None;
         }
         let session = self.session.filter(|s| s.lease_expires_at > now)?;
--- a/src/process/scheduler/registrations.rs
+++ b/src/process/scheduler/registrations.rs
@@ -72,8 +72,9 @@
     }
 
     /// Marks the guards that have not reported for so long that all their leases have expired, or
-    /// not since they registered, and returns them to be deregistered. Nothing is placed there until they register again. A
-    /// scheduler that takes over waits for registered guards only, so it need not wait for these.
+    /// not since they registered, and returns them to be deregistered. Nothing is placed there until
+    /// they register again. A scheduler that takes over waits for registered guards only, so it need
+    /// not wait for these.
     pub fn mark_expired_guards(
         &mut self,
         now: Millis,
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -155,3 +155,29 @@
     }
     insta::assert_debug_snapshot!(course);
 }
+
+/// Guards against a lease that lasts longer than the worker: polls that the worker refuses extend
+/// nothing, so a crashed worker counts as ended one lease after the last call that may have reached
+/// it.
+#[test]
+fn a_worker_that_refuses_polls_is_granted_no_lease() {
+    let mut tracker = RunTracker::default();
+    tracker.apply_heartbeat(heartbeat(1, None), Millis(0));
+    assert!(tracker.open_session(1));
+    let response = PollResponse {
+        clock_ms: 0,
+        born_ms: None,
+        running: vec![],
+        ended: vec![],
+    };
+    tracker.apply_poll(1, Millis(0), Millis(0), response);
+    if let Some(session) = &mut tracker.session {
+        session.lease_expires_at = Millis(20_000);
+        session.worker_lease = Millis(5000);
+    }
+    let ended_at = (200..9000).step_by(50).find(|now| {
+        tracker.deadline_ms(Millis(*now));
+        tracker.record_refused_connection(Millis(*now), HEARTBEAT_INTERVAL)
+    });
+    assert_eq!(ended_at, Some(5300));
+}
