Take a run for lost only by a list that is known to be complete

While the store is away, ends wait on the worker, which lists 500 at a time; a run whose end comes later is in neither of its lists. The leader took it for lost (`run lost`, `the worker no longer lists it`, 3,015 ms after its start, end number 503) and started it again 13 ms after it had ended as done. A leader that takes over started what no report showed. Change: a poll response says whether it is complete (fewer than 500 ends, each row decoded), and so does the guard's report, in a new last field that earlier versions need not send. By a report that is not complete nothing is lost, and a guard of an earlier term has not reported. A run of an earlier session is judged by the next complete report.

--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -5,7 +5,7 @@
         prelude::*,
         request::{Resources, RunRef},
     },
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
 };
 
 /// One incarnation of a worker: the time from one start to its end.
@@ -76,6 +76,19 @@
     /// The time since the guard was last able to extend the worker's lease, in milliseconds; `None`
     /// if the worker has not answered it since its start.
     pub lease_age_ms: Option<u64>,
+    /// Whether the worker's report has all of its runs and unacknowledged ends. Otherwise, it is
+    /// unknown how a run has ended that is missing there. The guards of earlier versions do not send
+    /// this field, and their reports count as complete.
+    #[serde(deserialize_with = "true_if_missing")]
+    pub lists_all_runs: bool,
+}
+
+/// Decodes the last field of a message, which is true if the message ends before it.
+fn true_if_missing<'de, D>(deserializer: D) -> Result<bool, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    Ok(bool::deserialize(deserializer).unwrap_or(true))
 }
 
 /// What a guard has observed of the worker on its machine.
--- a/src/platform/http_run_worker.rs
+++ b/src/platform/http_run_worker.rs
@@ -19,6 +19,10 @@
 /// may be repeated.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The maximum number of ends in one poll response. The worker lists the others once these are
+/// acknowledged.
+pub(super) const MAX_LISTED_ENDS: usize = 500;
+
 /// A [`RunWorker`] that is called over HTTP.
 pub struct HttpRunWorker {
     client: HttpClient,
@@ -132,11 +136,16 @@
             let answer = self.post(worker, "/hold", &body, call.wait).await?;
             let response: WirePollResponse = serde_json::from_slice(&answer.body)
                 .map_err(|e| RunWorkerError::Malformed(e.to_string()))?;
+            let running = decode_rows(&response.running, decode_running);
+            let ended = decode_rows(&response.ended, decode_ended);
+            let is_decoded =
+                (running.len(), ended.len()) == (response.running.len(), response.ended.len());
             Ok(PollResponse {
                 clock_ms: response.clock_ms,
                 born_ms: response.born,
-                running: decode_rows(&response.running, decode_running),
-                ended: decode_rows(&response.ended, decode_ended),
+                running,
+                ended,
+                is_complete: is_decoded && response.ended.len() < MAX_LISTED_ENDS,
             })
         })
     }
--- a/src/platform/stand_in/worker_model.rs
+++ b/src/platform/stand_in/worker_model.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         connection::{EndKind, RunEnd, RunPhase, RunStart, RunStatus, StartRefusal},
+        platform::http_run_worker::MAX_LISTED_ENDS,
         prelude::*,
         process::runs::{PollRequest, PollResponse},
         request::{RunRef, SubtaskId},
@@ -10,9 +11,6 @@
     std::collections::BTreeMap,
 };
 
-/// The maximum number of ends in one poll response.
-const MAX_LISTED_ENDS: usize = 500;
-
 /// The end of a run that was decided at its start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlannedOutcome {
@@ -243,6 +241,7 @@
             born_ms: None,
             running: running.collect(),
             ended: self.ends.values().take(MAX_LISTED_ENDS).cloned().collect(),
+            is_complete: self.ends.len() < MAX_LISTED_ENDS,
         })
     }
 
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -70,6 +70,8 @@
     pub(super) departed: Option<WorkerIncarnation>,
     /// The token of the last poll that was answered, and when its response arrived.
     last_poll: Option<(u64, Millis)>,
+    /// Whether the last poll response has all runs and all unacknowledged ends.
+    is_list_complete: bool,
     /// The worker's clock in milliseconds, and when it was received.
     worker_clock: Option<(u64, Millis)>,
     runs: BTreeMap<RunRef, TrackedRun>,
@@ -371,6 +373,7 @@
         self.worker_clock = Some((response.clock_ms, now));
         let before: Vec<(RunRef, RunPhase)> = self.phases();
         let ends_before = self.ends.len();
+        self.record_completeness(&response);
         let listed: BTreeMap<RunRef, RunStatus> =
             response.running.into_iter().map(|s| (s.run, s)).collect();
         if is_first {
@@ -393,6 +396,23 @@
         is_first || before != self.phases() || ends_before != self.ends.len()
     }
 
+    /// Records whether the worker has listed all of its ends. The ends of runs that it no longer
+    /// lists are unknown while it has not; the reports say so, and the scheduling entry keeps the runs.
+    fn record_completeness(
+        &mut self,
+        response: &PollResponse,
+    ) {
+        if response.is_complete != self.is_list_complete {
+            self.is_list_complete = response.is_complete;
+            tracing::info!(
+                is_complete = response.is_complete,
+                ends = response.ended.len(),
+                runs = response.running.len(),
+                "completeness of the worker's lists changed"
+            );
+        }
+    }
+
     /// Returns whether the scheduling entry has yet to acknowledge ends.
     pub fn has_unacknowledged_ends(&self) -> bool {
         !self.ends.is_empty()
@@ -414,6 +434,7 @@
             worker: self.worker_view(last_poll.map(|(_, at)| now.since(at))),
             registration: self.registration,
             lease_age_ms: self.lease_age(now).map(|age| Millis::from(age).0),
+            lists_all_runs: self.is_list_complete,
         }
     }
 
@@ -499,6 +520,7 @@
         self.info = None;
         self.heartbeat_sequence = 0;
         self.last_poll = None;
+        self.is_list_complete = false;
         self.worker_clock = None;
         self.refused_since = None;
         self.is_replaced = false;
--- a/src/process/runs/run_worker.rs
+++ b/src/process/runs/run_worker.rs
@@ -41,8 +41,11 @@
     pub born_ms: Option<u64>,
     /// The runs on the worker.
     pub running: Vec<RunStatus>,
-    /// The ends that are not acknowledged yet.
+    /// The ends that are not acknowledged yet, or the first of them.
     pub ended: Vec<RunEnd>,
+    /// Whether the response has all runs and all unacknowledged ends. Otherwise, it is unknown how a
+    /// run has ended that it does not list.
+    pub is_complete: bool,
 }
 
 /// Why a call to a worker failed.
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -59,16 +59,10 @@
         if upstream.incarnation.as_ref() != Some(&worker.incarnation) {
             self.begin_incarnation(name, &worker.incarnation, now);
         }
-        self.unreported_guards.remove(name);
-        // A new session fences all earlier orders, so a run that is not listed does not exist.
-        let handled = if had_session_report {
-            report.last_handled
-        } else {
-            u64::MAX
-        };
         self.apply_worker_status(name, &worker, now);
         let expiry_ms = MAX_LEASE_EXTENSION_MS + self.leases.worker.0;
         if worker.unresponsive_ms > expiry_ms {
+            self.unreported_guards.remove(name);
             self.mark_runs_lost(
                 name,
                 now,
@@ -86,7 +80,10 @@
         for status in &worker.runs {
             self.apply_run_status(name, status, now);
         }
-        self.drop_absent_runs(name, &worker, &ends, handled, now);
+        if report.lists_all_runs {
+            self.unreported_guards.remove(name);
+            self.drop_absent_runs(name, &worker, &ends, report.last_handled, now);
+        }
     }
 
     fn begin_incarnation(
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -43,8 +43,8 @@
     pub(super) confirmed_at: Millis,
     /// Whether the leader's lease was valid in the last pass.
     pub(super) was_leased: bool,
-    /// Guards registered at the takeover that have not reported yet, so that their runs are
-    /// unknown.
+    /// Guards registered at the takeover that have not reported all runs and ends of their workers
+    /// yet, so that other runs there are unknown.
     pub(super) unreported_guards: BTreeSet<UpstreamName>,
     /// The time at which the leases of all runs on unreported guards have expired.
     pub(super) hold_starts_until: Millis,
@@ -117,9 +117,11 @@
         upstream.has_session_report = false;
         // The guard may have restarted since, and its clock with it.
         upstream.guard_clock_ms = None;
-        // The new token fences orders in flight, so stops have to be ordered again.
+        // The new token fences orders in flight: stops have to be ordered again, and a start has
+        // been carried out by the first report of the session or never will be.
         for placed in upstream.runs.values_mut() {
             placed.is_stopping = false;
+            placed.order_message_number = 0;
         }
     }
 
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -29,7 +29,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// The part of its work that is done, in percent.
     pub progress_percent: u64,
-    /// The number within the session of the message that ordered it; 0 for a run that was found.
+    /// The number within the session of the message that ordered it; 0 for a run that was found or
+    /// was ordered in an earlier session.
     pub order_message_number: u64,
     /// When it was ordered or found.
     pub known_since: Millis,
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -75,6 +75,7 @@
         born_ms: None,
         running: vec![],
         ended: vec![],
+        is_complete: true,
     };
     tracker.apply_poll(1, Millis(0), Millis(10), response);
     let run = RunRef {
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -120,6 +120,7 @@
             born_ms: None,
             running: vec![],
             ended: vec![],
+            is_complete: true,
         };
         tracker.apply_poll(1, Millis(0), Millis(0), response);
         if let Some(session) = &mut tracker.session {
@@ -169,6 +170,7 @@
         born_ms: None,
         running: vec![],
         ended: vec![],
+        is_complete: true,
     };
     tracker.apply_poll(1, Millis(0), Millis(0), response);
     if let Some(session) = &mut tracker.session {
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -406,6 +406,23 @@
         self.break_session(guard);
     }
 
+    /// Pauses a guard's process for a span in milliseconds.
+    pub fn pause_guard(
+        &mut self,
+        guard: usize,
+        span: u64,
+    ) {
+        self.guards[guard].paused_until = self.now + span;
+    }
+
+    /// Makes the store unavailable for a span in milliseconds.
+    pub fn stop_store(
+        &mut self,
+        span: u64,
+    ) {
+        self.store_down_until = self.now + span;
+    }
+
     /// Stops all schedulers without a successor.
     pub fn stop_schedulers(&mut self) {
         self.schedulers.clear();
