Order a stop again until the guard has carried it out

A guard that has restarted drops orders until it knows its worker, and the leader took a stop for carried out once it was ordered. Change: the leader notes which message ordered a stop; a guard that has handled it and still reports the run as not stopping gets the stop again. `a_stop_that_was_not_carried_out_is_ordered_again` fails without the fix.

--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -4,8 +4,8 @@
     super::{ActiveUnit, PlacedRun, Scheduler, outcome::MemberEnd},
     crate::{
         connection::{
-            EndKind, GuardReport, RunEnd, RunStatus, StartRefusal, WorkerIncarnation, WorkerReport,
-            WorkerView,
+            EndKind, GuardReport, RunEnd, RunPhase, RunStatus, StartRefusal, WorkerIncarnation,
+            WorkerReport, WorkerView,
         },
         prelude::*,
         request::{JobPhase, RunRef, StepJobId, UnitId},
@@ -78,7 +78,7 @@
             self.apply_refusal(name, refused.run, refused.reason, now);
         }
         for status in &worker.runs {
-            self.apply_run_status(name, status, now);
+            self.apply_run_status(name, status, report.last_handled, now);
         }
         if report.lists_all_runs {
             self.unreported_guards.remove(name);
@@ -193,6 +193,7 @@
         &mut self,
         name: &UpstreamName,
         status: &RunStatus,
+        handled: u64,
         now: Millis,
     ) {
         let known = self
@@ -200,6 +201,14 @@
             .get_mut(name)
             .and_then(|u| u.runs.get_mut(&status.run));
         if let Some(placed) = known {
+            if placed.is_stopping
+                && placed.stop_message_number <= handled
+                && status.phase != RunPhase::Stopping
+            {
+                // A guard that has restarted may receive the order before it knows its worker.
+                tracing::info!(run = %status.run, upstream = %name, "the guard has not carried out the stop");
+                placed.is_stopping = false;
+            }
             placed.phase = status.phase;
             placed.progress_percent = status.progress_percent;
             if status.checkpoint.is_some() {
@@ -219,6 +228,7 @@
             order_message_number: 0,
             known_since: now,
             is_stopping: false,
+            stop_message_number: 0,
         };
         let is_foreign = placed.unit.is_none();
         let is_stopping = unit.is_some_and(|(id, unit)| self.is_unit_stopping(id, unit));
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -309,6 +309,7 @@
             return;
         }
         placed.is_stopping = true;
+        placed.stop_message_number = self.messages_sent.get(name).copied().unwrap_or_default() + 1;
         self.pending_orders
             .entry(name.clone())
             .or_default()
@@ -349,6 +350,7 @@
                 order_message_number: self.messages_sent.get(name).copied().unwrap_or_default() + 1,
                 known_since: now,
                 is_stopping: false,
+                stop_message_number: 0,
             };
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.runs.insert(run, placed);
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -36,6 +36,8 @@
     pub known_since: Millis,
     /// Whether it was ordered to stop.
     pub is_stopping: bool,
+    /// The number within the session of the message that ordered the stop.
+    pub stop_message_number: u64,
 }
 
 /// The state of a worker, as its guard reports it.
--- a/tests/platform/cut_lists.rs
+++ b/tests/platform/cut_lists.rs
@@ -1,12 +1,13 @@
-//! What the scheduler concludes from lists that may be cut short: a worker lists 500 ends at a time.
+//! What the scheduler concludes from lists that may be cut short, and from orders and records that are
+//! missing: a worker lists 500 ends at a time.
 
 use {
     super::world::{Faults, World},
     compio::runtime::{Runtime, spawn},
     limpetquay::{
         connection::{
-            GuardReport, HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer,
-            WorkerIncarnation, WorkerView,
+            GuardReport, HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, RunPhase,
+            RunStatus, WorkerIncarnation, WorkerView,
         },
         platform::HttpRunWorker,
         prelude::*,
@@ -175,7 +176,12 @@
 
 fn tracker() -> RunTracker {
     let mut tracker = RunTracker::default();
-    let heartbeat = WorkerHeartbeat {
+    tracker.apply_heartbeat(heartbeat(), Millis(0));
+    tracker
+}
+
+fn heartbeat() -> WorkerHeartbeat {
+    WorkerHeartbeat {
         worker: worker(),
         sequence: 1,
         info: WorkerInfo {
@@ -184,9 +190,7 @@
             labels: vec!["r1".into()],
             leaving_ms: None,
         },
-    };
-    tracker.apply_heartbeat(heartbeat, Millis(0));
-    tracker
+    }
 }
 
 fn response(is_complete: bool) -> PollResponse {
@@ -205,10 +209,7 @@
 #[test]
 fn a_missing_run_is_lost_only_by_a_complete_report() {
     let name = UpstreamName::from("guard-1");
-    let policy = Box::new(RackFirstPlacement);
-    let guards = [name.clone()].into();
-    let leases = LeaseTerms::new(Millis(6000));
-    let mut scheduler = Scheduler::new(2, leases, 3, policy, guards, Millis(0));
+    let mut scheduler = scheduler(2, &[&name]);
     let mut course = Vec::new();
     let mut job = open_job();
     job.progress.stamp.term = 1;
@@ -357,3 +358,68 @@
     let read: GuardReport = postcard::from_bytes(&earlier).expect("a report");
     insta::assert_debug_snapshot!((report.lists_all_runs, read));
 }
+
+fn scheduler(
+    term: u64,
+    guards: &[&UpstreamName],
+) -> Scheduler {
+    let policy = Box::new(RackFirstPlacement);
+    let guards = guards.iter().copied().cloned().collect();
+    let leases = LeaseTerms::new(Millis(6000));
+    Scheduler::new(term, leases, 3, policy, guards, Millis(0))
+}
+
+/// Guards against a run that goes on although its job was cancelled: its guard has restarted and
+/// receives the stop before it knows its worker.
+#[test]
+fn a_stop_that_was_not_carried_out_is_ordered_again() {
+    let name = UpstreamName::from("guard-1");
+    let mut scheduler = scheduler(1, &[]);
+    let mut job = open_job();
+    scheduler.apply_job(&job);
+    scheduler.mark_recorded(job.job.id, 1);
+    scheduler.set_stored_registration(&name, Some(1), Millis(0));
+    scheduler.confirm_leadership(Millis(0));
+    scheduler.open_session(&name);
+    let mut guard = tracker();
+    guard.open_session(1);
+    guard.apply_poll(1, Millis(0), Millis(0), response(true));
+    scheduler.apply_report(&name, guard.report(Millis(0)), Millis(0));
+    scheduler.run_pass(Millis(0), Millis(0));
+    let run = *scheduler.upstreams[&name]
+        .runs
+        .keys()
+        .next()
+        .expect("a run");
+    let mut restarted = RunTracker::default();
+    restarted.open_session(2);
+    scheduler.open_session(&name);
+    job.is_cancelled = true;
+    scheduler.apply_job(&job);
+    let mut course = Vec::new();
+    for now in (100..600).step_by(100).map(Millis) {
+        scheduler.confirm_leadership(now);
+        let orders = scheduler.next_message(&name, 2);
+        let calls = restarted.apply_orders(&orders, now).len();
+        course.push(format!(
+            "stops ordered: {}, calls: {calls}",
+            orders.stops.len()
+        ));
+        if now == Millis(200) {
+            restarted.apply_heartbeat(heartbeat(), now);
+            let running = RunStatus {
+                run,
+                phase: RunPhase::Running,
+                checkpoint: None,
+                progress_percent: 0,
+            };
+            let listed = PollResponse {
+                running: vec![running],
+                ..response(true)
+            };
+            restarted.apply_poll(2, now, now, listed);
+        }
+        scheduler.apply_report(&name, restarted.report(now), now);
+    }
+    insta::assert_debug_snapshot!(course);
+}
