Look for a job on the store before its cancellation is answered with 410

An entry's view lags behind the store, and a job that it lacked counted as one that does not exist. Change: the entry reads what was stored after its view; the same reading serves the check for records of the leader before a claim, which made one read only and so missed a record after the part that one read returns. It now reads on. `a_job_that_was_not_read_yet_can_be_cancelled` fails without the fix, and both tests fail if only the first part is read.

--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -148,10 +148,12 @@
         time: Duration,
     ) -> Result<(), DeskError> {
         let phase = self.phase(id);
-        if phase.is_ok_and(JobPhase::is_final) {
-            return Ok(());
+        match phase {
+            Ok(phase) if phase.is_final() => return Ok(()),
+            Ok(_) => {}
+            Err(DeskError::Gone) => self.check_unread_job(id, time).await?,
+            Err(e) => return Err(e),
         }
-        phase?;
         let record = LedgerRecord::Cancel(self.clock.wall_time().0);
         let is_stored = |f: &LedgerFold| f.jobs.get(&id).is_some_and(|v| v.is_cancelled);
         let key = LedgerKey::Cancel(id);
@@ -160,6 +162,30 @@
         result
     }
 
+    /// Looks on the store for a job that is not in the view of the ledger. The view lags behind, and
+    /// a caller that has been told that its job does not exist does not cancel it again.
+    ///
+    /// # Errors
+    /// Returns [`DeskError::Gone`] if the job does not exist, and [`DeskError::Stale`] if the store
+    /// does not show that within `time`.
+    async fn check_unread_job(
+        &self,
+        id: StepJobId,
+        time: Duration,
+    ) -> Result<(), DeskError> {
+        let reading = self.ledger.has_unread_job(id);
+        match with_timeout(&*self.clock, time, reading).await {
+            Some(Ok(true)) => Ok(()),
+            // The record may have been read from the ledger meanwhile.
+            Some(Ok(false)) => self.phase(id).map(drop),
+            Some(Err(e)) => {
+                tracing::info!(job = %id, error = %e, "it is not known whether the job exists");
+                Err(DeskError::Stale)
+            }
+            None => Err(DeskError::Stale),
+        }
+    }
+
     /// Returns the phase of a job.
     ///
     /// # Errors
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -157,12 +157,42 @@
     /// # Errors
     /// Returns a [`StoreError`] if the store gives no result in time.
     pub async fn has_unread_leader_record(&self) -> Result<bool, StoreError> {
-        let from = self.view(|f| f.next_offset);
-        let page = self.store.read(TOPIC, from, Duration::ZERO).await?;
-        Ok(page
-            .records
-            .iter()
-            .any(|r| decode_leader_record(r).is_some()))
+        self.has_unread(|r| decode_leader_record(r).is_some()).await
+    }
+
+    /// Returns whether a job has been stored that was not read yet.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if the store gives no result in time.
+    pub async fn has_unread_job(
+        &self,
+        id: StepJobId,
+    ) -> Result<bool, StoreError> {
+        let key = LedgerKey::Job(id);
+        self.has_unread(|r| r.value.is_some() && LedgerKey::parse(&r.key).as_ref() == Some(&key))
+            .await
+    }
+
+    /// Returns whether a record matches that was not read yet. One read returns only the first part
+    /// of what has been stored, so it reads on until the end.
+    async fn has_unread<F>(
+        &self,
+        matches: F,
+    ) -> Result<bool, StoreError>
+    where
+        F: Fn(&KeyedRecord) -> bool,
+    {
+        let mut from = self.view(|f| f.next_offset);
+        loop {
+            let page = self.store.read(TOPIC, from, Duration::ZERO).await?;
+            if page.records.iter().any(&matches) {
+                return Ok(true);
+            }
+            if page.end <= from {
+                return Ok(false);
+            }
+            from = page.end;
+        }
     }
 
     /// Waits until all records before `offset` have been applied.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,5 +15,6 @@
 mod scheduler;
 mod sessions;
 mod store;
+mod unread_records;
 mod wire;
 mod world;
--- /dev/null
+++ b/tests/platform/unread_records.rs
@@ -0,0 +1,157 @@
+//! Decisions on records that are stored and were not read yet.
+
+use {
+    super::fake_store::{FakeStore, SharedStore},
+    futures_util::{future::select, pin_mut},
+    limpetquay::{
+        prelude::*,
+        process::{
+            clock::VirtualClock,
+            job_service::JobService,
+            ledger::{
+                Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, Ledger, LedgerKey,
+                LedgerRecord, StoreError,
+            },
+            metrics::PlatformMetrics,
+        },
+        request::{Step, StepJob, StepJobId},
+        version::QueueName,
+    },
+    std::cell::Cell,
+};
+
+const TOPIC: &str = "keyed.limpetquay";
+
+/// A store whose reads return one record at a time.
+struct ShortReads(Rc<FakeStore>);
+
+impl KeyedStore for ShortReads {
+    fn newest<'a>(
+        &'a self,
+        topic: &'a str,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        self.0.newest(topic)
+    }
+
+    fn read<'a>(
+        &'a self,
+        topic: &'a str,
+        from: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        Box::pin(async move {
+            let mut page = self.0.read(topic, from, wait).await?;
+            page.records.truncate(1);
+            page.end = from + page.records.len() as u64;
+            Ok(page)
+        })
+    }
+
+    fn append<'a>(
+        &'a self,
+        topic: &'a str,
+        records: &'a [KeyedRecord],
+        condition: Condition,
+    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+        self.0.append(topic, records, condition)
+    }
+}
+
+fn job(id: StepJobId) -> StepJob {
+    StepJob {
+        id,
+        queue: QueueName::from("queue"),
+        account: AccountName::from("account"),
+        service: "service".into(),
+        priority: 0,
+        attempts: 1,
+        stretch_percent: 100,
+        target_ms: 0,
+        payload: "".into(),
+        steps: vec![Step {
+            count: 1,
+            ..Step::default()
+        }],
+        recurrence: None,
+        accepted_ms: 0,
+    }
+}
+
+fn append(
+    shared: &SharedStore,
+    key: &LedgerKey,
+    content: &LedgerRecord,
+) {
+    let record = key.record(content).expect("an encodable record");
+    let mut model = shared.model.borrow_mut();
+    let appended = model.append(TOPIC, &[record], Condition::Always);
+    appended.expect("an append without a condition");
+}
+
+/// Reads a ledger once, stores the jobs 1 to 3 and a leader's record, and calls `decide`.
+fn decide_on_unread<D, F, T>(decide: D) -> T
+where
+    D: FnOnce(Rc<dyn Clock>, Rc<Ledger>, Rc<SharedStore>) -> F + 'static,
+    F: Future<Output = T>,
+{
+    let clock = VirtualClock::new();
+    let shared_clock: Rc<dyn Clock> = clock.clone();
+    clock.block_on(async move {
+        let shared: Rc<SharedStore> = Rc::default();
+        let latency = Duration::from_millis(2);
+        let store = FakeStore::new(shared.clone(), shared_clock.clone(), latency);
+        let ledger = Ledger::new(Rc::new(ShortReads(store)), shared_clock.clone());
+        let ledger = Rc::new(ledger);
+        {
+            let (reading, is_read) = (ledger.follow(), ledger.wait_until_read());
+            pin_mut!(reading, is_read);
+            select(reading, is_read).await;
+        }
+        for id in (1..=3).map(StepJobId) {
+            append(&shared, &LedgerKey::Job(id), &LedgerRecord::Job(job(id)));
+        }
+        let leader = LedgerRecord::Leader(LeaderRecord {
+            entry: EntryName::from("entry-1"),
+            boot: 1,
+            term: Some(1),
+            resigned: false,
+            nonce: 0,
+        });
+        append(&shared, &LedgerKey::Leader, &leader);
+        decide(shared_clock, ledger, shared).await
+    })
+}
+
+/// Guards against a claim beside a live leader: its record may come after the part that one read
+/// returns.
+#[test]
+fn a_leader_record_beyond_the_first_read_is_found() {
+    let is_found =
+        decide_on_unread(|_, ledger, _| async move { ledger.has_unread_leader_record().await });
+    assert_eq!(is_found, Ok(true));
+}
+
+/// Guards against a job that runs on although its cancellation was answered: the entry's view lags
+/// behind the store, so a job that it lacks may have been accepted.
+#[test]
+fn a_job_that_was_not_read_yet_can_be_cancelled() {
+    let outcomes = decide_on_unread(|clock, ledger, shared| async move {
+        let service = JobService {
+            clock,
+            ledger,
+            queue_table: Rc::default(),
+            is_stopping: Cell::default(),
+            metrics: Rc::new(PlatformMetrics::default()),
+        };
+        let time = Duration::from_secs(1);
+        let stored = service.cancel(StepJobId(3), time).await;
+        let missing = service.cancel(StepJobId(4), time).await;
+        let records = shared.model.borrow_mut().read(TOPIC, 4).expect("a read");
+        let keys = records.records.iter().map(|r| r.key.clone());
+        let keys: Vec<Arc<str>> = keys.collect();
+        shared.is_down.set(true);
+        let unknown = service.cancel(StepJobId(4), time).await;
+        (stored, missing, unknown, keys)
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
