Read a list of the store again if a page without records says that there are more

Such a page ended the list of newest records, and jobs and members of later pages would have counted as removed. Change: the page is malformed, so the read fails and is repeated. Result: `an_empty_page_does_not_end_a_list_that_has_more` fails without the fix.

--- a/src/platform/log_store.rs
+++ b/src/platform/log_store.rs
@@ -135,8 +135,12 @@
                 for item in page.records {
                     records.push(decode_item(item)?);
                 }
-                let (true, Some(last)) = (page.has_more, last) else {
+                if !page.has_more {
                     break;
+                }
+                let Some(last) = last else {
+                    let why = "a page without records has more records after it";
+                    return Err(StoreError::Malformed(why.to_owned()));
                 };
                 page = self.newest_page(topic, Some(&last)).await?;
             }
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -6,7 +6,7 @@
         runtime::{Runtime, spawn},
     },
     limpetquay::{
-        connection::{HttpClient, HttpServer, read_frame},
+        connection::{HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, read_frame},
         platform::{
             LogStore,
             stand_in::{StandInStore, StoreFaults},
@@ -313,3 +313,43 @@
         );
     });
 }
+
+/// Answers with a page of the newest records that has none and says that there are more.
+struct EmptyPage;
+
+impl HttpHandler for EmptyPage {
+    fn handle(
+        self: Rc<Self>,
+        _req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpResponse> {
+        let body = serde_json::json!({"items": [], "HasMore": true, "EndOffset": 7});
+        Box::pin(async move { HttpResponse::json(200, &body) })
+    }
+
+    fn max_body(
+        &self,
+        _path: &str,
+    ) -> usize {
+        0
+    }
+}
+
+/// Guards against jobs and members that are taken for removed because the list of the newest records
+/// was cut short.
+#[test]
+fn an_empty_page_does_not_end_a_list_that_has_more() {
+    let newest = Runtime::new().expect("a runtime").block_on(async {
+        let any = ANY_ADDRESS.parse().expect("an address");
+        let server = HttpServer::bind(any, Rc::new(EmptyPage)).await;
+        let server = server.expect("the server is bound");
+        let address = server.local_addr().expect("an address");
+        spawn(server.run(std::future::pending())).detach();
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let store = LogStore::new(HttpClient::new(clock), address);
+        store.newest("keyed.limpetquay").await
+    });
+    assert!(
+        matches!(newest, Err(StoreError::Malformed(_))),
+        "{newest:?}"
+    );
+}
