Wait for the last lease of a guard that deregisters after a takeover

A leader judged by the runs that it knows whether a guard without a record can be removed, and a removed guard no longer holds back what an earlier leader may have started there. Change: a guard that has not reported since the takeover stays until the lease in its deregistration has expired, or until all leases of earlier leaders have.

--- a/src/process/scheduler/registrations.rs
+++ b/src/process/scheduler/registrations.rs
@@ -48,16 +48,32 @@
         }
     }
 
+    /// Records that a guard has deregistered and that the leases of its worker expire at
+    /// `expire_at`, so that runs of earlier schedulers there are over from then on.
+    pub fn apply_departure(
+        &mut self,
+        name: &UpstreamName,
+        expire_at: Millis,
+        now: Millis,
+    ) {
+        if expire_at <= now && self.unreported_guards.remove(name) {
+            tracing::info!(upstream = %name, "the leases of a guard that has deregistered have expired");
+        }
+    }
+
     /// Returns whether a guard whose record is gone can be removed. A missing record shows nothing
-    /// about the worker: its runs end by a report or by their leases.
+    /// about the worker: its runs end by a report or by their leases, also those of earlier
+    /// schedulers that this one does not know.
     pub fn is_removable(
         &self,
         name: &UpstreamName,
+        now: Millis,
     ) -> bool {
-        self.upstreams.get(name).is_none_or(|u| {
+        let has_no_runs = self.upstreams.get(name).is_none_or(|u| {
             let has_worker = u.is_connected && u.incarnation.is_some();
             !has_worker && u.runs.is_empty()
-        })
+        });
+        has_no_runs && !self.may_have_inherited_runs_at(name, now)
     }
 
     /// Returns the connected guards whose registration is stored under another number or not at
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -314,10 +314,14 @@
         .finish_deregistrations(read_to);
     let known: Vec<UpstreamName> = shared.guards.borrow().keys().cloned().collect();
     for name in known.iter().filter(|n| !guards.contains_key(n)) {
+        let departure = ledger.view(|fold| fold.departed_guards.get(name.as_str()).copied());
         let is_removable = {
             let mut scheduler = shared.scheduler.borrow_mut();
             scheduler.set_stored_registration(name, None, now);
-            scheduler.is_removable(name)
+            if let Some(expire_at) = departure {
+                scheduler.apply_departure(name, expire_at, now);
+            }
+            scheduler.is_removable(name, now)
         };
         if is_removable {
             shared.drop_session(name);
--- a/tests/platform/cut_lists.rs
+++ b/tests/platform/cut_lists.rs
@@ -369,6 +369,54 @@
     Scheduler::new(term, leases, 3, policy, guards, Millis(0))
 }
 
+/// Returns when a job of an earlier scheduler starts on another worker, in milliseconds, if the
+/// record of the guard that may run it is removed at 500 ms. The guard knows nothing of its worker.
+/// `departure` is when the worker's last lease expires, if the removal says so.
+fn started_elsewhere_at(departure: Option<u64>) -> Option<u64> {
+    let [silent, other] = ["guard-1", "guard-2"].map(UpstreamName::from);
+    let mut scheduler = scheduler(2, &[&silent, &other]);
+    let mut job = open_job();
+    job.progress.stamp.term = 1;
+    scheduler.apply_job(&job);
+    scheduler.mark_recorded(job.job.id, 1);
+    let mut guard = tracker();
+    guard.open_session(1);
+    for name in [&silent, &other] {
+        scheduler.set_stored_registration(name, Some(1), Millis(0));
+        scheduler.open_session(name);
+    }
+    (0..12_000).step_by(100).find(|at| {
+        let now = Millis(*at);
+        scheduler.confirm_leadership(now);
+        scheduler.apply_report(&silent, RunTracker::default().report(now), now);
+        guard.apply_poll(1, now, now, response(true));
+        scheduler.apply_report(&other, guard.report(now), now);
+        if *at >= 500 && scheduler.upstreams.contains_key(&silent) {
+            scheduler.set_stored_registration(&silent, None, now);
+            if let Some(expire_at) = departure {
+                scheduler.apply_departure(&silent, Millis(expire_at), now);
+            }
+            if scheduler.is_removable(&silent, now) {
+                scheduler.remove_guard(&silent, now);
+            }
+        }
+        scheduler.run_pass(now, now);
+        !scheduler.upstreams[&other].runs.is_empty()
+    })
+}
+
+/// Guards against work that starts a second time because the record of a guard is gone: a guard
+/// deregisters while its worker, which may only be cut off, has a lease, and a leader that took over
+/// just before does not know the runs there.
+#[test]
+fn a_missing_record_ends_no_run_of_an_earlier_leader() {
+    insta::assert_debug_snapshot!([
+        ("the lease is unknown", started_elsewhere_at(None)),
+        ("the lease lasts", started_elsewhere_at(Some(5600))),
+        ("the lease has expired", started_elsewhere_at(Some(400))),
+    ]);
+}
+
 /// Guards against a run that goes on although its job was cancelled: its guard has restarted and
 /// receives the stop before it knows its worker.
 #[test]
