Close the session when a worker restarts under its ID

A start that its guard still sent to the earlier incarnation was carried out by the next one, which has the same ID and no token yet; the leader took the runs there for lost with the heartbeat and started them elsewhere before the first poll. Change: the guard closes the session; the first poll of the next one fences earlier orders and lists what has arrived, which the leader keeps. `a_start_that_reaches_the_next_incarnation_of_a_worker_is_kept` fails without the fix.

--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -35,7 +35,8 @@
 /// The state of a guard's worker, its runs and their ends, and the session.
 #[derive(Clone, Debug, Default)]
 pub struct RunTracker {
-    /// The latest session, which stays after its connection has closed.
+    /// The latest session, which stays after its connection has closed; `None` before the first one
+    /// and after the worker has restarted under its ID.
     pub session: Option<Session>,
     /// The highest fencing token of any session so far.
     pub highest_token: u64,
@@ -107,6 +108,12 @@
             if self.worker.is_some() {
                 self.leases_expire_at = Millis(0);
             }
+            if self.worker.as_ref().is_some_and(|w| w.life.id == life.id) {
+                // The worker's ID does not keep orders for its earlier incarnation from this one.
+                // The token of the next session does, and the first poll then shows what arrived.
+                tracing::info!(id = %life.id, born_ms = life.started_at_ms, "the worker has restarted under its ID; closing the session");
+                self.session = None;
+            }
             self.remove_worker();
             self.worker = Some(heartbeat.worker);
         }
@@ -276,6 +283,14 @@
         self.highest_token == token
     }
 
+    /// Returns whether the session with `token` is the current one and was not closed.
+    pub fn is_session_open(
+        &self,
+        token: u64,
+    ) -> bool {
+        self.session.is_some_and(|s| s.token == token)
+    }
+
     /// Records that a start is being sent. Returns `false` if the run is already tracked.
     pub fn begin_start(
         &mut self,
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -103,7 +103,7 @@
             return Ok(());
         };
         let orders = orders?;
-        if !guard.tracker.borrow().is_current_token(token) {
+        if !guard.tracker.borrow().is_session_open(token) {
             return Ok(());
         }
         apply_orders(guard, orders);
@@ -124,7 +124,7 @@
         write_frame(stream, &report).await?;
         guard.clock.sleep(MIN_REPORT_GAP).await;
         with_timeout(&*guard.clock, REPORT_INTERVAL, changed).await;
-        if !guard.tracker.borrow().is_current_token(token) {
+        if !guard.tracker.borrow().is_session_open(token) {
             return Ok(());
         }
     }
--- a/tests/platform/cut_lists.rs
+++ b/tests/platform/cut_lists.rs
@@ -520,3 +520,61 @@
     }
     insta::assert_debug_snapshot!(course);
 }
+
+/// Guards against two runs of one subtask: a worker that restarts under its ID accepts a start that was
+/// sent to its earlier incarnation, whose runs are lost. The next session shows what arrived.
+#[test]
+fn a_start_that_reaches_the_next_incarnation_of_a_worker_is_kept() {
+    let name = UpstreamName::from("guard-1");
+    let mut scheduler = scheduler(1, &[]);
+    let job = open_job();
+    scheduler.apply_job(&job);
+    scheduler.mark_recorded(job.job.id, 1);
+    scheduler.set_stored_registration(&name, Some(1), Millis(0));
+    let mut guard = tracker();
+    let mut course = Vec::new();
+    let mut started = None;
+    for (at, token) in [(0, 1), (100, 1), (200, 1), (300, 2), (400, 2)] {
+        let now = Millis(at);
+        scheduler.confirm_leadership(now);
+        if guard.open_session(token) {
+            scheduler.open_session(&name);
+        }
+        if at == 200 {
+            let mut restarted = heartbeat();
+            restarted.worker.life.started_at_ms = 2;
+            guard.apply_heartbeat(restarted, now);
+        } else {
+            let running = started.map(|run| RunStatus {
+                run,
+                phase: RunPhase::Running,
+                checkpoint: None,
+                progress_percent: 0,
+            });
+            let listed = PollResponse {
+                running: running.into_iter().collect(),
+                ..response(true)
+            };
+            guard.apply_poll(token, now, now, listed);
+        }
+        // The leader closes a session whose reports have another token.
+        let report = guard.report(now);
+        if report.token == token {
+            scheduler.apply_report(&name, report, now);
+        }
+        scheduler.run_pass(now, now);
+        let orders = scheduler.next_message(&name, token);
+        started = orders
+            .starts
+            .first()
+            .map_or(started, |start| Some(start.run));
+        guard.apply_orders(&orders, now);
+        course.push(format!(
+            "{at} ms: session open {}, starts ordered {}, stops ordered {}",
+            guard.is_session_open(token),
+            orders.starts.len(),
+            orders.stops.len()
+        ));
+    }
+    insta::assert_debug_snapshot!(course);
+}
