Drop orders that were not sent when the runs of a worker are lost

A start that waited for its message when its worker was replaced went to the next one, where the unit had been placed again: two runs of one subtask. Change: when all runs of a worker are lost, the unsent orders for its guard go with them.

--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -26,8 +26,6 @@
 mod unit_placement_policy;
 mod upstream;
 
-use upstream::NOT_SENT;
-
 pub use {
     active_unit::ActiveUnit,
     lease_terms::LeaseTerms,
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -64,12 +64,15 @@
         }
     }
 
+    /// Marks all runs of a worker as lost.
     pub(super) fn mark_runs_lost(
         &mut self,
         name: &UpstreamName,
         now: Millis,
         why: &str,
     ) {
+        // Orders that are not sent yet would reach the next incarnation of the worker.
+        self.pending_orders.remove(name);
         let runs = self
             .upstreams
             .get(name)
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ActiveUnit, LeaseTerms, NOT_SENT, OpenJob, PendingOrders, PlacedRun, SchedulerCounts,
-        UnitPlacementPolicy, UpstreamState,
+        ActiveUnit, LeaseTerms, OpenJob, PendingOrders, PlacedRun, SchedulerCounts,
+        UnitPlacementPolicy, UpstreamState, upstream::NOT_SENT,
     },
     crate::{
         connection::{GuardOrders, RunPhase, RunStart},
--- a/tests/platform/cut_lists.rs
+++ b/tests/platform/cut_lists.rs
@@ -20,7 +20,7 @@
             },
             scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
         },
-        request::{JobPhase, JobProgress, Resources, Step, StepJob, StepJobId},
+        request::{JobPhase, JobProgress, Resources, RunRef, Step, StepJob, StepJobId},
         version::QueueName,
     },
     serde::Serialize,
@@ -578,3 +578,34 @@
     }
     insta::assert_debug_snapshot!(course);
 }
+
+/// Guards against two runs of one subtask: a start that waits for its message when another worker
+/// takes the place of the one that it is for, whose runs are lost.
+#[test]
+fn a_start_that_was_not_sent_does_not_reach_the_next_worker() {
+    let name = UpstreamName::from("guard-1");
+    let mut scheduler = scheduler(1, &[]);
+    let job = open_job();
+    scheduler.apply_job(&job);
+    scheduler.mark_recorded(job.job.id, 1);
+    scheduler.set_stored_registration(&name, Some(1), Millis(0));
+    scheduler.confirm_leadership(Millis(0));
+    scheduler.open_session(&name);
+    let mut guard = tracker();
+    guard.open_session(1);
+    for started_at_ms in [1, 2] {
+        let mut heartbeat = heartbeat();
+        heartbeat.worker.life = WorkerIncarnation {
+            id: format!("w-{started_at_ms}").into(),
+            started_at_ms,
+        };
+        guard.apply_heartbeat(heartbeat, Millis(0));
+        guard.apply_poll(1, Millis(0), Millis(0), response(true));
+        scheduler.apply_report(&name, guard.report(Millis(0)), Millis(0));
+        scheduler.run_pass(Millis(0), Millis(0));
+    }
+    let orders = scheduler.next_message(&name, 1);
+    let ordered: Vec<RunRef> = orders.starts.iter().map(|s| s.run).collect();
+    let placed: Vec<RunRef> = scheduler.upstreams[&name].runs.keys().copied().collect();
+    assert_eq!(ordered, placed);
+}
