Give each run of the soak folders of its own, and mend two links of the documentation

Cause: five ranges of seeds beside each other failed in their three named tests (`Address already in use`, a settings file that is not found): all wrote their settings to the same folders. Change: the folders bear the number of the process; the two comments name no item.

--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -32,15 +32,15 @@
     pub checkpoint: Option<Arc<str>>,
     /// The part of its work that is done, in percent.
     pub progress_percent: u64,
-    /// The number within the session of the message that ordered it; [`NOT_SENT`] before that is
+    /// The number within the session of the message that ordered it: the greatest one before that is
     /// sent, and 0 for a run that was found or was ordered in an earlier session.
     pub order_message_number: u64,
     /// When it was ordered or found.
     pub known_since: Millis,
     /// Whether it was ordered to stop.
     pub is_stopping: bool,
-    /// The number within the session of the message that ordered the stop; [`NOT_SENT`] before that
-    /// is sent.
+    /// The number within the session of the message that ordered the stop: the greatest one before
+    /// that is sent.
     pub stop_message_number: u64,
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -39,11 +39,20 @@
 const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/q/",
     "Priority":0,"Service":"s","Attempts":2,"Stretch":3.0}],"Tenants":[{"Name":"t","ApiKeys":["key"]}]}"#;
 
+/// Returns the folder of the settings and logs of one test. Test runs at the same time have
+/// different ones.
+fn log_dir(name: &str) -> PathBuf {
+    let run = format!("run-{}", std::process::id());
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+        .join(run)
+        .join(name)
+}
+
 /// Runs one scenario and returns the violations, with the place of the logs and the injected
 /// faults.
 async fn run_scenario(seed: u64) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    let dir = log_dir(&format!("soak-{seed}"));
     drop(std::fs::remove_dir_all(&dir));
     // The process id separates the addresses of test runs at the same time.
     let subnet = [1 + (std::process::id() % 200) as u8, (seed % 250) as u8];
@@ -211,7 +220,7 @@
 {
     let runtime = Runtime::new().expect("the runtime can be created");
     runtime.block_on(async {
-        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let dir = log_dir(&format!("soak-{seed}"));
         drop(std::fs::remove_dir_all(&dir));
         let subnet = [1 + (std::process::id() % 200) as u8, seed as u8];
         let fleet = Fleet::start(dir, subnet, 1, 2, CONFIG).await;
@@ -261,7 +270,7 @@
     let violations = Runtime::new()
         .expect("the runtime can be created")
         .block_on(async {
-            let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reloads");
+            let dir = log_dir("reloads");
             let subnet = [1 + (std::process::id() % 200) as u8, 251];
             let fleet = Fleet::start(dir, subnet, 1, 1, CONFIG).await;
             compio::time::sleep(Duration::from_millis(500)).await;
