--- a/tests/platform/cut_lists.rs
+++ b/tests/platform/cut_lists.rs
@@ -1,27 +1,23 @@
-//! What the scheduler concludes from lists that may be cut short, and from orders and records that are
-//! missing: a worker lists 500 ends at a time.
+//! What the scheduler concludes from lists that may be cut short and from records that are missing: a
+//! worker lists 500 ends at a time.
 
 use {
-    super::world::{Faults, World},
+    super::{
+        one_guard::{open_job, response, scheduler, tracker, worker},
+        world::{Faults, World},
+    },
     compio::runtime::{Runtime, spawn},
     limpetquay::{
         connection::{
-            GuardReport, HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer,
-            MAX_FRAME_BYTES, RunPhase, RunStatus, WorkerIncarnation, WorkerView,
+            GuardReport, HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, WorkerView,
         },
         platform::HttpRunWorker,
         prelude::*,
         process::{
             clock::SystemClock,
-            ledger::JobView,
-            runs::{
-                PollRequest, PollResponse, RunTracker, RunWorker, WorkerAddress, WorkerHeartbeat,
-                WorkerInfo,
-            },
-            scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
+            runs::{PollRequest, RunTracker, RunWorker, WorkerAddress},
         },
-        request::{JobPhase, JobProgress, Resources, RunRef, Step, StepJob, StepJobId},
-        version::QueueName,
+        request::{JobPhase, Resources, Step, StepJobId},
     },
     serde::Serialize,
     serde_json::{Value, json},
@@ -136,80 +132,6 @@
     insta::assert_debug_snapshot!(all.map(outcome));
 }
 
-fn worker() -> WorkerAddress {
-    WorkerAddress {
-        address: "127.0.0.1:1".into(),
-        life: WorkerIncarnation {
-            id: "w-1".into(),
-            started_at_ms: 1,
-        },
-    }
-}
-
-/// An accepted job of one subtask.
-fn open_job() -> JobView {
-    job_of(1, "payload")
-}
-
-fn job_of(
-    count: u32,
-    payload: &str,
-) -> JobView {
-    let job = StepJob {
-        id: StepJobId(1),
-        queue: QueueName::from("queue"),
-        account: AccountName::from("account"),
-        service: "service".into(),
-        priority: 1,
-        attempts: 4,
-        stretch_percent: 300,
-        target_ms: 1000,
-        payload: payload.into(),
-        steps: vec![Step {
-            count,
-            ..Step::default()
-        }],
-        recurrence: None,
-        accepted_ms: 0,
-    };
-    JobView {
-        job: Rc::new(job),
-        offset: 0,
-        progress: JobProgress::default(),
-        is_cancelled: false,
-        ended_at: None,
-    }
-}
-
-fn tracker() -> RunTracker {
-    let mut tracker = RunTracker::default();
-    tracker.apply_heartbeat(heartbeat(), Millis(0));
-    tracker
-}
-
-fn heartbeat() -> WorkerHeartbeat {
-    WorkerHeartbeat {
-        worker: worker(),
-        sequence: 1,
-        info: WorkerInfo {
-            service: "service".into(),
-            capacity: Resources::default(),
-            labels: vec!["r1".into()],
-            leaving_ms: None,
-        },
-    }
-}
-
-fn response(is_complete: bool) -> PollResponse {
-    PollResponse {
-        clock_ms: 0,
-        born_ms: None,
-        running: vec![],
-        ended: vec![],
-        is_complete,
-    }
-}
-
 /// Guards against a leader that takes a run for lost because a report lacks it: that counts only if
 /// the report has all runs and ends, and from then on at once, also for runs that an earlier session
 /// ordered. A leader that takes over does not start a job again before such a report.
@@ -366,16 +288,6 @@
     insta::assert_debug_snapshot!((report.lists_all_runs, read));
 }
 
-fn scheduler(
-    term: u64,
-    guards: &[&UpstreamName],
-) -> Scheduler {
-    let policy = Box::new(RackFirstPlacement);
-    let guards = guards.iter().copied().cloned().collect();
-    let leases = LeaseTerms::new(Millis(6000));
-    Scheduler::new(term, leases, 3, policy, guards, Millis(0))
-}
-
 /// Returns when a job of an earlier scheduler starts on another worker, in milliseconds, if the
 /// record of the guard that may run it is removed at 500 ms. The guard knows nothing of its worker.
 /// `departure` is when the worker's last lease expires, if the removal says so.
@@ -423,189 +335,3 @@
         ("the lease has expired", started_elsewhere_at(Some(400))),
     ]);
 }
-
-/// Guards against a run that goes on although its job was cancelled: its guard has restarted and
-/// receives the stop before it knows its worker.
-#[test]
-fn a_stop_that_was_not_carried_out_is_ordered_again() {
-    let name = UpstreamName::from("guard-1");
-    let mut scheduler = scheduler(1, &[]);
-    let mut job = open_job();
-    scheduler.apply_job(&job);
-    scheduler.mark_recorded(job.job.id, 1);
-    scheduler.set_stored_registration(&name, Some(1), Millis(0));
-    scheduler.confirm_leadership(Millis(0));
-    scheduler.open_session(&name);
-    let mut guard = tracker();
-    guard.open_session(1);
-    guard.apply_poll(1, Millis(0), Millis(0), response(true));
-    scheduler.apply_report(&name, guard.report(Millis(0)), Millis(0));
-    scheduler.run_pass(Millis(0), Millis(0));
-    let run = *scheduler.upstreams[&name]
-        .runs
-        .keys()
-        .next()
-        .expect("a run");
-    let mut restarted = RunTracker::default();
-    restarted.open_session(2);
-    scheduler.open_session(&name);
-    job.is_cancelled = true;
-    scheduler.apply_job(&job);
-    let mut course = Vec::new();
-    for now in (100..600).step_by(100).map(Millis) {
-        scheduler.confirm_leadership(now);
-        let orders = scheduler.next_message(&name, 2);
-        let calls = restarted.apply_orders(&orders, now).len();
-        course.push(format!(
-            "stops ordered: {}, calls: {calls}",
-            orders.stops.len()
-        ));
-        if now == Millis(200) {
-            restarted.apply_heartbeat(heartbeat(), now);
-            let running = RunStatus {
-                run,
-                phase: RunPhase::Running,
-                checkpoint: None,
-                progress_percent: 0,
-            };
-            let listed = PollResponse {
-                running: vec![running],
-                ..response(true)
-            };
-            restarted.apply_poll(2, now, now, listed);
-        }
-        scheduler.apply_report(&name, restarted.report(now), now);
-    }
-    insta::assert_debug_snapshot!(course);
-}
-
-/// Guards against a job that is accepted and never starts: the starts for one guard exceed what a
-/// frame carries, so the session ends, and the next one builds the same message. Review `long-specs`.
-#[test]
-fn starts_that_exceed_a_frame_are_sent_in_several() {
-    let name = UpstreamName::from("guard-1");
-    let mut scheduler = scheduler(1, &[]);
-    let mut job = job_of(1100, &"x".repeat(4000));
-    scheduler.apply_job(&job);
-    scheduler.mark_recorded(job.job.id, 1);
-    scheduler.set_stored_registration(&name, Some(1), Millis(0));
-    scheduler.confirm_leadership(Millis(0));
-    scheduler.open_session(&name);
-    let mut guard = tracker();
-    guard.open_session(1);
-    guard.apply_poll(1, Millis(0), Millis(0), response(true));
-    scheduler.apply_report(&name, guard.report(Millis(0)), Millis(0));
-    scheduler.run_pass(Millis(0), Millis(0));
-    let mut course = Vec::new();
-    while scheduler.has_orders(&name) {
-        let orders = scheduler.next_message(&name, 1);
-        let encoded = postcard::to_stdvec(&orders).expect("an encoded message");
-        assert!(
-            encoded.len() <= MAX_FRAME_BYTES,
-            "a message of {} bytes",
-            encoded.len()
-        );
-        let calls = guard.apply_orders(&orders, Millis(0)).len();
-        scheduler.apply_report(&name, guard.report(Millis(0)), Millis(0));
-        let placed = scheduler.upstreams[&name].runs.len();
-        course.push(format!(
-            "starts: {}, stops: {}, calls: {calls}, placed: {placed}",
-            orders.starts.len(),
-            orders.stops.len()
-        ));
-        if course.len() == 2 {
-            job.is_cancelled = true;
-            scheduler.apply_job(&job);
-        }
-    }
-    insta::assert_debug_snapshot!(course);
-}
-
-/// Guards against two runs of one subtask: a worker that restarts under its ID accepts a start that was
-/// sent to its earlier incarnation, whose runs are lost. The next session shows what arrived.
-#[test]
-fn a_start_that_reaches_the_next_incarnation_of_a_worker_is_kept() {
-    let name = UpstreamName::from("guard-1");
-    let mut scheduler = scheduler(1, &[]);
-    let job = open_job();
-    scheduler.apply_job(&job);
-    scheduler.mark_recorded(job.job.id, 1);
-    scheduler.set_stored_registration(&name, Some(1), Millis(0));
-    let mut guard = tracker();
-    let mut course = Vec::new();
-    let mut started = None;
-    for (at, token) in [(0, 1), (100, 1), (200, 1), (300, 2), (400, 2)] {
-        let now = Millis(at);
-        scheduler.confirm_leadership(now);
-        if guard.open_session(token) {
-            scheduler.open_session(&name);
-        }
-        if at == 200 {
-            let mut restarted = heartbeat();
-            restarted.worker.life.started_at_ms = 2;
-            guard.apply_heartbeat(restarted, now);
-        } else {
-            let running = started.map(|run| RunStatus {
-                run,
-                phase: RunPhase::Running,
-                checkpoint: None,
-                progress_percent: 0,
-            });
-            let listed = PollResponse {
-                running: running.into_iter().collect(),
-                ..response(true)
-            };
-            guard.apply_poll(token, now, now, listed);
-        }
-        // The leader closes a session whose reports have another token.
-        let report = guard.report(now);
-        if report.token == token {
-            scheduler.apply_report(&name, report, now);
-        }
-        scheduler.run_pass(now, now);
-        let orders = scheduler.next_message(&name, token);
-        started = orders
-            .starts
-            .first()
-            .map_or(started, |start| Some(start.run));
-        guard.apply_orders(&orders, now);
-        course.push(format!(
-            "{at} ms: session open {}, starts ordered {}, stops ordered {}",
-            guard.is_session_open(token),
-            orders.starts.len(),
-            orders.stops.len()
-        ));
-    }
-    insta::assert_debug_snapshot!(course);
-}
-
-/// Guards against two runs of one subtask: a start that waits for its message when another worker
-/// takes the place of the one that it is for, whose runs are lost.
-#[test]
-fn a_start_that_was_not_sent_does_not_reach_the_next_worker() {
-    let name = UpstreamName::from("guard-1");
-    let mut scheduler = scheduler(1, &[]);
-    let job = open_job();
-    scheduler.apply_job(&job);
-    scheduler.mark_recorded(job.job.id, 1);
-    scheduler.set_stored_registration(&name, Some(1), Millis(0));
-    scheduler.confirm_leadership(Millis(0));
-    scheduler.open_session(&name);
-    let mut guard = tracker();
-    guard.open_session(1);
-    for started_at_ms in [1, 2] {
-        let mut heartbeat = heartbeat();
-        heartbeat.worker.life = WorkerIncarnation {
-            id: format!("w-{started_at_ms}").into(),
-            started_at_ms,
-        };
-        guard.apply_heartbeat(heartbeat, Millis(0));
-        guard.apply_poll(1, Millis(0), Millis(0), response(true));
-        scheduler.apply_report(&name, guard.report(Millis(0)), Millis(0));
-        scheduler.run_pass(Millis(0), Millis(0));
-    }
-    let orders = scheduler.next_message(&name, 1);
-    let ordered: Vec<RunRef> = orders.starts.iter().map(|s| s.run).collect();
-    let placed: Vec<RunRef> = scheduler.upstreams[&name].runs.keys().copied().collect();
-    assert_eq!(ordered, placed);
-}
