Log what a takeover waits for, the run before a placement, and late timers

Callers saw subtasks that ran twice, and the records do not show whether one leader gave a run up or the next one never knew it. Cause: nothing tells the hypotheses of the incident apart. The lines of a leader that takes over do not say for which guards it waits and why the wait for each ends, a placement does not name the run before it, and a process that was not scheduled leaves only a gap. No decision changes.

--- a/src/process/clock/mod.rs
+++ b/src/process/clock/mod.rs
@@ -5,11 +5,13 @@
     reason = "a file bears the name of its main type"
 )]
 mod clock;
+mod late_timer;
 mod system_clock;
 mod virtual_clock;
 
 pub use {
     clock::{Clock, Millis, with_timeout},
+    late_timer::sleep_logging_delay,
     system_clock::SystemClock,
     virtual_clock::VirtualClock,
 };
--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -5,7 +5,7 @@
     crate::{
         prelude::*,
         process::{
-            clock::with_timeout,
+            clock::{sleep_logging_delay, with_timeout},
             ledger::{Ledger, Member, deregister, register},
         },
     },
@@ -77,7 +77,7 @@
 ) -> RegistrationChange {
     let mut last_present_at = clock.now();
     loop {
-        clock.sleep(CHECK_INTERVAL).await;
+        sleep_logging_delay(clock, CHECK_INTERVAL).await;
         let now = clock.now();
         let (is_worker_gone, last_orders_at) = {
             let tracker = guard.tracker.borrow();
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod scheduler_counts;
 mod scheduler_term;
 mod scheduling_pass;
+mod takeover_wait;
 mod unit_placement_policy;
 mod upstream;
 
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -95,7 +95,7 @@
         };
         self.counts.count("lost");
         let age_ms = Millis::from(now.since(placed.known_since)).0;
-        tracing::info!(%run, upstream = %name, why, age_ms, "run lost");
+        tracing::info!(term = self.term, %run, upstream = %name, why, age_ms, "run lost");
         if let Some((id, unit)) = placed.unit {
             self.store_checkpoint(id, unit, run.run, placed.checkpoint);
             self.handle_member_end(id, unit, run, MemberEnd::Lost);
--- a/src/process/scheduler/pass_pending_units.rs
+++ b/src/process/scheduler/pass_pending_units.rs
@@ -46,28 +46,6 @@
         units
     }
 
-    /// Returns whether a guard that has not reported since the takeover may have a worker on which
-    /// runs of earlier schedulers continue.
-    fn may_have_inherited_runs(
-        &self,
-        now: Millis,
-    ) -> bool {
-        let mut guards = self.unreported_guards.iter();
-        guards.any(|name| self.may_have_inherited_runs_at(name, now))
-    }
-
-    /// Returns whether a guard may have a worker on which runs of earlier schedulers continue that
-    /// it has not reported.
-    pub(super) fn may_have_inherited_runs_at(
-        &self,
-        name: &UpstreamName,
-        now: Millis,
-    ) -> bool {
-        let leased_at = self.upstreams.get(name).and_then(|u| u.leased_at);
-        let expires_at = leased_at.map_or(Millis(0), |at| at + self.leases.expiry_delay());
-        self.unreported_guards.contains(name) && now < expires_at.max(self.hold_starts_until)
-    }
-
     /// Marks the urgent units that fit into the unused part of their account's guarantee, the ones
     /// with the earliest due time first.
     fn mark_guaranteed(
--- a/src/process/scheduler/registrations.rs
+++ b/src/process/scheduler/registrations.rs
@@ -56,8 +56,8 @@
         expire_at: Millis,
         now: Millis,
     ) {
-        if expire_at <= now && self.unreported_guards.remove(name) {
-            tracing::info!(upstream = %name, "the leases of a guard that has deregistered have expired");
+        if expire_at <= now {
+            self.end_wait_for(name, "it has deregistered and its leases have expired");
         }
     }
 
@@ -118,7 +118,7 @@
         now: Millis,
     ) {
         self.mark_worker_lost(name, now, "its guard is no longer registered");
-        self.unreported_guards.remove(name);
+        self.end_wait_for(name, "it is no longer registered");
         self.upstreams.remove(name);
         self.pending_orders.remove(name);
         self.messages_sent.remove(name);
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -40,7 +40,7 @@
                 worker
             }
             WorkerView::Ended => {
-                self.unreported_guards.remove(name);
+                self.end_wait_for(name, "its worker has ended");
                 self.mark_worker_lost(name, now, "the worker has ended");
                 return;
             }
@@ -62,7 +62,7 @@
         self.apply_worker_status(name, &worker, now);
         let expiry_ms = MAX_LEASE_EXTENSION_MS + self.leases.worker.0;
         if worker.unresponsive_ms > expiry_ms {
-            self.unreported_guards.remove(name);
+            self.end_wait_for(name, "the lease of its worker has expired");
             self.mark_runs_lost(
                 name,
                 now,
@@ -81,7 +81,7 @@
             self.apply_run_status(name, status, report.last_handled, now);
         }
         if report.lists_all_runs {
-            self.unreported_guards.remove(name);
+            self.end_wait_for(name, "it has reported all runs");
             self.drop_absent_runs(name, &worker, &ends, report.last_handled, now);
         }
     }
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -48,6 +48,8 @@
     pub(super) unreported_guards: BTreeSet<UpstreamName>,
     /// The time at which the leases of all runs on unreported guards have expired.
     pub(super) hold_starts_until: Millis,
+    /// Whether starts were held in the last pass because of guards that have not reported.
+    pub(super) is_waiting_for_guards: bool,
 }
 
 impl Scheduler {
@@ -76,6 +78,7 @@
             change_count: 0,
             confirmed_at: Millis(0),
             was_leased: false,
+            is_waiting_for_guards: !guards.is_empty(),
             unreported_guards: guards,
             hold_starts_until: now + leases.takeover_delay(),
         }
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -10,7 +10,7 @@
     crate::{
         prelude::*,
         process::{
-            clock::with_timeout,
+            clock::{sleep_logging_delay, with_timeout},
             ledger::{LeaderElection, Ledger, LedgerFold, LedgerKey, Member, MemberRole},
             metrics::PlatformMetrics,
             task_group::TaskGroup,
@@ -209,6 +209,7 @@
     tracing::info!(
         term,
         jobs = shared.scheduler.borrow().jobs.len(),
+        unreported_guards = shared.scheduler.borrow().unreported_guard_count(),
         "scheduling begins"
     );
     let tasks = TaskGroup::default();
@@ -293,7 +294,7 @@
         apply_ledger_changes(ctx, shared);
         run_scheduling_pass(shared);
         export_metrics(ctx, shared);
-        shared.clock.sleep(MIN_PASS_INTERVAL).await;
+        sleep_logging_delay(&*shared.clock, MIN_PASS_INTERVAL).await;
         let either = futures_util::future::select(pass_due, ledger_changed);
         with_timeout(&*shared.clock, MAX_PASS_INTERVAL, either).await;
     }
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -37,6 +37,7 @@
         wall: Millis,
     ) {
         self.drop_expired_runs(now);
+        self.log_end_of_wait(now);
         if !self.check_lease(now) {
             return;
         }
@@ -101,6 +102,8 @@
             .iter()
             .filter_map(|n| self.upstreams.get(n))
             .map(|u| u.unresponsive_ms);
+        let job = self.jobs.get(&pending.job);
+        let previous_run = job.and_then(|j| j.highest_run.get(&pending.unit));
         tracing::info!(
             job = %pending.job,
             unit = %pending.unit,
@@ -110,6 +113,9 @@
             upstreams = ?placed.iter().map(UpstreamName::as_str).collect::<Vec<_>>(),
             hosts,
             view_age_ms = oldest_ms.max(),
+            term = self.term,
+            previous_run,
+            unreported_guards = self.unreported_guards.len(),
             "unit placed",
         );
     }
