Show that work of a worker that stops listening before it ends runs twice

Callers saw two runs of one subtask at once. One order of events that fits the record is reproduced in real processes: a worker deregisters and stops listening, its runs go on, and the guard takes the first refused connection for the end of all of them.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -288,3 +288,16 @@
         });
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Guards against work that is started again while it runs: a worker that has left stops listening
+/// some time before its runs end.
+#[test]
+fn runs_of_a_worker_that_stops_listening_before_it_ends_are_not_started_again() {
+    let violations = violations_while(250, async |fleet| {
+        fleet.deregister_worker(0).await;
+        fleet.cut_worker(0, true);
+        compio::time::sleep(Duration::from_millis(1500)).await;
+        fleet.crash_worker(0);
+    });
+    assert!(violations.is_empty(), "{violations:#?}");
+}
