Take a worker that leaves for ended only after its lease, and grant it short ones

Callers saw two runs of one subtask at once; the runs of several workers were given up at one moment. Cause: the guard took the first refused connection after a deregistration, and 0.6 s of refused connections after the announced time, for the end of all runs of its worker. A worker that shuts down stops listening before its runs end, and one that is cut off refuses connections as well; the announced time is the least that is left. The leader starts the runs again at once. Change: refused connections end a worker only once the last lease that its guard, or a process of the guard before, can have granted is over. A worker that has announced its end is granted leases of 2 s in place of 5.1 to 5.5 s, so the wait after it has gone is at most 2.1 s, or what is left of the last long lease. The lease of an earlier process counts with the error of the worker's clock.

--- a/src/process/runs/mod.rs
+++ b/src/process/runs/mod.rs
@@ -18,6 +18,6 @@
     run_tracker::RunTracker,
     run_worker::{PollRequest, PollResponse, RunWorker, RunWorkerError, WorkerAddress},
     session::{Session, WorkerOrder},
-    worker_end::WORKER_CLOCK_ERROR_PERCENT,
+    worker_end::longest_lease,
     worker_heartbeat::{WorkerHeartbeat, WorkerInfo},
 };
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         RunTracker, RunWorker, WorkerAddress, WorkerHeartbeat, poll_task::poll_worker,
-        session_task::serve_sessions,
+        session_task::serve_sessions, worker_end::longest_lease,
     },
     crate::{prelude::*, process::task_group::TaskGroup},
     compio::net::TcpListener,
@@ -38,7 +38,7 @@
         max_lease: Millis,
     ) -> Self {
         let mut tracker = RunTracker::default();
-        tracker.assume_leases_until(clock.now() + max_lease);
+        tracker.assume_leases_until(clock.now() + longest_lease(max_lease));
         Self {
             tracker: RefCell::new(tracker),
             worker,
@@ -59,7 +59,7 @@
         let now = self.clock.now();
         let mut tracker = self.tracker.borrow_mut();
         if tracker.record_refused_connection(now, self.heartbeat_interval) {
-            tracing::info!(id = %worker.life.id, "the worker has ended: nothing listens at its address and its heartbeats have stopped");
+            tracing::info!(id = %worker.life.id, "the worker has ended: nothing listens at its address and its lease has expired");
             self.changed.notify(usize::MAX);
         }
     }
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         PollResponse, Session, WorkerAddress, WorkerHeartbeat, WorkerInfo, WorkerOrder,
-        worker_end::WORKER_CLOCK_ERROR_PERCENT,
+        worker_end::longest_lease,
     },
     crate::{
         connection::{
@@ -254,10 +254,10 @@
         if now.since(read_at) > MAX_ANSWER_AGE {
             return None;
         }
-        let lease = session.worker_lease.0;
-        let longest = Millis(lease * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100);
+        let lease = self.lease_to_grant(session.worker_lease);
+        let longest = longest_lease(lease);
         self.leases_expire_at = self.leases_expire_at.max(now + longest);
-        Some(clock_ms + (now - read_at).0 + session.worker_lease.0)
+        Some(clock_ms + (now - read_at).0 + lease.0)
     }
 
     /// Returns the time since the worker's lease could last be extended, which takes a recent
--- a/src/process/runs/worker_end.rs
+++ b/src/process/runs/worker_end.rs
@@ -10,8 +10,17 @@
 /// of the heartbeat interval. A live worker sends one heartbeat in each interval.
 const HEARTBEAT_TIMEOUT_PERCENT: u32 = 140;
 
+/// The longest lease of a worker that has announced its end: more than two polls. Its runs are known
+/// to be over only when its lease is, because it may stop listening before they end.
+const LEAVING_WORKER_LEASE: Millis = Millis(2000);
+
 /// The most by which a worker's clock may run slow, in percent.
-pub const WORKER_CLOCK_ERROR_PERCENT: u64 = 2;
+const WORKER_CLOCK_ERROR_PERCENT: u64 = 2;
+
+/// Returns how long a lease of a worker may last by other clocks.
+pub fn longest_lease(lease: Millis) -> Millis {
+    Millis(lease.0 * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100)
+}
 
 impl RunTracker {
     /// Takes into account that a process before this one may have granted leases until `expire_at`.
@@ -60,31 +69,23 @@
     }
 
     /// Records that the worker's address, which is on this machine, has refused a connection.
-    /// Returns whether the worker has therefore ended: it has deregistered, or its address has refused
-    /// connections for some time, and a heartbeat is overdue or the remaining time that it announced
-    /// is over. A worker that is only cut off looks the same, so one that has not announced its end
-    /// counts as ended only after its lease.
+    /// Returns whether the worker has therefore ended: its address has refused connections for some
+    /// time, its end was announced or a heartbeat is overdue, and its lease has expired. A worker that
+    /// is cut off looks the same before, as does one that stops listening before its runs end.
     pub fn record_refused_connection(
         &mut self,
         now: Millis,
         heartbeat_interval: Duration,
     ) -> bool {
         let since = *self.refused_since.get_or_insert(now);
-        if self.is_departing {
-            self.end_worker();
-            return true;
-        }
         if self.worker.is_none() || now.since(since) < MIN_REFUSAL_DURATION {
             return false;
         }
         let heartbeat_age = now.since(self.heartbeat_at);
         let leaving_ms = self.info.as_ref().and_then(|i| i.leaving_ms);
         let has_left = leaving_ms.is_some_and(|ms| heartbeat_age >= Duration::from_millis(ms));
-        if has_left {
-            self.end_worker();
-            return true;
-        }
-        if heartbeat_age < heartbeat_interval * HEARTBEAT_TIMEOUT_PERCENT / 100 {
+        let is_overdue = heartbeat_age >= heartbeat_interval * HEARTBEAT_TIMEOUT_PERCENT / 100;
+        if !(self.is_departing || has_left || is_overdue) {
             return false;
         }
         self.seems_ended = true;
@@ -111,6 +112,18 @@
         (self.worker_ended || self.seems_ended) && self.waiting_heartbeat.is_none()
     }
 
+    /// Returns the lease that the worker is granted out of one of `lease`.
+    pub(super) fn lease_to_grant(
+        &self,
+        lease: Millis,
+    ) -> Millis {
+        if self.is_leaving() {
+            lease.min(LEAVING_WORKER_LEASE)
+        } else {
+            lease
+        }
+    }
+
     /// Returns how long the last lease that was granted to the worker still lasts.
     pub fn remaining_lease(
         &self,
--- a/src/process/scheduler/lease_terms.rs
+++ b/src/process/scheduler/lease_terms.rs
@@ -1,6 +1,6 @@
 //! The durations of leases: how long guards and workers keep running without the leader.
 
-use crate::{prelude::*, process::runs::WORKER_CLOCK_ERROR_PERCENT};
+use crate::{prelude::*, process::runs::longest_lease};
 
 /// How long a guard extends its worker's lease without a message from the leader. Together with the
 /// worker's lease it outlasts the election of another leader, so that a change of leader stops no
@@ -58,7 +58,6 @@
     }
 
     fn worker_expiry_delay(&self) -> Millis {
-        let worker = self.worker.0 * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100;
-        Millis(worker) + LEASE_SLACK
+        longest_lease(self.worker) + LEASE_SLACK
     }
 }
--- a/tests/platform/late_answers.rs
+++ b/tests/platform/late_answers.rs
@@ -68,7 +68,9 @@
         for round in 0..40 {
             let kind = ["slow", "half"][round % 2];
             let abandoned = format!("{kind}-{round}");
-            let given_up = client.post(&url, &[], abandoned.into(), SHORT_TIMEOUT).await;
+            let given_up = client
+                .post(&url, &[], abandoned.into(), SHORT_TIMEOUT)
+                .await;
             assert!(given_up.is_err(), "the answer is late");
             clock.sleep(Duration::from_millis(round as u64 * 4)).await;
             let sent = format!("next-{round}");
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -106,8 +106,8 @@
 
 /// Guards against runs that are taken for ended while their lease lasts: a worker that refuses
 /// connections and sends no heartbeat makes its guard deregister, but counts as ended only after the
-/// last lease, which the guard no longer extends. A returning worker ends that, and one that has
-/// announced its end counts as ended at once.
+/// last lease, which the guard no longer extends. A returning worker ends that. One that has announced
+/// its end is granted shorter leases.
 #[test]
 fn a_worker_that_seems_to_have_ended_keeps_its_lease() {
     let mut course = Vec::new();
