Test takeovers just before a guard deregisters in real processes

Change: two tests in real processes cut a worker off while its runs go on within their lease, and kill the leader, or cut it off from the store, 0.4 to 1.9 s later, which is 2.5 to 1.0 s before the guard deregisters. Terms of two deployments: leases of 10 s and 6 s, stops of 900 ms and 200 ms.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -277,6 +277,16 @@
         models.map(|m| m.borrow().runs.len()).sum()
     }
 
+    /// Returns the worker with the most runs.
+    pub fn busiest_worker(&self) -> usize {
+        let workers = self.workers.borrow();
+        let runs = |i: &usize| {
+            let incarnation = workers[*i].as_ref();
+            incarnation.map_or(0, |w| w.model.model().borrow().runs.len())
+        };
+        (0..workers.len()).max_by_key(runs).unwrap_or_default()
+    }
+
     /// Returns whether a subtask of a job was ever started.
     pub fn has_started(
         &self,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,7 @@
 #[path = "../platform/oracle.rs"]
 mod oracle;
 mod proxy;
+mod takeovers;
 
 use {
     callers::{Callers, ReceivedAnswers},
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -175,6 +175,21 @@
         lines.filter(|l| l.contains(id)).count()
     }
 
+    /// Returns the log of the node's processes.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+
+    /// Returns the last term in which the node has claimed the lead, according to its log; `None`
+    /// if it never has.
+    pub fn last_term(&self) -> Option<u64> {
+        let log = self.log();
+        let claim = log.lines().rfind(|l| l.contains("claimed the lead"))?;
+        let (_, rest) = claim.split_once("\"term\":")?;
+        let digits = rest.split(|c: char| !c.is_ascii_digit()).next()?;
+        digits.parse().ok()
+    }
+
     /// Returns a description if the process has ended unexpectedly or has exceeded its memory
     /// limit.
     pub fn find_fault(&self) -> Option<String> {
--- /dev/null
+++ b/tests/soak/takeovers.rs
@@ -0,0 +1,155 @@
+//! Work on a worker that is only cut off, while the record of its guard goes and another entry
+//! takes over the lead: its runs go on within their lease and must not be started again.
+
+use {
+    super::{
+        CONFIG,
+        callers::Callers,
+        fleet::Fleet,
+        log_dir,
+        node::{Role, Terms},
+        proxy::LinkState,
+        wait_for_end,
+    },
+    compio::runtime::Runtime,
+    futures_util::future::join_all,
+    limpetquay::prelude::*,
+};
+
+/// The leases, stops and heartbeats of a deployment with long leases.
+const LONG_LEASES: Terms = Terms {
+    max_lease_ms: 10_000,
+    stop_ms: 900,
+    heartbeat_interval: Duration::from_millis(300),
+};
+
+/// The leases, stops and heartbeats of a deployment with leases of medium length.
+const MEDIUM_LEASES: Terms = Terms {
+    max_lease_ms: 6000,
+    stop_ms: 200,
+    heartbeat_interval: Duration::from_millis(300),
+};
+
+/// The work of each subtask, in milliseconds: longer than a worker is cut off.
+const WORK_MS: u64 = 6000;
+
+/// How long a worker is cut off: shorter than its last lease, so that its runs go on.
+const CUT_DURATION: Duration = Duration::from_millis(4500);
+
+/// The distances between the loss of a worker and the fault of an entry, in milliseconds: from well
+/// before to just before its guard deregisters or would.
+const DISTANCES_MS: [u64; 6] = [400, 700, 1000, 1300, 1600, 1900];
+
+/// A fleet whose busiest worker was just cut off and refuses connections.
+struct Course {
+    fleet: Rc<Fleet>,
+}
+
+impl Course {
+    /// Returns the entry that has claimed the lead last.
+    fn leader(&self) -> usize {
+        let entries = self.fleet.nodes_of_role(Role::Entry);
+        let leader = entries
+            .into_iter()
+            .max_by_key(|e| self.fleet.nodes[*e].last_term());
+        leader.expect("the fleet has entries")
+    }
+
+    /// Kills the leader, so that another entry takes over.
+    fn kill_leader(&self) {
+        let leader = &self.fleet.nodes[self.leader()];
+        self.fleet
+            .log_event(format!("kill of the leader {}", leader.name));
+        leader.kill();
+    }
+}
+
+/// Runs a job on a fleet of 3 entries and 3 guards, cuts the worker off that has most of its runs,
+/// lets `disturb` act for the time of the cut, and returns the violations.
+async fn violations_of<F>(
+    host: u8,
+    terms: Terms,
+    disturb: F,
+) -> Vec<String>
+where
+    F: AsyncFnOnce(&Course),
+{
+    let dir = log_dir(&format!("takeover-{host}"));
+    drop(std::fs::remove_dir_all(&dir));
+    // Apart from the addresses of the scenarios with seeds.
+    let subnet = [201 + (std::process::id() % 50) as u8, host];
+    let fleet = Fleet::start(dir.clone(), subnet, 3, 3, CONFIG, terms).await;
+    let callers = Callers::new(fleet.clone());
+    compio::time::sleep(Duration::from_millis(2500)).await;
+    let job = callers.submit_one(6, WORK_MS).await;
+    compio::time::sleep(Duration::from_millis(600)).await;
+    let worker = fleet.busiest_worker();
+    fleet.log_event(format!("worker {worker} is cut off"));
+    fleet.cut_worker(worker, true);
+    let course = Course {
+        fleet: fleet.clone(),
+    };
+    let cut = async {
+        compio::time::sleep(CUT_DURATION).await;
+        fleet.cut_worker(worker, false);
+        fleet.log_event(format!("worker {worker} is reached again"));
+    };
+    futures_util::join!(disturb(&course), cut);
+    let state = wait_for_end(&fleet, &callers, job).await;
+    fleet.observe_workers();
+    fleet.oracle.borrow_mut().check_history();
+    fleet.stop();
+    let mut violations = fleet.oracle.borrow().violations.clone();
+    if !state.contains("completed") {
+        violations.push(format!("the job has state {state}"));
+    }
+    let starts = fleet.oracle.borrow().starts.len();
+    println!(
+        "{host}: {starts} starts; {}",
+        fleet.events.borrow().join("; ")
+    );
+    if !violations.is_empty() {
+        violations.push(format!("logs: {}", dir.display()));
+    }
+    violations
+}
+
+/// Plays one course for each of the distances side by side, and checks that none has violations.
+fn check_distances<F>(
+    first_host: u8,
+    terms: Terms,
+    disturb: F,
+) where
+    F: AsyncFn(&Course, Duration),
+{
+    let disturb = &disturb;
+    let courses = (first_host..).zip(DISTANCES_MS).map(async |(host, ms)| {
+        let distance = Duration::from_millis(ms);
+        let violations = violations_of(host, terms, async |c| disturb(c, distance).await).await;
+        (ms, violations)
+    });
+    let runtime = Runtime::new().expect("the runtime can be created");
+    let mut results = runtime.block_on(join_all(courses));
+    results.retain(|(_, violations)| !violations.is_empty());
+    assert!(results.is_empty(), "{results:#?}");
+}
+
+#[test]
+fn a_leader_killed_before_a_guard_deregisters_starts_no_second_run() {
+    check_distances(0, LONG_LEASES, async |course, distance| {
+        compio::time::sleep(distance).await;
+        course.kill_leader();
+    });
+}
+
+#[test]
+fn a_leader_cut_off_before_a_guard_deregisters_starts_no_second_run() {
+    check_distances(10, MEDIUM_LEASES, async |course, distance| {
+        compio::time::sleep(distance).await;
+        let leader = &course.fleet.nodes[course.leader()];
+        leader.store_link.set_state(LinkState::Refused);
+        course
+            .fleet
+            .log_event(format!("cut of the leader {}", leader.name));
+    });
+}
