Keep a guard registered until its worker has certainly ended

Cause: a guard deregistered 2 s after its worker looked gone, with up to 3 s of the worker's lease left. An entry that began to read the ledger after that, or read the newest records of a trimmed one, did not know of the guard, took over and started the work of a worker that was only cut off again. Change: the deregistration waits for the certain end of the worker, which is the end of its lease if it only refuses connections, so only the records of older guards carry a lease. Evidence: two tests in real processes.

--- a/src/process/ledger/registration.rs
+++ b/src/process/ledger/registration.rs
@@ -23,7 +23,7 @@
     tracing::info!(%key, "registered");
 }
 
-/// Removes the record of a guard whose worker has gone, and whose last lease lasts for `lease`.
+/// Removes the record of a guard whose worker has ended, and whose last lease lasts for `lease`.
 /// Returns whether the registration may have ended: `false` if the store has certainly not removed
 /// the record. The scheduling entry then removes it once all leases have expired.
 pub async fn deregister(
@@ -46,7 +46,7 @@
     let records = [ending, key.tombstone()];
     match ledger.append(&records, Condition::Always).await {
         Ok(_) => {
-            tracing::info!(%key, "deregistered: the worker has gone");
+            tracing::info!(%key, "deregistered: the worker has ended");
             true
         }
         Err(e) => {
--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -24,10 +24,11 @@
 
 /// Registers the guard at its start, and again whenever no scheduling entry has sent it a message
 /// for some time, since its record may have been dropped in the meantime. Deregisters it when its
-/// worker has gone, so that no scheduling entry waits for the guard if its instance is removed as
-/// well. A new worker makes it register again, under another number; the guard does not use the
-/// worker before that is stored, because an entry that takes over does not wait for a guard without
-/// a record.
+/// worker has ended, so that no scheduling entry waits for the guard if its instance is removed as
+/// well. A worker that only looks so keeps the registration until its last lease has expired: an
+/// entry that reads the ledger after a deregistration would not wait for the lease. A new worker
+/// makes the guard register again, under another number; the guard does not use the worker before
+/// that is stored, because an entry that takes over does not wait for a guard without a record.
 pub async fn keep_registered(
     guard: Rc<RunGuard>,
     ledger: Rc<Ledger>,
@@ -66,8 +67,8 @@
 enum RegistrationChange {
     /// No scheduling entry has sent a message for some time.
     SchedulerUnresponsive,
-    /// The worker has gone, and no other one has started.
-    WorkerGone,
+    /// The worker has certainly ended, and no other one has started.
+    WorkerEnded,
 }
 
 async fn wait_for_change(
@@ -79,15 +80,19 @@
     loop {
         sleep_logging_delay(clock, CHECK_INTERVAL).await;
         let now = clock.now();
-        let (is_worker_gone, last_orders_at) = {
+        let (is_worker_gone, has_worker_ended, last_orders_at) = {
             let tracker = guard.tracker.borrow();
-            (tracker.is_worker_gone(), tracker.last_orders_at)
+            (
+                tracker.is_worker_gone(),
+                tracker.has_worker_ended(),
+                tracker.last_orders_at,
+            )
         };
         if !is_worker_gone {
             last_present_at = now;
         }
-        if now.since(last_present_at) > WORKER_RESTART_GRACE {
-            return RegistrationChange::WorkerGone;
+        if has_worker_ended && now.since(last_present_at) > WORKER_RESTART_GRACE {
+            return RegistrationChange::WorkerEnded;
         }
         if now.since(last_orders_at.max(registered_at)) > MAX_SCHEDULER_SILENCE {
             return RegistrationChange::SchedulerUnresponsive;
--- a/tests/soak/takeovers.rs
+++ b/tests/soak/takeovers.rs
@@ -14,6 +14,7 @@
     compio::runtime::Runtime,
     futures_util::future::join_all,
     limpetquay::prelude::*,
+    rustix::process::Signal,
 };
 
 /// The leases, stops and heartbeats of a deployment with long leases.
@@ -36,13 +37,22 @@
 /// How long a worker is cut off: shorter than its last lease, so that its runs go on.
 const CUT_DURATION: Duration = Duration::from_millis(4500);
 
+/// How long after the loss of its worker a guard is waited for to deregister: shorter than the cut,
+/// so that what follows happens during it.
+const MAX_DEREGISTRATION_WAIT: Duration = Duration::from_millis(3500);
+
 /// The distances between the loss of a worker and the fault of an entry, in milliseconds: from well
 /// before to just before its guard deregisters or would.
 const DISTANCES_MS: [u64; 6] = [400, 700, 1000, 1300, 1600, 1900];
 
+/// Message of a guard that has deregistered.
+const DEREGISTERED: &str = "\"message\":\"deregistered: ";
+
 /// A fleet whose busiest worker was just cut off and refuses connections.
 struct Course {
     fleet: Rc<Fleet>,
+    worker: usize,
+    cut_at: Millis,
 }
 
 impl Course {
@@ -62,6 +72,18 @@
             .log_event(format!("kill of the leader {}", leader.name));
         leader.kill();
     }
+
+    /// Waits until the guard of the worker has deregistered, for a limited time.
+    async fn wait_for_deregistration(&self) {
+        let guard = self.fleet.nodes_of_role(Role::Guard)[self.worker];
+        while !self.fleet.nodes[guard].log().contains(DEREGISTERED)
+            && self.fleet.clock.now().since(self.cut_at) < MAX_DEREGISTRATION_WAIT
+        {
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        self.fleet
+            .log_event("end of the wait for the deregistration".to_owned());
+    }
 }
 
 /// Runs a job on a fleet of 3 entries and 3 guards, cuts the worker off that has most of its runs,
@@ -88,6 +110,8 @@
     fleet.cut_worker(worker, true);
     let course = Course {
         fleet: fleet.clone(),
+        worker,
+        cut_at: fleet.clock.now(),
     };
     let cut = async {
         compio::time::sleep(CUT_DURATION).await;
@@ -153,3 +177,50 @@
             .log_event(format!("cut of the leader {}", leader.name));
     });
 }
+
+/// Guards against entries that read the ledger without the record of a guard whose worker runs on.
+#[test]
+fn entries_restarted_after_a_guard_has_deregistered_start_no_second_run() {
+    let runtime = Runtime::new().expect("the runtime can be created");
+    let courses = [(20, LONG_LEASES), (21, MEDIUM_LEASES)].map(async |(host, terms)| {
+        violations_of(host, terms, async |course| {
+            course.wait_for_deregistration().await;
+            let entries = course.fleet.nodes_of_role(Role::Entry);
+            for entry in &entries {
+                course.fleet.nodes[*entry].kill();
+            }
+            for entry in &entries {
+                course.fleet.nodes[*entry].start(&course.fleet.clock);
+            }
+            course
+                .fleet
+                .log_event("all entries are restarted".to_owned());
+        })
+        .await
+    });
+    let violations = runtime.block_on(join_all(courses)).concat();
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Guards against entries that have missed a deregistration and read the newest records after the
+/// history was trimmed.
+#[test]
+fn entries_that_miss_a_deregistration_start_no_second_run() {
+    let runtime = Runtime::new().expect("the runtime can be created");
+    let violations = runtime.block_on(violations_of(30, LONG_LEASES, async |course| {
+        let leader = course.leader();
+        let entries = course.fleet.nodes_of_role(Role::Entry);
+        let others: Vec<usize> = entries.into_iter().filter(|e| *e != leader).collect();
+        compio::time::sleep(Duration::from_millis(2000)).await;
+        for entry in &others {
+            course.fleet.nodes[*entry].signal(Signal::STOP);
+        }
+        course.wait_for_deregistration().await;
+        course.fleet.store.model().borrow_mut().trim_history();
+        for entry in &others {
+            course.fleet.nodes[*entry].signal(Signal::CONT);
+        }
+        course.kill_leader();
+    }));
+    assert!(violations.is_empty(), "{violations:#?}");
+}
