Keep a worker that answers when another one reports to its guard

What callers saw: all work of one worker was started again at once while it went on. A heartbeat that named another worker, or another address of the same one, made the guard forget its worker; its next report no longer described it, and the leader took all its runs for lost in the same moment.

Cause: a guard took each heartbeat with a later start time, or with another address, as proof that the earlier worker had ended, and dropped its lease from its books.

Change: an incarnation is its ID and start time; its address may change. A heartbeat of another worker at another address waits until the present one answers for another incarnation, refuses a connection, or its last lease has expired. At the same address it counts at once, as before. The result of a call to an earlier worker says nothing about the present one.

Evidence: the test failed before, with the run started again 0 ms after the heartbeat in `("another worker", (Some(0), Some("w-2")))` and `("one that cannot be reached", (Some(0), Some("w-2")))`, and after 7600 ms with `("another life of its ID", ...)`.

--- a/src/process/runs/order_task.rs
+++ b/src/process/runs/order_task.rs
@@ -126,5 +126,5 @@
     token: u64,
 ) -> bool {
     let tracker = guard.tracker.borrow();
-    tracker.worker.as_ref() == Some(worker) && tracker.is_current_token(token)
+    tracker.is_worker(worker) && tracker.is_current_token(token)
 }
--- a/src/process/runs/poll_task.rs
+++ b/src/process/runs/poll_task.rs
@@ -28,6 +28,7 @@
     let mut is_answered = false;
     loop {
         guard.end_expired_departure();
+        guard.use_waiting_worker();
         let due = guard.poll_due.listen();
         let planned = plan_poll(&guard, is_answered);
         let Some((worker, call)) = planned else {
@@ -78,6 +79,9 @@
     sent: Millis,
     result: Result<super::PollResponse, RunWorkerError>,
 ) {
+    if !guard.tracker.borrow().is_worker(worker) {
+        return;
+    }
     if matches!(result, Err(RunWorkerError::NotListening(_))) {
         guard.record_refused_connection(worker);
     } else {
@@ -90,9 +94,6 @@
                 .is_none_or(|b| b == worker.life.started_at_ms) =>
         {
             let now = guard.clock.now();
-            if guard.tracker.borrow().worker.as_ref() != Some(worker) {
-                return;
-            }
             let token = call.token;
             let is_changed = guard
                 .tracker
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Uses the worker whose heartbeat waits, once the earlier one has ended.
+    pub(super) fn use_waiting_worker(&self) {
+        let now = self.clock.now();
+        if self.tracker.borrow_mut().use_waiting_worker(now) {
+            tracing::info!("the worker that has waited is used");
+            self.changed.notify(usize::MAX);
+        }
+    }
+
     /// Applies a worker's deregistration.
     pub fn apply_deregistration(
         &self,
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -49,8 +49,9 @@
     /// The number of the guard's registration while it is known to be stored.
     registration: Option<u64>,
     /// Whether the registration is being removed, so that no worker may be used.
-    is_withdrawn: bool,
-    /// The last heartbeat of a worker that waits for the guard's registration.
+    pub(super) is_withdrawn: bool,
+    /// The last heartbeat of a worker that waits for the guard's registration, or for the end of the
+    /// present worker.
     pub(super) waiting_heartbeat: Option<WorkerHeartbeat>,
     pub(super) info: Option<WorkerInfo>,
     heartbeat_sequence: u64,
@@ -66,7 +67,7 @@
     /// When the last lease that was granted to the worker expires; zero if none was.
     pub(super) leases_expire_at: Millis,
     /// Whether another incarnation has answered at the worker's address.
-    is_replaced: bool,
+    pub(super) is_replaced: bool,
     /// The incarnation that has deregistered last.
     pub(super) departed: Option<WorkerIncarnation>,
     /// The token of the last poll that was answered, and when its response arrived.
@@ -93,7 +94,7 @@
             self.waiting_heartbeat = Some(heartbeat);
             return is_first;
         }
-        let is_same = self.worker.as_ref() == Some(&heartbeat.worker);
+        let is_same = self.is_worker(&heartbeat.worker);
         let known_born_ms = self.worker.as_ref().map_or(0, |w| w.life.started_at_ms);
         let life = &heartbeat.worker.life;
         // A heartbeat that was sent before the worker left may arrive afterwards.
@@ -104,6 +105,14 @@
         if is_same && heartbeat.sequence <= self.heartbeat_sequence || is_older || has_left {
             return false;
         }
+        if !self.is_replaceable_by(&heartbeat.worker, now) {
+            let is_first = self.waiting_heartbeat.is_none();
+            if is_first {
+                tracing::warn!(id = %life.id, born_ms = life.started_at_ms, address = %heartbeat.worker.address, "another worker reports while the present one may run; it is not used yet");
+            }
+            self.waiting_heartbeat = Some(heartbeat);
+            return is_first;
+        }
         if !is_same {
             if self.worker.is_some() {
                 self.leases_expire_at = Millis(0);
@@ -115,8 +124,8 @@
                 self.session = None;
             }
             self.remove_worker();
-            self.worker = Some(heartbeat.worker);
         }
+        self.worker = Some(heartbeat.worker);
         self.heartbeat_sequence = heartbeat.sequence;
         self.heartbeat_at = now;
         self.worker_ended = false;
@@ -142,9 +151,15 @@
     ) {
         self.registration = Some(registration);
         self.is_withdrawn = false;
-        if let Some(heartbeat) = self.waiting_heartbeat.take() {
-            self.apply_heartbeat(heartbeat, now);
-        }
+        self.use_waiting_worker(now);
+    }
+
+    /// Returns whether `worker` is the present worker, which may have changed its address.
+    pub fn is_worker(
+        &self,
+        worker: &WorkerAddress,
+    ) -> bool {
+        self.worker.as_ref().is_some_and(|w| w.life == worker.life)
     }
 
     /// Records that another incarnation has answered at the worker's address.
--- a/src/process/runs/worker_end.rs
+++ b/src/process/runs/worker_end.rs
@@ -1,6 +1,9 @@
 //! How a guard concludes that its worker has ended, so that its runs are over.
 
-use {super::RunTracker, crate::prelude::*};
+use {
+    super::{RunTracker, WorkerAddress},
+    crate::prelude::*,
+};
 
 /// How long the worker's address must refuse connections before the worker can be considered ended:
 /// several polls, so that a restart of its listener does not count.
@@ -95,6 +98,37 @@
         true
     }
 
+    /// Returns whether a heartbeat of `other` may end the present worker: it is the same incarnation or
+    /// listens at the same address, or the present one has certainly ended or refuses connections.
+    /// Otherwise both may live, and the present one's runs go on.
+    pub(super) fn is_replaceable_by(
+        &self,
+        other: &WorkerAddress,
+        now: Millis,
+    ) -> bool {
+        self.worker.as_ref().is_none_or(|worker| {
+            worker.life == other.life
+                || worker.address == other.address
+                || self.is_replaced
+                || self.refused_since.is_some()
+                || now >= self.leases_expire_at
+        })
+    }
+
+    /// Uses the worker whose heartbeat waits, once nothing speaks against it. Returns whether it did.
+    pub fn use_waiting_worker(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        let waiting = self.waiting_heartbeat.as_ref();
+        let is_due = waiting.is_some_and(|h| self.is_replaceable_by(&h.worker, now));
+        if self.is_withdrawn || !is_due {
+            return false;
+        }
+        let heartbeat = self.waiting_heartbeat.take();
+        heartbeat.is_some_and(|h| self.apply_heartbeat(h, now))
+    }
+
     /// Clears the record of refused connections, after a call that ended in any other way.
     pub fn clear_refused_connections(&mut self) {
         self.refused_since = None;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod path;
 mod registration;
+mod replaced_worker;
 mod run_tracker;
 mod scheduler;
 mod sessions;
