Test that a call on a reused connection is neither repeated unseen nor taken for unsent

A start whose first attempt was certainly not sent counts as refused, and its work is placed elsewhere at once. The tests play a server that reads the call on a kept connection and closes or resets it, and one that closes the connection around the call: a call that was read is reported as unanswered and seen once, and only a call that the server has not read counts as not sent.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod election_model;
 mod fake_store;
 mod fuzz;
+mod http_client;
 mod ledger;
 mod malformed;
 mod one_guard;
