Keep the lease of a leaving worker that is cut off

What callers saw: work of a worker that was draining was started again while it went on.

Cause: a guard took a worker that had announced its remaining time for ended as soon as that time was over and its address had refused connections for 0.6 s. The remaining time is a minimum, workers stay many seconds longer, and one that is cut off from its guard refuses connections while its work goes on.

Change: such a worker, too, counts as ended only when its last lease has expired. Leaving workers are granted leases of 2.5 s at most, which outlast one poll without an answer, so that this costs little. A worker whose deregistration has arrived counts as ended at its first refused connection, as before.

--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -21,6 +21,10 @@
 /// the lease of a worker that receives its guard's calls and whose responses do not arrive.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1500);
 
+/// The longest lease that a leaving worker is granted. It outlasts one poll without an answer, and its
+/// work starts again elsewhere the sooner after its end.
+const MAX_LEAVING_LEASE: Millis = Millis(2500);
+
 /// The maximum number of refused starts that are kept for the reports; the oldest are dropped.
 const MAX_REFUSED_STARTS: usize = 64;
 
@@ -269,10 +273,15 @@
         if now.since(read_at) > MAX_ANSWER_AGE {
             return None;
         }
-        let lease = session.worker_lease.0;
+        let is_leaving = self.is_leaving();
+        let lease = if is_leaving {
+            session.worker_lease.min(MAX_LEAVING_LEASE).0
+        } else {
+            session.worker_lease.0
+        };
         let longest = Millis(lease * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100);
         self.leases_expire_at = self.leases_expire_at.max(now + longest);
-        Some(clock_ms + (now - read_at).0 + session.worker_lease.0)
+        Some(clock_ms + (now - read_at).0 + lease)
     }
 
     /// Returns the time since the worker's lease could last be extended, which takes a recent
--- a/src/process/runs/worker_end.rs
+++ b/src/process/runs/worker_end.rs
@@ -64,9 +64,9 @@
 
     /// Records that the worker's address, which is on this machine, has refused a connection.
     /// Returns whether the worker has therefore ended: it has deregistered, or its address has refused
-    /// connections for some time, and a heartbeat is overdue or the remaining time that it announced
-    /// is over. A worker that is only cut off looks the same, so one that has not announced its end
-    /// counts as ended only after its lease.
+    /// connections for some time, a heartbeat is overdue or the remaining time that it announced is
+    /// over, and its lease has expired. A worker that is only cut off looks the same until then, also
+    /// one that is leaving, because the remaining time is a minimum.
     pub fn record_refused_connection(
         &mut self,
         now: Millis,
@@ -83,11 +83,8 @@
         let heartbeat_age = now.since(self.heartbeat_at);
         let leaving_ms = self.info.as_ref().and_then(|i| i.leaving_ms);
         let has_left = leaving_ms.is_some_and(|ms| heartbeat_age >= Duration::from_millis(ms));
-        if has_left {
-            self.end_worker();
-            return true;
-        }
-        if heartbeat_age < heartbeat_interval * HEARTBEAT_TIMEOUT_PERCENT / 100 {
+        let is_overdue = heartbeat_age >= heartbeat_interval * HEARTBEAT_TIMEOUT_PERCENT / 100;
+        if !has_left && !is_overdue {
             return false;
         }
         self.seems_ended = true;
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -107,7 +107,7 @@
 /// Guards against runs that are taken for ended while their lease lasts: a worker that refuses
 /// connections and sends no heartbeat makes its guard deregister, but counts as ended only after the
 /// last lease, which the guard no longer extends. A returning worker ends that, and one that has
-/// announced its end counts as ended at once.
+/// announced its end has a shorter lease.
 #[test]
 fn a_worker_that_seems_to_have_ended_keeps_its_lease() {
     let mut course = Vec::new();
@@ -157,6 +157,52 @@
     insta::assert_debug_snapshot!(course);
 }
 
+/// Guards against two runs of one subtask: a worker that is cut off while it is leaving may run on beyond the
+/// remaining time that it has announced, which is a minimum. Has, for each time of the last answered poll, when
+/// its last lease expires and when the worker counts as ended.
+#[test]
+fn a_leaving_worker_that_is_cut_off_keeps_its_lease() {
+    let mut course = Vec::new();
+    for last_answer in [0, 900, 2700, 4500] {
+        let mut tracker = RunTracker::default();
+        tracker.apply_heartbeat(heartbeat(1, None), Millis(0));
+        assert!(tracker.open_session(1));
+        let mut lease_expires_at = None;
+        let mut ended_at = None;
+        for now in (0..15_000).step_by(150) {
+            let at = Millis(now);
+            if now % 1500 == 0 && now <= last_answer {
+                tracker.apply_heartbeat(heartbeat(now + 2, Some(2500)), at);
+            }
+            if now <= last_answer {
+                let response = PollResponse {
+                    clock_ms: now,
+                    born_ms: None,
+                    running: vec![],
+                    ended: vec![],
+                    is_complete: true,
+                };
+                tracker.apply_poll(1, at, at, response);
+                if let Some(session) = &mut tracker.session {
+                    session.lease_expires_at = Millis(60_000);
+                    session.worker_lease = Millis(5000);
+                }
+                lease_expires_at = tracker.deadline_ms(at).or(lease_expires_at);
+            } else if tracker.record_refused_connection(at, HEARTBEAT_INTERVAL) {
+                ended_at = ended_at.or(Some(now));
+            }
+        }
+        assert!(
+            ended_at >= lease_expires_at,
+            "{ended_at:?} before {lease_expires_at:?}"
+        );
+        course.push(format!(
+            "last answer {last_answer}, lease until {lease_expires_at:?}, ended at {ended_at:?}"
+        ));
+    }
+    insta::assert_debug_snapshot!(course);
+}
+
 /// Guards against a lease that lasts longer than the worker: polls that the worker refuses extend
 /// nothing, so a crashed worker counts as ended one lease after the last call that may have reached
 /// it.
