Test that a paused leader starts nothing again before the leases have ended

After a pause a leader drops runs by their time before it reads the reports that wait in its sockets.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod oracle;
 mod orders;
 mod path;
+mod paused_leader;
 mod registration;
 mod replaced_worker;
 mod run_tracker;
