--- a/tests/platform/replaced_worker.rs
+++ b/tests/platform/replaced_worker.rs
@@ -164,7 +164,7 @@
             if is_beat && (change.lives_on || now < REPLACED_AT) {
                 guard.apply_heartbeat(heartbeat_of(first, 1, now + 1));
             }
-            if now >= REPLACED_AT && (now - REPLACED_AT) % 1500 == 0 {
+            if now >= REPLACED_AT && (now - REPLACED_AT).is_multiple_of(1500) {
                 let beat = heartbeat_of(change.other, change.started_at_ms, now + 1);
                 guard.apply_heartbeat(beat);
             }
