Apply a late deregistration only to the life that it names

What callers saw: a worker that runs is not used any more, its lease ends, and one refused connection gives all of its work up.

Cause: a worker may start again under its ID. A deregistration of the earlier life that arrives after the first heartbeat of the next one was applied to the next one, because only the ID was compared.

Change: the start time in the deregistration's body has to be that of the present worker. Without one, the ID decides, as before.

Evidence: the test failed before: `left: [(200, true), (200, true), (200, true)]`, `right: [(200, true), (200, false), (200, true)]`.

--- a/src/platform/discovery_api.rs
+++ b/src/platform/discovery_api.rs
@@ -50,6 +50,13 @@
     gpu: u64,
 }
 
+/// What a deregistration says of the worker.
+#[derive(Default, Deserialize)]
+struct WireDeparture {
+    #[serde(default)]
+    born: Option<u64>,
+}
+
 impl DiscoveryApi {
     /// Creates the handler of a guard.
     pub fn new(guard: Rc<RunGuard>) -> Self {
@@ -83,7 +90,8 @@
             match req.segments().as_slice() {
                 ["Instances.Heartbeat", id] => self.handle_heartbeat(id, &req.body),
                 ["Instances.Deregister", id] => {
-                    self.guard.apply_deregistration(id);
+                    self.guard
+                        .apply_deregistration(id, decode_born(id, &req.body));
                     HttpResponse::new(200, "application/json", Bytes::from_static(b"{}"))
                 }
                 _ => HttpResponse::text(404, "there is no such call"),
@@ -99,6 +107,21 @@
     }
 }
 
+/// Decodes the start time in a deregistration; `None` if it has none or cannot be read.
+fn decode_born(
+    id: &str,
+    body: &[u8],
+) -> Option<u64> {
+    if body.is_empty() {
+        return None;
+    }
+    let departure: Result<WireDeparture, _> = serde_json::from_slice(body);
+    if let Err(e) = &departure {
+        tracing::warn!(id, error = %e, "cannot decode a deregistration; it counts for any life of its ID");
+    }
+    departure.unwrap_or_default().born
+}
+
 fn decode_heartbeat(
     id: &str,
     heartbeat: WireHeartbeat,
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -110,13 +110,16 @@
         }
     }
 
-    /// Applies a worker's deregistration.
+    /// Applies the deregistration of a worker, and of the life with this start time if it names one.
     pub fn apply_deregistration(
         &self,
         id: &str,
+        started_at_ms: Option<u64>,
     ) {
-        let is_known = self.tracker.borrow_mut().apply_deregistration(id);
-        tracing::info!(id, is_known, "worker deregistered");
+        let mut tracker = self.tracker.borrow_mut();
+        let is_known = tracker.apply_deregistration(id, started_at_ms);
+        drop(tracker);
+        tracing::info!(id, started_at_ms, is_known, "worker deregistered");
         self.poll_due.notify(usize::MAX);
         self.changed.notify(usize::MAX);
     }
--- a/src/process/runs/worker_end.rs
+++ b/src/process/runs/worker_end.rs
@@ -27,19 +27,24 @@
 
     /// Records that the worker has deregistered. It ends only afterwards, so until then, or until its
     /// lease expires, its runs go on; it is not used for new ones, and its lease is not extended.
-    /// Returns whether `id` was the current worker.
+    /// Returns whether that was the current worker: the one with `id`, and with the start time if the
+    /// deregistration has it, because one of an earlier life of the ID may arrive late.
     pub fn apply_deregistration(
         &mut self,
         id: &str,
+        started_at_ms: Option<u64>,
     ) -> bool {
+        let is_meant = |w: &WorkerAddress| {
+            *w.life.id == *id && started_at_ms.is_none_or(|at| at == w.life.started_at_ms)
+        };
         if self
             .waiting_heartbeat
             .as_ref()
-            .is_some_and(|h| &*h.worker.life.id == id)
+            .is_some_and(|h| is_meant(&h.worker))
         {
             self.waiting_heartbeat = None;
         }
-        let is_known = self.worker.as_ref().is_some_and(|w| &*w.life.id == id);
+        let is_known = self.worker.as_ref().is_some_and(is_meant);
         if is_known {
             self.departed = self.worker.as_ref().map(|w| w.life.clone());
             self.is_departing = true;
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -118,7 +118,7 @@
 fn a_late_heartbeat_does_not_bring_back_a_worker_that_has_left() {
     let mut tracker = RunTracker::default();
     tracker.apply_heartbeat(heartbeat(life("w-1", 1), 5), Millis(0));
-    tracker.apply_deregistration("w-1");
+    tracker.apply_deregistration("w-1", None);
     let is_back = tracker.apply_heartbeat(heartbeat(life("w-1", 1), 4), Millis(100));
     let left = (
         is_back,
--- a/tests/platform/registration.rs
+++ b/tests/platform/registration.rs
@@ -159,7 +159,7 @@
         guard.apply_heartbeat(heartbeat(1, 1));
         let _registered = spawn(keep_registered(guard.clone(), ledger, cx.clone(), member));
         cx.sleep(Duration::from_millis(500)).await;
-        guard.apply_deregistration("w-1");
+        guard.apply_deregistration("w-1", None);
         cx.sleep(away).await;
         for sequence in 1..10 {
             guard.apply_heartbeat(heartbeat(2, sequence));
--- a/tests/platform/replaced_worker.rs
+++ b/tests/platform/replaced_worker.rs
@@ -3,8 +3,10 @@
 use {
     super::one_guard::{heartbeat, leader, listing, open_job, response, tracker},
     compio::net::TcpListener,
+    hyper::{HeaderMap, Method},
     limpetquay::{
-        connection::RunStart,
+        connection::{HttpHandler, HttpRequest, RunStart},
+        platform::DiscoveryApi,
         prelude::*,
         process::{
             clock::VirtualClock,
@@ -248,6 +250,41 @@
     assert_eq!(after, None);
 }
 
+/// Guards against a worker that is given up while it runs: a deregistration of an earlier life of its
+/// ID arrives late.
+#[test]
+fn a_late_deregistration_of_an_earlier_life_ends_no_later_one() {
+    let clock = VirtualClock::new();
+    let cx: Rc<dyn Clock> = clock.clone();
+    let is_leaving = clock.block_on(async move {
+        let machine = Rc::new(Machine {
+            clock: cx.clone(),
+            lives: RefCell::default(),
+            run: Cell::new(None),
+        });
+        let guard = RunGuard::new(machine, cx, HEARTBEAT_INTERVAL, Millis(6000));
+        let guard = Rc::new(guard);
+        let api = Rc::new(DiscoveryApi::new(guard.clone()));
+        let mut is_leaving = Vec::new();
+        for (started_at_ms, body) in [(1, ""), (2, "{\"born\":1}"), (2, "{\"born\":2}")] {
+            let beat = heartbeat_of(("127.0.0.1:1", "w-1"), started_at_ms, 1);
+            guard.apply_heartbeat(beat);
+            let req = HttpRequest {
+                method: Method::POST,
+                path: "/Instances.Deregister/w-1".to_owned(),
+                query: String::new(),
+                headers: HeaderMap::new(),
+                body: body.into(),
+            };
+            let status = api.clone().handle(req).await.status;
+            let tracker = guard.tracker.borrow();
+            is_leaving.push((status, tracker.is_leaving() || tracker.has_worker_ended()));
+        }
+        is_leaving
+    });
+    assert_eq!(is_leaving, [(200, true), (200, false), (200, true)]);
+}
+
 /// The time until work goes on elsewhere after a worker has crashed and another life of its machine
 /// has started, at the same address or at another one.
 #[test]
