Grant a short lease to a worker that announces its end

Change: while a worker announces that it is leaving, its lease is extended by at most 2 s, which is longer than a poll may wait and its repetition takes. So little is left of it when the worker goes, and a guard can wait for it. Price: runs of a leaving worker lapse if its guard does not reach it for 2 s in place of up to 5.5 s, and go on elsewhere.

--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -21,6 +21,11 @@
 /// the lease of a worker that receives its guard's calls and whose responses do not arrive.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1500);
 
+/// The longest lease that a worker is granted while it announces that it is leaving: longer than a
+/// poll may wait and its repetition takes. Work that it had when it left starts again once its lease
+/// has expired, because a worker that is only cut off looks the same.
+const LEAVING_WORKER_LEASE: Millis = Millis(2000);
+
 /// The maximum number of refused starts that are kept for the reports; the oldest are dropped.
 const MAX_REFUSED_STARTS: usize = 64;
 
@@ -254,10 +259,14 @@
         if now.since(read_at) > MAX_ANSWER_AGE {
             return None;
         }
-        let lease = session.worker_lease.0;
-        let longest = Millis(lease * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100);
+        let lease = if self.is_leaving() {
+            session.worker_lease.min(LEAVING_WORKER_LEASE)
+        } else {
+            session.worker_lease
+        };
+        let longest = Millis(lease.0 * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100);
         self.leases_expire_at = self.leases_expire_at.max(now + longest);
-        Some(clock_ms + (now - read_at).0 + session.worker_lease.0)
+        Some(clock_ms + (now - read_at).0 + lease.0)
     }
 
     /// Returns the time since the worker's lease could last be extended, which takes a recent
--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -63,9 +63,9 @@
     None
 }
 
-/// A worker has ended when it refuses connections and a heartbeat is overdue, or the remaining time
-/// that it announced is over. One that continues to send heartbeats has not ended, although its
-/// address refuses connections.
+/// A worker without a lease has ended when it refuses connections and a heartbeat is overdue, or the
+/// remaining time that it announced is over. One that continues to send heartbeats has not ended,
+/// although its address refuses connections.
 #[test]
 fn a_worker_that_refuses_connections_has_ended_once_a_heartbeat_is_overdue() {
     let regular: Vec<(u64, Option<u64>)> = (0..6).map(|i| (i * 1500, None)).collect();
@@ -106,8 +106,8 @@
 
 /// Guards against runs that are taken for ended while their lease lasts: a worker that refuses
 /// connections and sends no heartbeat makes its guard deregister, but counts as ended only after the
-/// last lease, which the guard no longer extends. A returning worker ends that, and one that has
-/// announced its end counts as ended at once.
+/// last lease, which the guard no longer extends. A returning worker ends that. One that announces
+/// that it is leaving is granted a shorter lease.
 #[test]
 fn a_worker_that_seems_to_have_ended_keeps_its_lease() {
     let mut course = Vec::new();
