--- a/tests/platform/run_tracker.rs
+++ b/tests/platform/run_tracker.rs
@@ -63,9 +63,9 @@
     None
 }
 
-/// A worker has ended when it refuses connections and a heartbeat is overdue, or the remaining time
-/// that it announced is over. One that continues to send heartbeats has not ended, although its
-/// address refuses connections.
+/// A worker without a lease has ended when it refuses connections and a heartbeat is overdue, or the
+/// remaining time that it announced is over. One that continues to send heartbeats has not ended,
+/// although its address refuses connections.
 #[test]
 fn a_worker_that_refuses_connections_has_ended_once_a_heartbeat_is_overdue() {
     let regular: Vec<(u64, Option<u64>)> = (0..6).map(|i| (i * 1500, None)).collect();
