Count no lease of a worker that the leader does not know of

Cause: a leader counts the leases of runs from reports that describe the worker, but granted the guard a lease with each report. After a restart of a guard its worker may answer right after a report without it; if the session then breaks, the guard extends the worker's lease by 2 s of its own and the worker's whole lease, and the leader starts the runs elsewhere before that ends. Beside it, a heartbeat of another life of the worker made the guard forget the lease it had granted, and a leaving worker that refuses one connection was replaced by any other that reports. Change: a guard gets a lease only in a session in which it has described its worker, and polls at once when it gets one again. The lease stays counted over a replacement, and a leaving worker is replaced at another address only after its lease. Price: at the start of a session, one exchange of messages until leases are extended.

--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -114,9 +114,6 @@
             return is_first;
         }
         if !is_same {
-            if self.worker.is_some() {
-                self.leases_expire_at = Millis(0);
-            }
             if self.worker.as_ref().is_some_and(|w| w.life.id == life.id) {
                 // The worker's ID does not keep orders for its earlier incarnation from this one.
                 // The token of the next session does, and the first poll then shows what arrived.
@@ -253,6 +250,14 @@
         calls
     }
 
+    /// Returns whether the session's lease is valid, so that the worker's may be extended.
+    pub fn is_leased(
+        &self,
+        now: Millis,
+    ) -> bool {
+        self.session.is_some_and(|s| s.lease_expires_at > now)
+    }
+
     /// Returns the end of the worker's lease, in milliseconds by its own clock. The caller grants the
     /// lease, so it counts from now on. Returns `None` if the session's lease has expired, the
     /// worker's clock is unknown or its last answer too old, and while the worker has deregistered or
@@ -270,8 +275,7 @@
             return None;
         }
         let lease = self.lease_to_grant(session.worker_lease);
-        let longest = longest_lease(lease);
-        self.leases_expire_at = self.leases_expire_at.max(now + longest);
+        self.assume_leases_until(now + longest_lease(lease));
         Some(clock_ms + (now - read_at).0 + lease.0)
     }
 
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -136,8 +136,10 @@
 ) {
     let now = guard.clock.now();
     let acknowledged_before = guard.tracker.borrow().acknowledged_end;
+    let was_leased = guard.tracker.borrow().is_leased(now);
     let calls = guard.tracker.borrow_mut().apply_orders(&orders, now);
-    if guard.tracker.borrow().acknowledged_end != acknowledged_before {
+    let is_leased_again = !was_leased && guard.tracker.borrow().is_leased(now);
+    if is_leased_again || guard.tracker.borrow().acknowledged_end != acknowledged_before {
         guard.poll_due.notify(usize::MAX);
     }
     if !orders.starts.is_empty() || !orders.stops.is_empty() {
--- a/src/process/runs/worker_end.rs
+++ b/src/process/runs/worker_end.rs
@@ -20,9 +20,13 @@
 /// The most by which a worker's clock may run slow, in percent.
 const WORKER_CLOCK_ERROR_PERCENT: u64 = 2;
 
+/// The time after the end of a lease until its runs have certainly ended: the worker's clock runs slow
+/// also since its last answer, and it ends the runs a little later.
+const LEASE_END_SLACK: Millis = Millis(100);
+
 /// Returns how long a lease of a worker may last by other clocks.
 pub fn longest_lease(lease: Millis) -> Millis {
-    Millis(lease.0 * (100 + WORKER_CLOCK_ERROR_PERCENT) / 100)
+    Millis((lease.0 * 100).div_ceil(100 - WORKER_CLOCK_ERROR_PERCENT))
 }
 
 impl RunTracker {
@@ -31,7 +35,7 @@
         &mut self,
         expire_at: Millis,
     ) {
-        self.leases_expire_at = self.leases_expire_at.max(expire_at);
+        self.leases_expire_at = self.leases_expire_at.max(expire_at + LEASE_END_SLACK);
     }
 
     /// Records that the worker has deregistered. It ends only afterwards, so until then, or until its
@@ -105,8 +109,9 @@
     }
 
     /// Returns whether a heartbeat of `other` may end the present worker: it is the same incarnation or
-    /// listens at the same address, or the present one has certainly ended or refuses connections.
-    /// Otherwise both may live, and the present one's runs go on.
+    /// listens at the same address, or the present one has certainly ended or refuses connections. A
+    /// worker that leaves stops listening before its runs end, so only its lease counts. Otherwise both
+    /// may live, and the present one's runs go on.
     pub(super) fn is_replaceable_by(
         &self,
         other: &WorkerAddress,
@@ -116,8 +121,8 @@
             worker.life == other.life
                 || worker.address == other.address
                 || self.is_replaced
-                || self.refused_since.is_some()
                 || now >= self.leases_expire_at
+                || self.refused_since.is_some() && !self.is_leaving()
         })
     }
 
--- a/src/process/scheduler/leader_lease.rs
+++ b/src/process/scheduler/leader_lease.rs
@@ -29,12 +29,14 @@
     }
 
     /// Returns the lease of a guard from the clock in its last report on; none before its first
-    /// report of the session. It never outlasts the leader's own lease.
+    /// report of the session that describes its worker. The leader counts the leases of runs from such
+    /// reports, and the worker may answer right after any other one. It never outlasts the leader's own
+    /// lease.
     pub(super) fn guard_lease(
         &self,
         upstream: Option<&UpstreamState>,
     ) -> Millis {
-        let reported = upstream.filter(|u| u.guard_clock_ms.is_some());
+        let reported = upstream.filter(|u| u.has_session_report && u.guard_clock_ms.is_some());
         let Some(reported_at) = reported.and_then(|u| u.last_report_at) else {
             return Millis(0);
         };
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod fuzz;
 mod http_client;
 mod late_answers;
+mod leases;
 mod ledger;
 mod malformed;
 mod one_guard;
