Hand the soak's fleet its leases, stops and heartbeats as terms

Change: the longest lease, the time of a stop and the interval of heartbeats are one value that a scenario hands to its fleet, with the former constants as the default, so that tests can play the terms of a deployment. Result: the soak compiles; no behaviour of its scenarios changes.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        node::{HEARTBEAT_INTERVAL, MAX_LEASE_MS, Node, Role, address, ip},
+        node::{Node, Role, Terms, address, ip},
         oracle::{ObservedEnd, Oracle},
         proxy::{LinkState, Proxy},
     },
@@ -24,9 +24,6 @@
     accelerators: 8,
 };
 
-/// The time that a worker needs to stop a run, in milliseconds.
-const STOP_DURATION_MS: u64 = 100;
-
 /// The longest time of a scenario: that of its faults and several times that of the work submitted
 /// meanwhile.
 const MAX_SCENARIO_TIME: Millis = Millis(180_000);
@@ -50,6 +47,7 @@
     pub client: HttpClient,
     pub store: Rc<StandInStore>,
     pub nodes: Vec<Node>,
+    pub terms: Terms,
     pub oracle: RefCell<Oracle>,
     /// The logged events, which are the injected faults and their end, for the report of a failed
     /// scenario.
@@ -69,6 +67,7 @@
         entries: u8,
         guards: u8,
         config: &str,
+        terms: Terms,
     ) -> Rc<Self> {
         fs::create_dir_all(&dir).expect("the folder of the scenario can be created");
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
@@ -86,13 +85,14 @@
             } else {
                 Role::Guard
             };
-            nodes.push(Node::new(&dir, subnet, i, role, store_address).await);
+            nodes.push(Node::new(&dir, subnet, i, role, store_address, terms).await);
         }
         let fleet = Rc::new(Self {
             client: HttpClient::new(clock.clone()),
             clock,
             store,
             nodes,
+            terms,
             oracle: RefCell::default(),
             events: RefCell::default(),
             last_event_at: std::cell::Cell::new(Millis(0)),
@@ -150,7 +150,7 @@
             .next_incarnation
             .replace(self.next_incarnation.get() + 1);
         let guard = &self.nodes[self.nodes_of_role(Role::Guard)[worker]];
-        let model = WorkerModel::new(MAX_LEASE_MS, STOP_DURATION_MS);
+        let model = WorkerModel::new(self.terms.max_lease_ms, self.terms.stop_ms);
         let id = format!("w-{number}");
         let model = Rc::new(StandInWorker::new(self.clock.clone(), &id, model));
         let any_port = address(guard.ip, 0);
@@ -170,6 +170,7 @@
             link.address(),
             number,
             sends_heartbeats.clone(),
+            self.terms.heartbeat_interval,
         );
         let incarnation = WorkerIncarnation {
             number,
@@ -224,7 +225,9 @@
         let guard = &self.nodes[self.nodes_of_role(Role::Guard)[worker]];
         let guard = address(guard.ip, 8526);
         let url = format!("http://{guard}/Instances.Deregister/w-{number}");
-        let confirmed = self.client.post(&url, &[], "{}".into(), HEARTBEAT_INTERVAL);
+        let confirmed = self
+            .client
+            .post(&url, &[], "{}".into(), self.terms.heartbeat_interval);
         if confirmed.await.is_err() {
             self.log_event(format!("the deregistration of w-{number} is not confirmed"));
         }
@@ -370,10 +373,11 @@
     worker: SocketAddr,
     incarnation: u64,
     sends: Rc<std::cell::Cell<bool>>,
+    interval: Duration,
 ) {
     for sequence in 1.. {
         while !sends.get() {
-            compio::time::sleep(HEARTBEAT_INTERVAL).await;
+            compio::time::sleep(interval).await;
         }
         let heartbeat = format!(
             r#"{{"Service":"s","Address":"{worker}","State":"in_service","Sequence":{sequence},
@@ -381,11 +385,7 @@
             CAPACITY.cpu_milli, CAPACITY.memory_mb, CAPACITY.accelerators,
         );
         // A guard that cannot be reached receives a later heartbeat.
-        drop(
-            client
-                .post(&url, &[], heartbeat.into(), HEARTBEAT_INTERVAL)
-                .await,
-        );
-        compio::time::sleep(HEARTBEAT_INTERVAL).await;
+        drop(client.post(&url, &[], heartbeat.into(), interval).await);
+        compio::time::sleep(interval).await;
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
     fault_injector::FaultInjector,
     fleet::Fleet,
     limpetquay::{prelude::*, request::StepJobId},
+    node::Terms,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::path::PathBuf,
 };
@@ -57,7 +58,15 @@
     // The process id separates the addresses of test runs at the same time.
     let subnet = [1 + (std::process::id() % 200) as u8, (seed % 250) as u8];
     let (entries, guards) = (rng.random_range(2..5), rng.random_range(3..7));
-    let fleet = Fleet::start(dir.clone(), subnet, entries, guards, CONFIG).await;
+    let fleet = Fleet::start(
+        dir.clone(),
+        subnet,
+        entries,
+        guards,
+        CONFIG,
+        Terms::default(),
+    )
+    .await;
     compio::time::sleep(Duration::from_millis(1500)).await;
     let callers = Callers::new(fleet.clone());
     // Fewer callers than workers, so that the workers can complete the submitted work.
@@ -223,7 +232,7 @@
         let dir = log_dir(&format!("soak-{seed}"));
         drop(std::fs::remove_dir_all(&dir));
         let subnet = [1 + (std::process::id() % 200) as u8, seed as u8];
-        let fleet = Fleet::start(dir, subnet, 1, 2, CONFIG).await;
+        let fleet = Fleet::start(dir, subnet, 1, 2, CONFIG, Terms::default()).await;
         let callers = Callers::new(fleet.clone());
         compio::time::sleep(Duration::from_millis(2000)).await;
         let job = callers.submit_one(8, 2500).await;
@@ -272,7 +281,7 @@
         .block_on(async {
             let dir = log_dir("reloads");
             let subnet = [1 + (std::process::id() % 200) as u8, 251];
-            let fleet = Fleet::start(dir, subnet, 1, 1, CONFIG).await;
+            let fleet = Fleet::start(dir, subnet, 1, 1, CONFIG, Terms::default()).await;
             compio::time::sleep(Duration::from_millis(500)).await;
             for round in 0..1000 {
                 for _ in 0..1 + round % 4 {
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -12,11 +12,26 @@
     },
 };
 
-/// The longest lease of a worker in these scenarios, in milliseconds.
-pub const MAX_LEASE_MS: u64 = 3000;
+/// The durations on which the processes and the workers of a scenario agree.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// The longest lease of a worker, in milliseconds.
+    pub max_lease_ms: u64,
+    /// The time that a worker needs to stop a run, in milliseconds.
+    pub stop_ms: u64,
+    /// The interval of a worker's heartbeats.
+    pub heartbeat_interval: Duration,
+}
 
-/// The interval of a worker's heartbeats.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            max_lease_ms: 3000,
+            stop_ms: 100,
+            heartbeat_interval: Duration::from_millis(300),
+        }
+    }
+}
 
 /// The memory limit of an entry and of a guard, in MB, as on the smallest instances of the users.
 const MEMORY_LIMIT_MB: [u64; 2] = [160, 128];
@@ -53,6 +68,7 @@
         index: u8,
         role: Role,
         store: SocketAddr,
+        terms: Terms,
     ) -> Self {
         let ip = ip(subnet, index + 1);
         let name = format!("{role:?}-{index}").to_lowercase();
@@ -61,9 +77,10 @@
         let text = format!(
             r#"{{"NodeName":"{name}","Ip":"{ip}","InternalPortRange":[7000,7015],"HeartbeatMs":{},
             "ListenAddrs":{{"Frontend":"{ip}:8521","Ready":"{ip}:8523","ControlPlane":"{ip}:8526"}},
-            "Bounds":{{"MaxHoldMs":{MAX_LEASE_MS},"RemoteFactor":3,"GracePeriodS":6,"status_s":120}},
+            "Bounds":{{"MaxHoldMs":{},"RemoteFactor":3,"GracePeriodS":6,"status_s":120}},
             "platform":{{"Address":"{}"}}}}"#,
-            HEARTBEAT_INTERVAL.as_millis(),
+            terms.heartbeat_interval.as_millis(),
+            terms.max_lease_ms,
             store_link.address(),
         );
         fs::write(&settings_path, text).expect("the settings file can be written");
