--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -97,6 +97,9 @@
         };
         match (&req.method, req.path.as_str()) {
             (&Method::POST, "/log-append") => {
+                self.clock
+                    .sleep(Duration::from_millis(faults.append_delay_ms))
+                    .await;
                 let response = self.append(topic, req);
                 if faults.drops_answers {
                     self.clock.sleep(DROPPED_ANSWER_DELAY).await;
@@ -191,7 +194,14 @@
         self: Rc<Self>,
         req: HttpRequest,
     ) -> LocalBoxFuture<'static, HttpResponse> {
-        Box::pin(async move { self.answer(&req).await })
+        Box::pin(async move {
+            if self.faults.get().append_delay_ms > 0 && req.path == "/log-append" {
+                // The caller may close its connection before.
+                compio::runtime::spawn(async move { drop(self.answer(&req).await) }).detach();
+                return std::future::pending().await;
+            }
+            self.answer(&req).await
+        })
     }
 
     fn max_body(
--- a/src/platform/stand_in/stand_in_worker.rs
+++ b/src/platform/stand_in/stand_in_worker.rs
@@ -23,6 +23,16 @@
 /// The work of a run whose payload does not set it, in milliseconds.
 const DEFAULT_WORK_MS: u64 = 500;
 
+/// Decides which calls to a worker get no answer and are carried out later.
+pub trait LateCalls {
+    /// Returns after which time the next call of a path is carried out, or `None` if it is carried
+    /// out and answered at once.
+    fn next_delay(
+        &self,
+        path: &str,
+    ) -> Option<Duration>;
+}
+
 /// An in-memory worker with the HTTP interface of a real one. The word `work_ms=N` in a payload
 /// sets the work of the run in milliseconds, and the word `fail` makes the run fail.
 pub struct StandInWorker {
@@ -31,6 +41,7 @@
     model: RefCell<WorkerModel>,
     changed: Event,
     answers_to_drop: RefCell<BTreeMap<String, u32>>,
+    late_calls: RefCell<Option<Rc<dyn LateCalls>>>,
 }
 
 impl StandInWorker {
@@ -46,6 +57,7 @@
             model: RefCell::new(model),
             changed: Event::new(),
             answers_to_drop: RefCell::default(),
+            late_calls: RefCell::default(),
         }
     }
 
@@ -60,6 +72,21 @@
             .insert(path.to_owned(), count);
     }
 
+    /// Sets which calls are carried out late. Their tokens and deadlines are checked then.
+    pub fn set_late_calls(
+        &self,
+        late_calls: Rc<dyn LateCalls>,
+    ) {
+        *self.late_calls.borrow_mut() = Some(late_calls);
+    }
+
+    fn next_delay(
+        &self,
+        path: &str,
+    ) -> Option<Duration> {
+        self.late_calls.borrow().as_ref()?.next_delay(path)
+    }
+
     /// Returns whether the answer of a call is dropped, and counts the drop.
     fn consume_answer_drop(
         &self,
@@ -183,6 +210,15 @@
         req: HttpRequest,
     ) -> LocalBoxFuture<'static, HttpResponse> {
         Box::pin(async move {
+            if let Some(delay) = self.next_delay(&req.path) {
+                // The caller may close its connection before.
+                compio::runtime::spawn(async move {
+                    self.clock.sleep(delay).await;
+                    self.answer(&req).await;
+                })
+                .detach();
+                return std::future::pending().await;
+            }
             let response = self.answer(&req).await;
             if self.consume_answer_drop(&req.path) {
                 std::future::pending::<()>().await;
--- a/src/platform/stand_in/store_model.rs
+++ b/src/platform/stand_in/store_model.rs
@@ -19,6 +19,9 @@
     pub refuses_calls: bool,
     /// Whether every append takes effect but is not answered.
     pub drops_answers: bool,
+    /// After how many milliseconds an append that is not answered takes effect; 0 for appends that
+    /// take effect at once.
+    pub append_delay_ms: u64,
     /// The added delay of each answer, in milliseconds.
     pub delay_ms: u64,
 }
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -175,6 +175,16 @@
         lines.filter(|l| l.contains(id)).count()
     }
 
+    /// Returns when a line with a text was last logged; `None` if there is none.
+    pub fn last_time_of(
+        &self,
+        text: &str,
+    ) -> Option<String> {
+        let log = fs::read_to_string(&self.log_path).unwrap_or_default();
+        let line = log.lines().rfind(|l| l.contains(text))?;
+        line.split('"').nth(3).map(str::to_owned)
+    }
+
     /// Returns a description if the process has ended unexpectedly or has exceeded its memory
     /// limit.
     pub fn find_fault(&self) -> Option<String> {
