--- a/tests/soak/scenario.rs
+++ b/tests/soak/scenario.rs
@@ -15,6 +15,10 @@
 /// Seeds below this one play a small deployment without late calls and busy processors.
 const FIRST_SITE_SEED: u64 = 1000;
 
+/// From this seed on, successors of workers start before the worker has ended, which the platform
+/// does not describe.
+const FIRST_OVERLAP_SEED: u64 = 2000;
+
 /// Separates the draw of a scenario from that of its faults, which use the same seed.
 const SCENARIO_STREAM: u64 = 0x5ce4_a110;
 
@@ -39,6 +43,8 @@
     pub late_orders_percent: u32,
     /// The share of polls that are carried out late, in percent.
     pub late_polls_percent: u32,
+    /// Whether the successor of a worker may start before the worker has ended.
+    pub overlaps_workers: bool,
     /// The number of threads that use a processor without a pause.
     pub busy_threads: usize,
     /// How long faults are injected.
@@ -64,6 +70,7 @@
                 },
                 late_orders_percent: 0,
                 late_polls_percent: 0,
+                overlaps_workers: false,
                 busy_threads: 0,
                 fault_duration: Duration::from_secs(15),
                 stall_limit: Duration::from_secs(15),
@@ -93,6 +100,7 @@
             },
             late_orders_percent: [0, 5, 10, 20, 30, 50][rng.random_range(0..6)],
             late_polls_percent: [0, 0, 2, 5][rng.random_range(0..4)],
+            overlaps_workers: seed >= FIRST_OVERLAP_SEED,
             busy_threads: [0, 0, 6, 12][rng.random_range(0..4)],
             fault_duration: Duration::from_secs(25),
             stall_limit: Duration::from_millis(max_lease_ms + 25_000),
