--- a/tests/soak/takeovers.rs
+++ b/tests/soak/takeovers.rs
@@ -3,12 +3,13 @@
 
 use {
     super::{
-        CONFIG,
         callers::Callers,
+        config,
         fleet::Fleet,
         log_dir,
         node::{Role, Terms},
         proxy::LinkState,
+        scenario::Scenario,
         wait_for_end,
     },
     compio::runtime::Runtime,
@@ -48,6 +49,20 @@
 /// Message of a guard that has deregistered.
 const DEREGISTERED: &str = "\"message\":\"deregistered: ";
 
+/// Returns the scenario of a small fleet without late calls.
+fn scenario_of(
+    entries: u8,
+    guards: u8,
+    terms: Terms,
+) -> Scenario {
+    Scenario {
+        entries,
+        guards,
+        terms,
+        ..Scenario::draw(1)
+    }
+}
+
 /// A fleet whose busiest worker was just cut off and refuses connections.
 struct Course {
     fleet: Rc<Fleet>,
@@ -100,7 +115,7 @@
     drop(std::fs::remove_dir_all(&dir));
     // Apart from the addresses of the scenarios with seeds.
     let subnet = [201 + (std::process::id() % 50) as u8, host];
-    let fleet = Fleet::start(dir.clone(), subnet, 3, 3, CONFIG, terms).await;
+    let fleet = Fleet::start(dir.clone(), subnet, &config(1), scenario_of(3, 3, terms)).await;
     let callers = Callers::new(fleet.clone());
     compio::time::sleep(Duration::from_millis(2500)).await;
     let job = callers.submit_one(6, WORK_MS).await;
@@ -243,7 +258,7 @@
 #[test]
 fn a_worker_cut_off_after_its_remaining_time_has_not_ended() {
     let violations = leaving_violations_of(41, async |fleet, worker| {
-        fleet.announce_leaving(worker, 1000);
+        fleet.drain_worker(worker, 1000);
         compio::time::sleep(Duration::from_millis(700)).await;
         fleet.cut_worker(worker, true);
         compio::time::sleep(Duration::from_millis(2500)).await;
@@ -265,7 +280,13 @@
         let dir = log_dir(&format!("takeover-{host}"));
         drop(std::fs::remove_dir_all(&dir));
         let subnet = [201 + (std::process::id() % 50) as u8, host];
-        let fleet = Fleet::start(dir.clone(), subnet, 1, 3, CONFIG, LONG_LEASES).await;
+        let fleet = Fleet::start(
+            dir.clone(),
+            subnet,
+            &config(1),
+            scenario_of(1, 3, LONG_LEASES),
+        )
+        .await;
         let callers = Callers::new(fleet.clone());
         compio::time::sleep(Duration::from_millis(2000)).await;
         let job = callers.submit_one(6, WORK_MS).await;
