Give the addresses of the end-to-end tests loopback IPs of their own

Change: each address has a loopback IP of its own, on which nothing else opens connections. No check changes.

--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -13,7 +13,10 @@
         prelude::*,
         process::clock::SystemClock,
     },
-    std::net::TcpListener,
+    std::{
+        net::TcpListener,
+        sync::atomic::{AtomicU8, Ordering},
+    },
 };
 
 const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/q/",
@@ -23,8 +26,17 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Returns an unused address. Each one is on a loopback IP of its own, so that no connection of another
+/// test takes its port before it is bound.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let ip = [
+        127,
+        254,
+        (std::process::id() % 256) as u8,
+        COUNT.fetch_add(1, Ordering::Relaxed),
+    ];
+    let listener = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a free port");
     listener.local_addr().expect("an address")
 }
 
