--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -18,7 +18,7 @@
 /// The interval at which a guard checks whether its registration has to change.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a guard whose worker has gone stays registered, in case another one starts: longer
+/// How long a guard whose worker looks gone stays registered at least, in case another one starts: longer
 /// than the pauses of a worker that restarts repeatedly.
 const WORKER_RESTART_GRACE: Duration = Duration::from_millis(2000);
 
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -38,7 +38,7 @@
         max_lease: Millis,
     ) -> Self {
         let mut tracker = RunTracker::default();
-        tracker.assume_leases_until(clock.now() + longest_lease(max_lease));
+        tracker.record_leases_until(clock.now() + longest_lease(max_lease));
         Self {
             tracker: RefCell::new(tracker),
             worker,
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -275,7 +275,7 @@
             return None;
         }
         let lease = self.lease_to_grant(session.worker_lease);
-        self.assume_leases_until(now + longest_lease(lease));
+        self.record_leases_until(now + longest_lease(lease));
         Some(clock_ms + (now - read_at).0 + lease.0)
     }
 
--- a/src/process/runs/worker_end.rs
+++ b/src/process/runs/worker_end.rs
@@ -13,8 +13,9 @@
 /// of the heartbeat interval. A live worker sends one heartbeat in each interval.
 const HEARTBEAT_TIMEOUT_PERCENT: u32 = 140;
 
-/// The longest lease of a worker that has announced its end: a poll that is lost, and the next one. Its
-/// runs are known to be over only when its lease is, because it may stop listening before they end.
+/// The longest lease of a worker that has announced its end. It outlasts one poll without an answer. A
+/// longer one would delay the work that is left when the worker goes: its runs are over only when its
+/// lease is, because it may stop listening before they end.
 const LEAVING_WORKER_LEASE: Millis = Millis(2500);
 
 /// The most by which a worker's clock may run slow, in percent.
@@ -30,8 +31,8 @@
 }
 
 impl RunTracker {
-    /// Takes into account that a process before this one may have granted leases until `expire_at`.
-    pub fn assume_leases_until(
+    /// Records that leases may have been granted until `expire_at`, by this process or one before it.
+    pub fn record_leases_until(
         &mut self,
         expire_at: Millis,
     ) {
