Limit the orders that wait for a worker's answer

Cause: a guard made a call for each order at once, each with a timeout of 300 ms. A worker that takes 3 ms for a call carries all of them out and answers most too late; they are repeated and undone, which keeps the worker busy, polls fail, and its lease expires although it is up. Ruled out by runs: load, cores, leader, order of starts, delays of the store and the worker alone.

Change: at most 8 starts and 8 stops are sent at the same time; a start that is not sent within 0.9 s is refused as not started. The handling of a session's message moves to RunGuard, so that a test can play it.

The new test fails with the limit raised to 10,000: 102 of 200 runs are undone at 3 ms a call.

--- a/src/process/runs/order_task.rs
+++ b/src/process/runs/order_task.rs
@@ -5,14 +5,18 @@
     crate::{
         connection::{RunStart, StartRefusal},
         prelude::*,
+        process::clock::with_timeout,
         request::RunRef,
     },
 };
 
-/// The maximum number of times that a start without an answer is sent. Together with the timeout of
-/// a call, it stays below the time for which the first members of a gang wait for the others.
+/// The maximum number of times that a start without an answer is sent.
 const MAX_START_ATTEMPTS: u32 = 3;
 
+/// The time after which no further attempt of a start is sent. Together with the timeout of a call,
+/// it stays below the time for which the first members of a gang wait for the others.
+const MAX_START_TIME: Duration = Duration::from_millis(900);
+
 /// The pause between two attempts to stop a run.
 const STOP_RETRY: Duration = Duration::from_millis(100);
 
@@ -29,7 +33,8 @@
     let mut tries = 0;
     let result = loop {
         tries += 1;
-        let result = try_start(&guard, &worker, token, &start).await;
+        let time_left = MAX_START_TIME.saturating_sub(guard.clock.now().since(began));
+        let result = try_start(&guard, &worker, token, &start, time_left).await;
         let is_unanswered = matches!(result, Err(RunWorkerError::NoAnswer(_)));
         if !is_unanswered || tries == MAX_START_ATTEMPTS || !is_current(&guard, &worker, token) {
             break result;
@@ -65,12 +70,25 @@
     guard.changed.notify(usize::MAX);
 }
 
+/// Sends a start once one of the calls before it is over, within `time_left`.
 async fn try_start(
     guard: &RunGuard,
     worker: &WorkerAddress,
     token: u64,
     start: &RunStart,
+    time_left: Duration,
 ) -> Result<(), RunWorkerError> {
+    let acquiring = guard.start_slots.acquire();
+    let Some(_slot) = with_timeout(&*guard.clock, time_left, acquiring).await else {
+        return Err(RunWorkerError::NotReached(
+            "the worker is busy with earlier starts".to_owned(),
+        ));
+    };
+    if !is_current(guard, worker, token) {
+        return Err(RunWorkerError::NotReached(
+            "the session or the worker has changed".to_owned(),
+        ));
+    }
     let deadline = guard.tracker.borrow_mut().deadline_ms(guard.clock.now());
     match deadline {
         Some(deadline_ms) => guard.worker.start(worker, token, deadline_ms, start).await,
@@ -98,10 +116,13 @@
     run: RunRef,
 ) {
     loop {
+        let slot = guard.stop_slots.acquire().await;
         if !is_current(&guard, &worker, token) {
             return;
         }
-        match guard.worker.stop(&worker, token, run).await {
+        let result = guard.worker.stop(&worker, token, run).await;
+        drop(slot);
+        match result {
             Ok(()) => {
                 tracing::info!(%run, token, "stop acknowledged by the worker");
                 guard
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -2,14 +2,23 @@
 
 use {
     super::{
-        RunTracker, RunWorker, WorkerAddress, WorkerHeartbeat, poll_task::poll_worker,
-        session_task::serve_sessions, worker_end::longest_lease,
+        RunTracker, RunWorker, WorkerAddress, WorkerHeartbeat, WorkerOrder,
+        order_task::{execute_start, execute_stop},
+        poll_task::poll_worker,
+        session_task::serve_sessions,
+        worker_end::longest_lease,
     },
-    crate::{prelude::*, process::task_group::TaskGroup},
+    crate::{connection::GuardOrders, prelude::*, process::task_group::TaskGroup},
+    async_lock::Semaphore,
     compio::net::TcpListener,
     event_listener::Event,
 };
 
+/// The maximum number of starts, and of stops, that wait for the worker's answer at the same time. A
+/// worker that takes its time for each call would otherwise answer none of them before its timeout,
+/// nor the polls beside them.
+const MAX_PARALLEL_CALLS: usize = 8;
+
 /// A guard, which is the only caller of its worker.
 pub struct RunGuard {
     /// The state of the worker, its runs and the session.
@@ -24,6 +33,10 @@
     pub poll_due: Event,
     /// Tasks that carry out orders.
     pub(super) order_tasks: TaskGroup,
+    /// Held by each start that is being sent.
+    pub(super) start_slots: Semaphore,
+    /// Held by each stop that is being sent, so that starts do not delay stops.
+    pub(super) stop_slots: Semaphore,
     /// The interval at which the worker sends heartbeats.
     heartbeat_interval: Duration,
 }
@@ -46,6 +59,8 @@
             changed: Event::new(),
             poll_due: Event::new(),
             order_tasks: TaskGroup::default(),
+            start_slots: Semaphore::new(MAX_PARALLEL_CALLS),
+            stop_slots: Semaphore::new(MAX_PARALLEL_CALLS),
             heartbeat_interval,
         }
     }
@@ -124,6 +139,38 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Applies a message of the session and carries out its orders, each in a task of its own.
+    pub fn carry_out(
+        self: &Rc<Self>,
+        orders: &GuardOrders,
+    ) {
+        let now = self.clock.now();
+        let acknowledged_before = self.tracker.borrow().acknowledged_end;
+        let was_leased = self.tracker.borrow().is_leased(now);
+        let calls = self.tracker.borrow_mut().apply_orders(orders, now);
+        let is_leased_again = !was_leased && self.tracker.borrow().is_leased(now);
+        if is_leased_again || self.tracker.borrow().acknowledged_end != acknowledged_before {
+            self.poll_due.notify(usize::MAX);
+        }
+        if !orders.starts.is_empty() || !orders.stops.is_empty() {
+            self.changed.notify(usize::MAX);
+        }
+        let Some(worker) = self.tracker.borrow().worker.clone() else {
+            return;
+        };
+        for call in calls {
+            let (guard, worker, token) = (self.clone(), worker.clone(), orders.token);
+            match call {
+                WorkerOrder::Start(start) => self
+                    .order_tasks
+                    .spawn(execute_start(guard, worker, token, start)),
+                WorkerOrder::Stop(run) => self
+                    .order_tasks
+                    .spawn(execute_stop(guard, worker, token, run)),
+            }
+        }
+    }
+
     /// Starts the guard's tasks.
     pub fn start(
         self: &Rc<Self>,
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -1,10 +1,7 @@
 //! Serves sessions with the scheduling entry, one task for each connection.
 
 use {
-    super::{
-        RunGuard, WorkerOrder,
-        order_task::{execute_start, execute_stop},
-    },
+    super::RunGuard,
     crate::{
         connection::{FrameError, GuardOrders, WorkerView, read_frame, set_nodelay, write_frame},
         prelude::*,
@@ -74,7 +71,7 @@
         write_frame(&mut stream, &report).await?;
         return Ok(());
     }
-    apply_orders(guard, first);
+    guard.carry_out(&first);
     guard.poll_due.notify(usize::MAX);
     let (mut read_half, mut write_half) = stream.into_split();
     let reading = read_orders(guard, token, &mut read_half);
@@ -106,7 +103,7 @@
         if !guard.tracker.borrow().is_session_open(token) {
             return Ok(());
         }
-        apply_orders(guard, orders);
+        guard.carry_out(&orders);
     }
 }
 
@@ -129,39 +126,3 @@
         }
     }
 }
-
-fn apply_orders(
-    guard: &Rc<RunGuard>,
-    orders: GuardOrders,
-) {
-    let now = guard.clock.now();
-    let acknowledged_before = guard.tracker.borrow().acknowledged_end;
-    let was_leased = guard.tracker.borrow().is_leased(now);
-    let calls = guard.tracker.borrow_mut().apply_orders(&orders, now);
-    let is_leased_again = !was_leased && guard.tracker.borrow().is_leased(now);
-    if is_leased_again || guard.tracker.borrow().acknowledged_end != acknowledged_before {
-        guard.poll_due.notify(usize::MAX);
-    }
-    if !orders.starts.is_empty() || !orders.stops.is_empty() {
-        guard.changed.notify(usize::MAX);
-    }
-    let Some(worker) = guard.tracker.borrow().worker.clone() else {
-        return;
-    };
-    for call in calls {
-        let (guard, worker) = (guard.clone(), worker.clone());
-        let tasks = guard.clone();
-        match call {
-            WorkerOrder::Start(start) => {
-                tasks
-                    .order_tasks
-                    .spawn(execute_start(guard, worker, orders.token, start));
-            }
-            WorkerOrder::Stop(run) => {
-                tasks
-                    .order_tasks
-                    .spawn(execute_stop(guard, worker, orders.token, run));
-            }
-        }
-    }
-}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Tests of step jobs on the platform: scheduling decisions, faults, message decoding, and the
 //! whole path with simulated workers and store.
 
+mod busy_worker;
 mod cut_lists;
 mod election;
 mod election_model;
