Receive signals through a socket

Cause: the library's signal handler woke a task, which asks for the current thread. On a thread that is just being started that aborts the process ("current thread handle already set during thread spawn").

--- a/src/process/cli/signals.rs
+++ b/src/process/cli/signals.rs
@@ -1,11 +1,8 @@
 //! Handling of the signals that stop a process or make it read its settings again.
 
 use {
-    futures_util::{
-        future::{FutureExt, LocalBoxFuture, select},
-        pin_mut,
-    },
-    std::{io, process},
+    compio::{io::AsyncRead, net::UnixStream},
+    std::{io, os::unix::net::UnixStream as StdUnixStream, process},
 };
 
 /// The number of the signal sent by Ctrl-C.
@@ -20,34 +17,61 @@
 /// The exit code of a process that a second stop signal ends.
 const EXIT_FORCED: i32 = 1;
 
-/// Receives one occurrence of a signal. It listens from its creation on, even before `wait` is
-/// called. While a signal has no listener, its default action applies and ends the process.
-struct SignalListener {
-    received: LocalBoxFuture<'static, io::Result<()>>,
-    early_result: Option<io::Result<()>>,
+/// The number of pending signals that one read takes.
+const MAX_PENDING: usize = 64;
+
+/// Receives signals from its creation on; their default action no longer applies.
+///
+/// The handler only writes a byte to a socket, because it may run on a thread that is just being
+/// started, where nothing that asks for the current thread may be called.
+struct SignalReceiver {
+    /// Holds one byte for each signal that was not waited for yet.
+    pending: io::Result<StdUnixStream>,
 }
 
-impl SignalListener {
-    fn new(signal: i32) -> Self {
-        let mut received: LocalBoxFuture<'static, _> =
-            Box::pin(compio::signal::unix::signal(signal));
-        // The library starts to listen when the future is first polled.
-        let early_result = (&mut received).now_or_never();
+impl SignalReceiver {
+    fn new(signals: &[i32]) -> Self {
         Self {
-            received,
-            early_result,
+            pending: register(signals),
         }
     }
 
-    async fn wait(self) {
-        let result = match self.early_result {
-            Some(result) => result,
-            None => self.received.await,
+    /// Attaches the receiver to the runtime.
+    fn listen(self) -> PendingSignals {
+        let stream = self.pending.and_then(UnixStream::from_std);
+        PendingSignals { stream }
+    }
+}
+
+/// Registers handlers that write to the other end of the returned socket.
+fn register(signals: &[i32]) -> io::Result<StdUnixStream> {
+    let (receiver, sender) = StdUnixStream::pair()?;
+    receiver.set_nonblocking(true)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, sender.try_clone()?)?;
+    }
+    Ok(receiver)
+}
+
+/// The signals of a [`SignalReceiver`] in a runtime.
+struct PendingSignals {
+    stream: io::Result<UnixStream>,
+}
+
+impl PendingSignals {
+    /// Waits for the next signal. Signals that have arrived together count as one.
+    async fn wait(&mut self) {
+        let result = match &mut self.stream {
+            Ok(stream) => stream.read([0; MAX_PENDING]).await.0,
+            Err(e) => Err(io::Error::new(e.kind(), e.to_string())),
         };
-        if let Err(e) = result {
-            tracing::error!(error = %e, "cannot listen for signals");
-            // Returning would make the waiting task treat the failure as a signal.
-            std::future::pending::<()>().await;
+        match result {
+            Ok(count) if count > 0 => {}
+            result => {
+                tracing::error!(error = ?result.err(), "cannot listen for signals");
+                // Returning would make the waiting task treat the failure as a signal.
+                std::future::pending().await
+            }
         }
     }
 }
@@ -55,56 +79,30 @@
 /// Starts to listen for SIGINT and SIGTERM and returns a future that waits for the first one. After
 /// it, a second one ends the process at once.
 pub(super) fn listen_for_stop() -> impl Future<Output = ()> {
-    let first = StopListener::new();
+    let signals = SignalReceiver::new(&[SIGINT, SIGTERM]);
     async move {
-        first.wait().await;
-        let second = StopListener::new();
+        let mut signals = signals.listen();
+        signals.wait().await;
         tracing::info!("stopping; another signal ends the process at once");
-        compio::runtime::spawn(async {
-            second.wait().await;
+        compio::runtime::spawn(async move {
+            signals.wait().await;
             process::exit(EXIT_FORCED);
         })
         .detach();
     }
 }
 
-/// Starts to listen for SIGHUP and returns a future that calls `reload` at each one.
+/// Starts to listen for SIGHUP and returns a future that calls `reload` after one or several.
 pub(super) fn listen_for_reloads<F>(reload: F) -> impl Future<Output = ()>
 where
     F: Fn(),
 {
-    let permanent = SignalListener::new(SIGHUP);
-    let mut next = SignalListener::new(SIGHUP);
+    let signals = SignalReceiver::new(&[SIGHUP]);
     async move {
-        // Never awaited. Without it, a signal between the end of one listener and the creation of
-        // the next would end the process.
-        let _permanent = permanent;
+        let mut signals = signals.listen();
         loop {
-            next.wait().await;
-            next = SignalListener::new(SIGHUP);
+            signals.wait().await;
             reload();
         }
     }
 }
-
-/// Receives one SIGINT or SIGTERM.
-struct StopListener {
-    interrupt: SignalListener,
-    terminate: SignalListener,
-}
-
-impl StopListener {
-    fn new() -> Self {
-        Self {
-            interrupt: SignalListener::new(SIGINT),
-            terminate: SignalListener::new(SIGTERM),
-        }
-    }
-
-    async fn wait(self) {
-        let interrupt = self.interrupt.wait();
-        let terminate = self.terminate.wait();
-        pin_mut!(interrupt, terminate);
-        select(interrupt, terminate).await;
-    }
-}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -314,6 +314,38 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+/// Guards against a signal that ends a process because its handler runs on a thread that is just being
+/// started.
+#[test]
+fn reloads_during_the_start_of_a_process_do_not_end_it() {
+    const STARTS: usize = 300;
+    const BUSY_THREADS: usize = 12;
+    const MAX_START_TIME: Millis = Millis(2000);
+    const RELOAD_DURATION: Millis = Millis(40);
+    let _busy = BusyThreads::start(BUSY_THREADS);
+    let violations = Runtime::new()
+        .expect("the runtime can be created")
+        .block_on(async {
+            let dir = log_dir("reloads-at-start");
+            let subnet = [1 + (std::process::id() % 200) as u8, 248];
+            let fleet = Fleet::start(dir, subnet, &config(1), small_fleet(248, 2, 4)).await;
+            for node in fleet.nodes.iter().cycle().take(STARTS) {
+                node.kill();
+                node.start(&fleet.clock);
+                let started_at = fleet.clock.now();
+                while !node.handles_reloads() && fleet.clock.now() < started_at + MAX_START_TIME {}
+                let until = fleet.clock.now() + RELOAD_DURATION;
+                while fleet.clock.now() < until {
+                    node.signal(rustix::process::Signal::HUP);
+                }
+                fleet.check_processes();
+            }
+            fleet.stop();
+            fleet.oracle.borrow().violations.clone()
+        });
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 /// Guards against work that is started again while it runs: a worker that has left stops listening
 /// some time before its runs end.
 #[test]
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -139,6 +139,16 @@
         }
     }
 
+    /// Returns whether the process has a handler for SIGHUP, which ends it otherwise.
+    pub fn handles_reloads(&self) -> bool {
+        let child = self.child.borrow();
+        let id = child.as_ref().map_or(0, std::process::Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let caught = status.lines().find_map(|l| l.strip_prefix("SigCgt:"));
+        let mask = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & 1 == 1)
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&self) {
         self.signal(Signal::KILL);
