End a waiting branch with a semicolon, as the linter asks

Cause: cargo clippy with -D warnings refuses the statement before. Change: the pending future has its type and a semicolon. Result: clippy passes; no change of behaviour.

--- a/src/process/cli/signals.rs
+++ b/src/process/cli/signals.rs
@@ -70,7 +70,7 @@
             result => {
                 tracing::error!(error = ?result.err(), "cannot listen for signals");
                 // Returning would make the waiting task treat the failure as a signal.
-                std::future::pending().await
+                std::future::pending::<()>().await;
             }
         }
     }
