--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -757,7 +757,7 @@
     return "%016x" % random.getrandbits(64)
 
 
-def play(case, record_path):
+def play(case, record_path, with_trouble):
     """Plays a case and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
 
     async def main():
@@ -766,7 +766,7 @@
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         deployment = Deployment(record_path)
         try:
-            with_trouble = os.environ.get("TROUBLE", "1") != "0"
+            deployment.record("with the disruption" if with_trouble else "without the disruption")
             broken = await asyncio.wait_for(case(deployment, with_trouble), MAX_CASE_S)
             deployment.record("result: the rule %s" % ("is broken" if broken else "held"))
             return 1 if broken else 0
