Keep the IDs of jobs byte for byte

Keys of the ledger and workers' lists were read as numbers of any length as well. FromStr and Display are the only places that read and print an ID; callers' requests, LedgerKey and workers' lists use them.

--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -82,7 +82,7 @@
             let pending = self.job_service.pending_jobs(&queue.name);
             return HttpResponse::json(200, &WirePending { pending });
         }
-        let Some(id) = parse_id(name) else {
+        let Ok(id) = name.parse() else {
             return HttpResponse::text(404, "there is no such job");
         };
         match req.method {
@@ -197,12 +197,6 @@
     }
 }
 
-fn parse_id(text: &str) -> Option<StepJobId> {
-    let is_id = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
-    let number = u64::from_str_radix(text, 16).ok().filter(|_| is_id);
-    number.map(StepJobId)
-}
-
 /// Returns the caller's deadline less the margin for the transit of the answer.
 fn time_left(req: &HttpRequest) -> Duration {
     let deadline_ms = req
--- a/src/platform/http_run_worker.rs
+++ b/src/platform/http_run_worker.rs
@@ -8,7 +8,7 @@
         },
         prelude::*,
         process::runs::{PollRequest, PollResponse, RunWorker, RunWorkerError, WorkerAddress},
-        request::{RunRef, StepJobId, SubtaskId},
+        request::{RunRef, SubtaskId},
     },
     serde::{Deserialize, Serialize},
     serde_json::Value,
@@ -257,10 +257,9 @@
     run: &Value,
 ) -> Option<RunRef> {
     let mut parts = subtask.as_str()?.split('.');
-    let job = StepJobId(u64::from_str_radix(parts.next()?, 16).ok()?);
     Some(RunRef {
         subtask: SubtaskId {
-            job,
+            job: parts.next()?.parse().ok()?,
             occurrence: parts.next()?.parse().ok()?,
             step: parts.next()?.parse().ok()?,
             index: parts.next()?.parse().ok()?,
--- a/src/process/ledger/record.rs
+++ b/src/process/ledger/record.rs
@@ -106,7 +106,7 @@
         if kind == "member" {
             return Some(Self::Member(name.into()));
         }
-        let id = StepJobId(u64::from_str_radix(name, 16).ok()?);
+        let id: StepJobId = name.parse().ok()?;
         match kind {
             "job" => Some(Self::Job(id)),
             "progress" => Some(Self::Progress(id)),
--- a/src/request/step_job/mod.rs
+++ b/src/request/step_job/mod.rs
@@ -17,5 +17,5 @@
     resources::Resources,
     step::Step,
     step_job::{InvalidJob, StepJob},
-    subtask::{RunRef, StepJobId, SubtaskId, UnitId},
+    subtask::{ParseStepJobIdError, RunRef, StepJobId, SubtaskId, UnitId},
 };
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -15,6 +15,7 @@
             metrics::PlatformMetrics,
             scheduler::{LeaseTerms, SchedulerContext, run_scheduler},
         },
+        request::StepJobId,
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
 };
@@ -200,7 +201,9 @@
 
 fn unrelated_record(number: u64) -> KeyedRecord {
     KeyedRecord {
-        key: format!("cancel/{number:016x}").into(),
+        key: LedgerKey::Cancel(StepJobId::from_number(number))
+            .to_string()
+            .into(),
         value: Some(Bytes::from_static(b"busy")),
         offset: 0,
     }
--- a/tests/platform/election_model.rs
+++ b/tests/platform/election_model.rs
@@ -24,7 +24,7 @@
 
 const CLAIMS: &str = "keyed.limpetquay-claims";
 const LEDGER: &str = "keyed.limpetquay";
-const JOB: StepJobId = StepJobId(7);
+const JOB: StepJobId = StepJobId::from_number(7);
 const GUARDS: usize = 2;
 const TERM_SHIFT_BITS: u32 = 16;
 
--- a/tests/platform/ledger.rs
+++ b/tests/platform/ledger.rs
@@ -67,7 +67,7 @@
 /// and not before. A recorded tombstone removes it.
 #[test]
 fn ended_jobs_are_dropped_after_their_retention() {
-    let (open, done) = (StepJobId(1), StepJobId(2));
+    let (open, done) = (StepJobId::from_number(1), StepJobId::from_number(2));
     let mut fold = LedgerFold::default();
     for record in records(
         0,
@@ -97,7 +97,11 @@
 /// after that page's end.
 #[test]
 fn a_page_of_the_newest_records_removes_keys_with_missed_tombstones() {
-    let (dropped, kept, late) = (StepJobId(1), StepJobId(2), StepJobId(3));
+    let (dropped, kept, late) = (
+        StepJobId::from_number(1),
+        StepJobId::from_number(2),
+        StepJobId::from_number(3),
+    );
     let mut fold = LedgerFold::default();
     let before = records(
         0,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod fake_store;
 mod fuzz;
 mod http_client;
+mod job_ids;
 mod late_answers;
 mod leases;
 mod ledger;
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -80,7 +80,7 @@
     tracker.apply_poll(1, Millis(0), Millis(10), response);
     let run = RunRef {
         subtask: SubtaskId {
-            job: StepJobId(1),
+            job: StepJobId::from_number(1),
             occurrence: 0,
             step: 0,
             index: 0,
@@ -327,7 +327,7 @@
             let config = decode_config(&mutate(&mut rng, CONFIG.as_bytes()));
             accepted[1] += u32::from(config.is_ok());
             let body = mutate(&mut rng, JOB.as_bytes());
-            let id = StepJobId(i);
+            let id = StepJobId::from_number(i);
             let job = decode_job(id, &body, &queue, AccountName::from("t"), Millis(i));
             if let Ok(job) = &job {
                 accepted[2] += 1;
@@ -340,9 +340,11 @@
             let noise: Vec<u8> = (0..rng.random_range(0..60)).map(|_| rng.random()).collect();
             let _ = read_frame::<_, StoreCall>(&mut noise.as_slice()).await;
             let _ = read_frame::<_, GuardOrders>(&mut noise.as_slice()).await;
-            for key in ["job/1", "progress/1", "cancel/1", "member/a", "lead", "x"] {
+            let keys = ["job", "progress", "cancel"].map(|kind| format!("{kind}/{id}"));
+            let others = ["job/1", "member/a", "lead", "x"].map(str::to_owned);
+            for key in keys.iter().chain(&others) {
                 let record = KeyedRecord {
-                    key: key.into(),
+                    key: key.as_str().into(),
                     value: Some(noise.clone().into()),
                     offset: i,
                 };
--- a/tests/platform/one_guard.rs
+++ b/tests/platform/one_guard.rs
@@ -32,7 +32,7 @@
     payload: &str,
 ) -> JobView {
     let job = StepJob {
-        id: StepJobId(1),
+        id: StepJobId::from_number(1),
         queue: QueueName::from("queue"),
         account: AccountName::from("account"),
         service: "service".into(),
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -233,6 +233,45 @@
     });
 }
 
+/// Guards against a job that never runs and is shown as completed, because its ID differs from that
+/// of another job only in case, and against starts under an ID that no caller has sent. Review case
+/// 8.
+#[test]
+fn ids_that_differ_in_case_are_two_jobs() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let testbed = Testbed::start().await;
+        let _entry = testbed.start_entry();
+        testbed.wait_for("/q/", r#"200 {"Pending":0}"#).await;
+        let ids = [
+            "00000000000000ab",
+            "00000000000000AB",
+            "00000000000000aB",
+            "FEDCBA9876543210",
+        ];
+        let mut expected = Vec::new();
+        for (number, id) in ids.into_iter().enumerate() {
+            let payload = format!("job-{number} work_ms=50");
+            let job = format!(r#"{{"Spec":"{payload}","Steps":[{{"Count":1,"Cpu":100}}]}}"#);
+            let answer = testbed
+                .call(Method::POST, &format!("/q/{id}"), "key", &job)
+                .await;
+            assert_eq!(answer.map(|a| a.status), Some(200), "{id}");
+            expected.push((format!("{id}.0.0.0"), payload));
+        }
+        for id in ids {
+            let state = testbed.wait_for(&format!("/q/{id}"), COMPLETED).await;
+            assert_eq!(state, COMPLETED, "{id}");
+        }
+        let model = testbed.worker.model().borrow();
+        let starts = model.starts.iter();
+        let starts = starts.map(|s| (s.run.subtask.to_string(), s.payload.to_string()));
+        let mut starts: Vec<(String, String)> = starts.collect();
+        starts.sort();
+        expected.sort();
+        assert_eq!(starts, expected);
+    });
+}
+
 /// When the entry stops, the job continues under the next entry, and its run is not started again.
 #[test]
 fn a_running_job_is_taken_over() {
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -277,7 +277,7 @@
     };
     Victim {
         unit: (
-            StepJobId(1),
+            StepJobId::from_number(1),
             UnitId {
                 occurrence: 0,
                 step: 0,
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -107,7 +107,7 @@
             pin_mut!(reading, is_read);
             select(reading, is_read).await;
         }
-        for id in (1..=3).map(StepJobId) {
+        for id in (1..=3).map(StepJobId::from_number) {
             append(&shared, &LedgerKey::Job(id), &LedgerRecord::Job(job(id)));
         }
         let leader = LedgerRecord::Leader(LeaderRecord {
@@ -144,13 +144,13 @@
             metrics: Rc::new(PlatformMetrics::default()),
         };
         let time = Duration::from_secs(1);
-        let stored = service.cancel(StepJobId(3), time).await;
-        let missing = service.cancel(StepJobId(4), time).await;
+        let stored = service.cancel(StepJobId::from_number(3), time).await;
+        let missing = service.cancel(StepJobId::from_number(4), time).await;
         let records = shared.model.borrow_mut().read(TOPIC, 4).expect("a read");
         let keys = records.records.iter().map(|r| r.key.clone());
         let keys: Vec<Arc<str>> = keys.collect();
         shared.is_down.set(true);
-        let unknown = service.cancel(StepJobId(4), time).await;
+        let unknown = service.cancel(StepJobId::from_number(4), time).await;
         (stored, missing, unknown, keys)
     });
     insta::assert_debug_snapshot!(outcomes);
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -53,7 +53,13 @@
     ];
     let decoded = bodies.map(|body| {
         let account = AccountName::from("t");
-        let job = decode_job(StepJobId(17), body.as_bytes(), queue, account, Millis(5));
+        let job = decode_job(
+            StepJobId::from_number(17),
+            body.as_bytes(),
+            queue,
+            account,
+            Millis(5),
+        );
         job.map_err(|e| e.to_string())
     });
     insta::assert_debug_snapshot!(decoded);
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -220,7 +220,7 @@
         priority: u32,
         attempts: u32,
     ) -> StepJobId {
-        let id = StepJobId(self.offset);
+        let id = StepJobId::from_number(self.offset);
         let job = StepJob {
             id,
             queue: QueueName::from("queue"),
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -66,7 +66,7 @@
     ) {
         let mut rng = StdRng::seed_from_u64(seed);
         while !self.is_stopped.get() {
-            let id = StepJobId(self.next_job.replace(self.next_job.get() + 1));
+            let id = StepJobId::from_number(self.next_job.replace(self.next_job.get() + 1));
             let (job, body) = random_job(&mut rng, id, self.fleet.scenario.workload);
             self.fleet.oracle.borrow_mut().jobs.insert(id, job);
             self.submit(&mut rng, id, &body).await;
@@ -88,7 +88,8 @@
         count: u32,
         work_ms: u64,
     ) -> StepJobId {
-        let id = StepJobId(self.next_job.replace(self.next_job.get() + 1));
+        let number = self.next_job.replace(self.next_job.get() + 1);
+        let id = StepJobId::from_number(number);
         let step = Step {
             count,
             demand: Resources {
@@ -101,7 +102,7 @@
         };
         let (job, body) = encode_job(id, vec![step], format!("work_ms={work_ms}"));
         self.fleet.oracle.borrow_mut().jobs.insert(id, job);
-        let mut rng = StdRng::seed_from_u64(id.0);
+        let mut rng = StdRng::seed_from_u64(number);
         self.submit(&mut rng, id, &body).await;
         id
     }
