Count a job as pending until a worker has started a subtask

Change: the phase becomes Running with the first sign of a start: a listed run in phase Running, or a listed end. It is never reset. reserve_capacity, the only other use of the phase, asks for active units. The wait of a new leader depends on the progress stamp, as before.

--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         prelude::*,
-        request::{JobPhase, Resources, StepJobId, UnitId},
+        request::{Resources, StepJobId, UnitId},
     },
     std::collections::BTreeMap,
 };
@@ -120,11 +120,7 @@
         &self,
         now: Millis,
     ) -> Vec<Victim> {
-        let open = self
-            .jobs
-            .values()
-            .filter(|j| j.progress.phase != JobPhase::Queued);
-        let units = open.flat_map(|open| {
+        let units = self.jobs.values().flat_map(|open| {
             open.active_units.iter().filter_map(move |(unit, a)| {
                 let step = open.job.step_of(*unit)?;
                 let age_ms = Millis::from(now.since(a.active_since)).0;
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -154,6 +154,8 @@
             .and_then(|j| j.job.unit_of(end.run.subtask));
         tracing::info!(run = %end.run, upstream = %name, number = end.number, kind = ?end.kind, is_open = unit.is_some(), "run ended");
         if let Some(unit) = unit {
+            // A worker lists the ends only of runs that it has started.
+            self.record_started(end.run);
             self.store_checkpoint(id, unit, end.run.run, end.checkpoint.clone());
             self.record_worker_health(name, end.kind, now);
             if end.kind == EndKind::Failed
@@ -199,6 +201,9 @@
         handled: u64,
         now: Millis,
     ) {
+        if status.phase == RunPhase::Running {
+            self.record_started(status.run);
+        }
         let known = self
             .upstreams
             .get_mut(name)
@@ -246,6 +251,23 @@
         }
     }
 
+    /// Records that a worker has started a subtask of a job. Until then, starts that were ordered
+    /// may be refused or lost, and the job is pending for its caller.
+    fn record_started(
+        &mut self,
+        run: RunRef,
+    ) {
+        let id = run.subtask.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.progress.phase == JobPhase::Queued && job.job.unit_of(run.subtask).is_some() {
+            job.progress.phase = JobPhase::Running;
+            tracing::info!(job = %id, %run, "first subtask started");
+            self.mark_changed(id);
+        }
+    }
+
     fn is_unit_stopping(
         &self,
         id: StepJobId,
@@ -311,10 +333,6 @@
                 .members
                 .insert(status.run.subtask.index, name.clone());
             tracing::info!(run = %status.run, upstream = %name, percent = status.progress_percent, "run adopted");
-            if job.progress.phase == JobPhase::Queued {
-                job.progress.phase = JobPhase::Running;
-                self.mark_changed(id);
-            }
         }
         Some((id, unit))
     }
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -383,9 +383,5 @@
                 is_stopping: false,
             },
         );
-        if job.progress.phase == JobPhase::Queued {
-            job.progress.phase = JobPhase::Running;
-            self.mark_changed(id);
-        }
     }
 }
--- a/src/request/step_job/progress.rs
+++ b/src/request/step_job/progress.rs
@@ -12,10 +12,10 @@
 /// Phase of a job.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum JobPhase {
-    /// No run of it has started.
+    /// No worker is known to have started a subtask of it.
     #[default]
     Queued,
-    /// A run of it has started.
+    /// A worker has started a subtask of it; none need run now.
     Running,
     /// All units have succeeded.
     Completed,
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -17,7 +17,7 @@
             },
             scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
         },
-        request::{JobProgress, Resources, RunRef, Step, StepJob, StepJobId},
+        request::{JobPhase, JobProgress, Resources, RunRef, Step, StepJob, StepJobId},
         version::QueueName,
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -1076,6 +1076,23 @@
         }
     }
 
+    /// Checks that a job which is recorded as running has a subtask that was started; otherwise the
+    /// number of pending jobs would be too low.
+    fn check_phase(
+        &mut self,
+        id: StepJobId,
+        phase: JobPhase,
+    ) {
+        let starts = self.oracle.starts.iter().map(|(_, run)| run);
+        let mut started = starts.chain(self.oracle.ends.iter().map(|e| &e.run));
+        if phase == JobPhase::Running && !started.any(|run| run.subtask.job == id) {
+            let now = self.now;
+            self.oracle.violations.push(format!(
+                "{now}: {id} is recorded as running before any start"
+            ));
+        }
+    }
+
     fn record_progress(
         &mut self,
         index: usize,
@@ -1084,6 +1101,7 @@
         self.schedulers[index].scheduler.confirm_leadership(sent_at);
         let batch = self.schedulers[index].scheduler.unrecorded_progress(100);
         for (id, change, progress) in batch {
+            self.check_phase(id, progress.phase);
             if let Some(view) = self.ledger.get_mut(&id) {
                 view.progress = progress;
                 // The writer reads its own record after a delay, like every other reader.
