Read the ledger on when its end is known and the waiting read hears nothing

Cause: a leader learns of new jobs from one long-poll read. While such reads heard nothing and the store took appends, jobs accepted between 1.1 and 2.2 s were all placed at 2.66 s. Change: answers to appends and datagrams of other entries tell how far the ledger reaches; a reader that is behind for 120 ms reads without a wait, and the first answer counts. Result: the tests in tests/platform/end_hints.rs fail with the plain long-poll read in place of read_next (a record of the process itself is unread after 200 ms) and pass now; the 79 tests of tests/platform pass.

--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -9,8 +9,9 @@
             job_service::JobService,
             ledger::{
                 CandidateMachine, KeyedStore, LeaderElection, Ledger, Member, MemberRole,
-                StoreHealth, register,
+                StoreHealth, receive_end_hints, register, send_end_hints,
             },
+            membership::{DatagramLink, UdpLink},
             metrics::PlatformMetrics,
             relay::{RelayServer, RelayedStore},
             scheduler::{SchedulerContext, run_scheduler},
@@ -70,6 +71,8 @@
         let client = HttpClient::new(clock.clone());
         let metrics = Rc::new(PlatformMetrics::default());
         let direct: Rc<dyn KeyedStore> = Rc::new(LogStore::new(client, settings.store));
+        let hints: Rc<dyn DatagramLink> =
+            Rc::new(UdpLink::bind(settings.peers, clock.clone()).await?);
         let relay = RelayServer::bind(settings.peers, direct.clone(), clock.clone()).await?;
         let health = Rc::new(StoreHealth::default());
         let relayed = Rc::new(RelayedStore::new(
@@ -107,6 +110,13 @@
             settings.instance.clone(),
         ));
         tasks.spawn(follow_config(store, clock.clone(), table.clone()));
+        tasks.spawn(send_end_hints(
+            ledger.clone(),
+            clock.clone(),
+            hints.clone(),
+            settings.instance.clone(),
+        ));
+        tasks.spawn(receive_end_hints(ledger.clone(), hints));
         let follower = ledger.clone();
         tasks.spawn(async move { follower.follow().await });
         ledger.wait_until_read().await;
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -7,6 +7,10 @@
     },
     crate::{prelude::*, request::StepJobId},
     event_listener::{Event, EventListener},
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
     std::{cell::Cell, collections::BTreeSet},
 };
 
@@ -24,6 +28,11 @@
 /// busy ledger into fewer calls; the leader reads on at once.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(80);
 
+/// How long a read that waits for records may be behind a known end of the topic before the records
+/// are read by a second call. It is longer than a round trip between regions and the store's own
+/// time, after which the waiting read has normally answered.
+const CATCH_UP_DELAY: Duration = Duration::from_millis(120);
+
 /// The pause after a failed read, so that an outage does not cause a storm of calls.
 const READ_RETRY: Duration = Duration::from_millis(200);
 
@@ -36,8 +45,14 @@
     /// `take_changed_jobs`; `None` while changes are not tracked.
     changed_jobs: RefCell<Option<BTreeSet<StepJobId>>>,
     read_at: Cell<Option<Millis>>,
+    /// The highest offset up to which the topic is known to hold records, from answers to appends
+    /// and from hints of other entries. A hint may be wrong.
+    known_end: Cell<u64>,
+    /// The highest offset up to which this process itself has stored records.
+    stored_end: Cell<u64>,
     changed: Event,
     leader_changed: Event,
+    end_noted: Event,
 }
 
 impl Ledger {
@@ -52,8 +67,11 @@
             fold: RefCell::default(),
             changed_jobs: RefCell::default(),
             read_at: Cell::default(),
+            known_end: Cell::default(),
+            stored_end: Cell::default(),
             changed: Event::new(),
             leader_changed: Event::new(),
+            end_noted: Event::new(),
         }
     }
 
@@ -108,7 +126,45 @@
         records: &[KeyedRecord],
         condition: Condition,
     ) -> Result<u64, StoreError> {
-        self.store.append(TOPIC, records, condition).await
+        let offset = self.store.append(TOPIC, records, condition).await?;
+        let end = offset + records.len() as u64;
+        self.stored_end.set(self.stored_end.get().max(end));
+        self.note_end(end);
+        Ok(offset)
+    }
+
+    /// Notes that the topic holds records up to `end`, so that they are read soon even if the read
+    /// that waits for them hears nothing.
+    pub fn note_end(
+        &self,
+        end: u64,
+    ) {
+        if end > self.known_end.get() {
+            self.known_end.set(end);
+            self.end_noted.notify(usize::MAX);
+        }
+    }
+
+    /// Waits until this process has stored records beyond `end`, and returns the offset after them.
+    pub async fn wait_for_stored_end(
+        &self,
+        end: u64,
+    ) -> u64 {
+        self.wait_for_end(&self.stored_end, end).await
+    }
+
+    async fn wait_for_end(
+        &self,
+        noted: &Cell<u64>,
+        end: u64,
+    ) -> u64 {
+        loop {
+            let listener = self.end_noted.listen();
+            if noted.get() > end {
+                return noted.get();
+            }
+            listener.await;
+        }
     }
 
     /// Appends one record and returns its offset.
@@ -237,7 +293,7 @@
         loop {
             let result = match next {
                 None => self.store.newest(TOPIC).await,
-                Some(from) => self.store.read(TOPIC, from, READ_WAIT).await,
+                Some(from) => self.read_next(from).await,
             };
             match result {
                 Ok(page) => {
@@ -268,6 +324,52 @@
         }
     }
 
+    /// Waits for the records from an offset on. Once the topic is known to hold some and the waiting
+    /// read has not returned them, reads them by another call, because a waiting read may hear nothing
+    /// while the store serves other calls.
+    async fn read_next(
+        &self,
+        from: u64,
+    ) -> Result<KeyedPage, StoreError> {
+        let mut waiting = self.store.read(TOPIC, from, READ_WAIT);
+        loop {
+            let behind = async {
+                self.wait_for_end(&self.known_end, from).await;
+                self.clock.sleep(CATCH_UP_DELAY).await;
+            };
+            pin_mut!(behind);
+            waiting = match select(waiting, behind).await {
+                Either::Left((result, _)) => return result,
+                Either::Right((_, waiting)) => waiting,
+            };
+            let noted = self.known_end.get();
+            let catching_up = self.store.read(TOPIC, from, Duration::ZERO);
+            waiting = match select(waiting, catching_up).await {
+                Either::Left((Ok(page), _)) => return Ok(page),
+                Either::Left((Err(e), catching_up)) => {
+                    tracing::debug!(from, error = %e, "the waiting read has failed");
+                    return catching_up.await;
+                }
+                Either::Right((Ok(page), _)) if !page.records.is_empty() => {
+                    tracing::info!(
+                        from,
+                        end = page.end,
+                        "records are read that the waiting read has not returned"
+                    );
+                    return Ok(page);
+                }
+                Either::Right((Ok(_), waiting)) => {
+                    // The topic ended here when it was read, so a hint was wrong.
+                    if self.known_end.get() == noted {
+                        self.known_end.set(from);
+                    }
+                    waiting
+                }
+                Either::Right((Err(e), _)) => return Err(e),
+            };
+        }
+    }
+
     fn apply_page(
         &self,
         page: &KeyedPage,
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -2,6 +2,7 @@
 //! the registered processes.
 
 mod candidacy;
+mod end_hints;
 mod fold;
 mod keyed_store;
 mod leader_election;
@@ -16,6 +17,7 @@
 
 pub use {
     candidacy::{Candidacy, CandidateMachine, LeadershipView},
+    end_hints::{EndHint, receive_end_hints, send_end_hints},
     fold::{JobView, LeadView, LedgerFold},
     keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, StoreError},
     leader_election::{LEADER_RENEWAL_INTERVAL, LEADER_TIMEOUT, LeaderElection},
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod cut_lists;
 mod election;
 mod election_model;
+mod end_hints;
 mod fake_store;
 mod fuzz;
 mod http_client;
