Close idle connections to a peer that leaves a call unanswered

Cause: HttpClient kept each connection for reuse, without a bound on their number, and a call without an answer closed only its own connection. After a burst of 30 calls and a silence of the open connections, 30 calls timed out one after the other, and a call that was given up before its timeout (a hedged read) had no consequence at all. A call without an answer, or one that is given up after 400 ms or more, closes those that have not answered since it was sent. Connections in use come back only after a complete answer. A call on a connection that the peer has closed is still repeated only if none of it was written.

--- a/src/connection/http/client.rs
+++ b/src/connection/http/client.rs
@@ -1,6 +1,10 @@
 //! A client for HTTP calls to upstreams and the platform.
 
 use {
+    super::{
+        IdleConnections,
+        http_connection::{HttpConnection, SendError, Target, build_request},
+    },
     crate::{
         prelude::*,
         process::{
@@ -10,14 +14,18 @@
     },
     bytes::BytesMut,
     derive_more::{Display, Error},
-    futures_util::StreamExt,
-    hyper::Method,
-    std::io,
+    http_body_util::{BodyExt, Full},
+    hyper::{Method, Request, Response, body::Incoming},
 };
 
 /// The default limit on the body of a response, in bytes.
 const DEFAULT_MAX_ANSWER_BYTES: u64 = 64 << 20;
 
+/// The time after which a call that its caller gives up counts as timed out. A slow store answers in
+/// about 300 ms, and a read that has been hedged is given up after 450 ms or more. Calls that are
+/// given up earlier do not show that a connection is silent.
+const ABANDONED_CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// An error of an HTTP call that returned no complete response.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum HttpClientError {
@@ -69,27 +77,21 @@
     pub body: Bytes,
 }
 
-/// An HTTP client that keeps connections open for reuse.
+/// An HTTP client that keeps connections open for reuse. A call without an answer retires the idle
+/// connections to its peer that have not answered since the call was sent, because connections may go
+/// silent all at once, without a reset, while new ones work.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: cyper::Client,
+    idle: Rc<RefCell<IdleConnections<HttpConnection>>>,
     clock: Rc<dyn Clock>,
     max_answer_bytes: u64,
 }
 
 impl HttpClient {
     /// Creates a client that follows no redirects and uses no proxy.
-    ///
-    /// # Panics
-    /// Panics when called outside a runtime, where the HTTP library cannot create its client.
     pub fn new(clock: Rc<dyn Clock>) -> Self {
-        let builder = cyper::Client::builder();
-        let builder = builder.redirect(cyper::redirect::Policy::none()).no_proxy();
-        let client = builder
-            .build()
-            .expect("the HTTP client must be created inside a runtime");
         Self {
-            client,
+            idle: Rc::default(),
             clock,
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
         }
@@ -146,74 +148,129 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<HttpClientResponse, HttpClientError> {
-        let exchange = self.exchange(method, url, headers, body);
+        let (target, request) = build_request(method, url, headers, body)?;
+        let mut silence = SilenceWatch::new(self, target.authority.clone());
+        let exchange = self.exchange(&target, request);
         let result = with_timeout(&*self.clock, timeout, exchange).await;
+        silence.is_finished = true;
+        if result.is_none() {
+            self.retire(&target.authority, silence.sent_at);
+        }
         result.unwrap_or(Err(HttpClientError::TimedOut))
     }
 
+    /// Sends a request on an idle connection or a new one, and returns the connection to the idle
+    /// ones after the complete response.
     async fn exchange(
         &self,
-        method: Method,
-        url: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
+        target: &Target,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<HttpClientResponse, HttpClientError> {
-        let mut req = self.client.request(method, url).map_err(not_connected)?;
-        for (name, value) in headers {
-            req = req.header(*name, *value).map_err(not_connected)?;
+        loop {
+            let idle = self.take_idle(&target.authority);
+            let is_reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => HttpConnection::open(target).await?,
+            };
+            let response = match connection.send(request).await {
+                Ok(response) => response,
+                // An idle connection was closed by the peer before the request was written to it.
+                Err(SendError::Unsent(unsent, _)) if is_reused => {
+                    request = *unsent;
+                    continue;
+                }
+                Err(SendError::Unsent(_, why)) => return Err(HttpClientError::NotConnected(why)),
+                Err(SendError::Lost(why)) => return Err(HttpClientError::AnswerLost(why)),
+            };
+            let response = self.read_response(response).await?;
+            let now = self.clock.now();
+            self.idle
+                .borrow_mut()
+                .put(&target.authority, connection, now);
+            return Ok(response);
+        }
+    }
+
+    fn take_idle(
+        &self,
+        peer: &str,
+    ) -> Option<HttpConnection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.prune(self.clock.now(), HttpConnection::is_ready);
+        idle.take(peer)
+    }
+
+    /// Closes the idle connections to a peer that have not answered since `sent_at`.
+    fn retire(
+        &self,
+        peer: &str,
+        sent_at: Millis,
+    ) {
+        let closed = self.idle.borrow_mut().retire(peer, sent_at);
+        if closed > 0 {
+            tracing::info!(
+                peer,
+                closed,
+                "idle connections closed: a call got no answer"
+            );
         }
-        let resp = req.body(body).send().await.map_err(send_error)?;
-        let status = resp.status().as_u16();
-        let request_id = resp.headers().get("x-request-id");
-        let request_id = request_id.and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let body = self.read_body(resp).await?;
-        Ok(HttpClientResponse {
-            status,
-            request_id,
-            body,
-        })
     }
 
     /// Reads the body of a response, up to the client's limit.
-    async fn read_body(
+    async fn read_response(
         &self,
-        mut resp: cyper::Response,
-    ) -> Result<Bytes, HttpClientError> {
+        response: Response<Incoming>,
+    ) -> Result<HttpClientResponse, HttpClientError> {
+        let (head, mut incoming) = response.into_parts();
+        let request_id = head.headers.get("x-request-id");
+        let request_id = request_id.and_then(|v| v.to_str().ok()).map(str::to_owned);
         let mut body = BytesMut::new();
-        while let Some(part) = resp.next().await {
-            let part = part.map_err(|e| HttpClientError::AnswerLost(e.to_string()))?;
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|e| HttpClientError::AnswerLost(e.to_string()))?;
+            let Ok(part) = frame.into_data() else {
+                continue;
+            };
             if (body.len() + part.len()) as u64 > self.max_answer_bytes {
                 return Err(HttpClientError::TooLarge(self.max_answer_bytes));
             }
             body.extend_from_slice(&part);
         }
-        Ok(body.freeze())
+        Ok(HttpClientResponse {
+            status: head.status.as_u16(),
+            request_id,
+            body: body.freeze(),
+        })
     }
 }
 
-/// Converts an error that occurred before the request was sent.
-fn not_connected(e: cyper::Error) -> HttpClientError {
-    HttpClientError::NotConnected(e.to_string())
+/// Retires connections if its call is given up by the caller after [`ABANDONED_CALL_TIMEOUT`].
+struct SilenceWatch<'a> {
+    client: &'a HttpClient,
+    peer: Arc<str>,
+    sent_at: Millis,
+    is_finished: bool,
 }
 
-/// Converts an error of sending a request. Only a failure to connect guarantees that the request
-/// had no effect.
-fn send_error(e: cyper::Error) -> HttpClientError {
-    match e {
-        cyper::Error::HyperClient(e) if e.is_connect() => {
-            if is_connection_refused(&e) {
-                HttpClientError::NotListening(e.to_string())
-            } else {
-                HttpClientError::NotConnected(e.to_string())
-            }
+impl<'a> SilenceWatch<'a> {
+    fn new(
+        client: &'a HttpClient,
+        peer: Arc<str>,
+    ) -> Self {
+        Self {
+            client,
+            peer,
+            sent_at: client.clock.now(),
+            is_finished: false,
         }
-        e => HttpClientError::AnswerLost(e.to_string()),
     }
 }
 
-/// Returns whether a refused connection is the error or one of its sources.
-fn is_connection_refused(e: &(dyn std::error::Error + 'static)) -> bool {
-    let io = e.downcast_ref::<io::Error>();
-    io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
-        || e.source().is_some_and(is_connection_refused)
+impl Drop for SilenceWatch<'_> {
+    fn drop(&mut self) {
+        let elapsed = self.client.clock.now().since(self.sent_at);
+        if !self.is_finished && elapsed >= ABANDONED_CALL_TIMEOUT {
+            self.client.retire(&self.peer, self.sent_at);
+        }
+    }
 }
--- a/src/connection/http/mod.rs
+++ b/src/connection/http/mod.rs
@@ -2,12 +2,15 @@
 
 mod client;
 mod handler;
+mod http_connection;
+mod idle_connections;
 mod problem;
 mod server;
 
 pub use {
     client::{HttpClient, HttpClientError, HttpClientResponse},
     handler::{HttpHandler, HttpRequest, HttpResponse, query_value},
+    idle_connections::{IdleConnections, MAX_IDLE_PER_PEER, MAX_IDLE_TIME},
     problem::Problem,
     server::HttpServer,
 };
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -7,7 +7,7 @@
 pub use {
     http::{
         HttpClient, HttpClientError, HttpClientResponse, HttpHandler, HttpRequest, HttpResponse,
-        HttpServer, Problem, query_value,
+        HttpServer, IdleConnections, MAX_IDLE_PER_PEER, MAX_IDLE_TIME, Problem, query_value,
     },
     peer::{
         CommitCall, EndKind, EvictionMode, FrameError, GangEnd, GangId, GangPhase, GangReply,
--- /dev/null
+++ b/tests/platform/silent_link.rs
@@ -0,0 +1,134 @@
+//! A loopback link to a server, whose connections can go silent without a reset.
+
+use {
+    compio::{
+        BufResult,
+        buf::IoBuf,
+        io::{AsyncRead, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        runtime::{JoinHandle, spawn},
+    },
+    futures_util::future::select,
+    limpetquay::prelude::*,
+    std::cell::Cell,
+};
+
+/// The largest chunk that is forwarded at once, in bytes.
+const MAX_CHUNK_BYTES: usize = 16 << 10;
+
+/// The state of a link, shared by its connections, which are numbered in the order of their arrival.
+#[derive(Default)]
+struct LinkState {
+    accepted: Cell<usize>,
+    open: Cell<usize>,
+    /// Connections with lower numbers forward nothing any more and stay open.
+    silent_below: Cell<usize>,
+}
+
+/// Counts a connection until it is dropped.
+struct OpenConnection(Rc<LinkState>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// A link that forwards connections to one server.
+pub struct SilentLink {
+    state: Rc<LinkState>,
+    address: SocketAddr,
+    _task: JoinHandle<()>,
+}
+
+impl SilentLink {
+    /// Starts a link to `server`.
+    pub async fn start(server: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let state = Rc::<LinkState>::default();
+        let task = spawn(accept_connections(listener, server, state.clone()));
+        Self {
+            state,
+            address,
+            _task: task,
+        }
+    }
+
+    /// Returns the address at which the link listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes the connections that are open now silent for ever. New ones work.
+    pub fn silence(&self) {
+        self.state.silent_below.set(self.state.accepted.get());
+    }
+
+    /// Makes all connections silent for ever, also new ones.
+    pub fn silence_all(&self) {
+        self.state.silent_below.set(usize::MAX);
+    }
+
+    /// Returns how many connections have been accepted.
+    pub fn accepted(&self) -> usize {
+        self.state.accepted.get()
+    }
+
+    /// Returns how many connections the client has not closed.
+    pub fn open(&self) -> usize {
+        self.state.open.get()
+    }
+}
+
+async fn accept_connections(
+    listener: TcpListener,
+    server: SocketAddr,
+    state: Rc<LinkState>,
+) {
+    let mut connections: Vec<JoinHandle<()>> = Vec::new();
+    while let Ok((client, _)) = listener.accept().await {
+        let number = state.accepted.get();
+        state.accepted.set(number + 1);
+        state.open.set(state.open.get() + 1);
+        let open = OpenConnection(state.clone());
+        connections.push(spawn(async move {
+            let server = TcpStream::connect(server).await.expect("the server");
+            let (client_read, client_write) = client.into_split();
+            let (server_read, server_write) = server.into_split();
+            let to_server = forward(client_read, server_write, &open.0, number);
+            let to_client = async {
+                forward(server_read, client_write, &open.0, number).await;
+                if number < open.0.silent_below.get() {
+                    // A silent connection does not show that the server has closed it.
+                    std::future::pending::<()>().await;
+                }
+            };
+            select(Box::pin(to_server), Box::pin(to_client)).await;
+        }));
+    }
+}
+
+/// Forwards until an end closes, and discards what it reads once the connection is silent.
+async fn forward<R, W>(
+    mut reader: R,
+    mut writer: W,
+    state: &LinkState,
+    number: usize,
+) where
+    R: AsyncRead,
+    W: AsyncWriteExt,
+{
+    loop {
+        let BufResult(read, buf) = reader.read(Vec::with_capacity(MAX_CHUNK_BYTES)).await;
+        let Ok(read @ 1..) = read else {
+            return;
+        };
+        if number < state.silent_below.get() {
+            continue;
+        }
+        if writer.write_all(buf.slice(..read)).await.0.is_err() {
+            return;
+        }
+    }
+}
