Report no submission as unknown that the store refused each time

Cause: an entry that the store refuses tries again while any time is left, and an append that the caller's deadline cuts off counts as unknown, although each one before it was refused. A call that timed out before it had a connection counted as sent. Each refused caller was told to retry after 1 s, whatever its deadline, so that all of them retried at once. Change: after a refusal another append begins only if twice the slowest refusal so far still fits into the time; else the caller is refused at once. A call without a connection in time is NotConnected. `retry-after` is a random time up to 4 s, of which the retry still fits into `deadline-ms`.

Not covered: an append that the deadline cuts off on its first attempt, or while other entries are being connected to, still counts as unknown, also if nothing was sent.

--- a/src/connection/http/client.rs
+++ b/src/connection/http/client.rs
@@ -16,6 +16,7 @@
     derive_more::{Display, Error},
     http_body_util::{BodyExt, Full},
     hyper::{Method, Request, Response, body::Incoming},
+    std::cell::Cell,
 };
 
 /// The default limit on the body of a response, in bytes.
@@ -42,7 +43,8 @@
     /// The body of the response exceeds this limit, in bytes.
     #[display("the answer is larger than {_0} bytes")]
     TooLarge(#[error(not(source))] u64),
-    /// No complete response arrived before the timeout; the call may have taken effect.
+    /// The request was sent and no complete response arrived before the timeout; the call may have
+    /// taken effect.
     #[display("timed out")]
     TimedOut,
 }
@@ -150,21 +152,30 @@
     ) -> Result<HttpClientResponse, HttpClientError> {
         let (target, request) = build_request(method, url, headers, body)?;
         let mut silence = SilenceWatch::new(self, target.authority.clone());
-        let exchange = self.exchange(&target, request);
+        let is_sent = Cell::new(false);
+        let exchange = self.exchange(&target, request, &is_sent);
         let result = with_timeout(&*self.clock, timeout, exchange).await;
         silence.is_finished = true;
         if result.is_none() {
             self.retire(&target.authority, silence.sent_at);
         }
-        result.unwrap_or(Err(HttpClientError::TimedOut))
+        match result {
+            Some(result) => result,
+            None if is_sent.get() => Err(HttpClientError::TimedOut),
+            None => {
+                let why = format!("no connection to {} in time", target.authority);
+                Err(HttpClientError::NotConnected(why))
+            }
+        }
     }
 
     /// Sends a request on an idle connection or a new one, and returns the connection to the idle
-    /// ones after the complete response.
+    /// ones after the complete response. `is_sent` shows whether the peer may have received it.
     async fn exchange(
         &self,
         target: &Target,
         mut request: Request<Full<Bytes>>,
+        is_sent: &Cell<bool>,
     ) -> Result<HttpClientResponse, HttpClientError> {
         loop {
             let idle = self.take_idle(&target.authority);
@@ -173,10 +184,12 @@
                 Some(connection) => connection,
                 None => HttpConnection::open(target).await?,
             };
+            is_sent.set(true);
             let response = match connection.send(request).await {
                 Ok(response) => response,
                 // An idle connection was closed by the peer before the request was written to it.
                 Err(SendError::Unsent(unsent, _)) if is_reused => {
+                    is_sent.set(false);
                     request = *unsent;
                     continue;
                 }
--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -36,9 +36,13 @@
 /// short deadline still has most of its time.
 const MAX_MARGIN_PERCENT: u64 = 25;
 
-/// The value of `retry-after`, in seconds. Another entry may reach the store, and a caller's
-/// deadline leaves time for two or three attempts.
-const RETRY_AFTER_S: u32 = 1;
+/// The longest `retry-after`, in seconds. Retries are spread so that an outage does not end with
+/// all of them at once; a longer wait would idle callers whose job can be accepted already.
+const MAX_RETRY_AFTER_S: u64 = 4;
+
+/// The time that a caller needs for its retry, at the end of its deadline: a call to a slow store
+/// takes about 300 ms.
+const RETRY_DURATION: Duration = Duration::from_millis(500);
 
 /// The HTTP handler for callers' requests.
 pub struct CallerApi {
@@ -63,9 +67,25 @@
         Self { job_service }
     }
 
+    /// Answers a request, and tells a caller that is to retry when to do so.
     async fn answer(
         &self,
         req: &HttpRequest,
+    ) -> HttpResponse {
+        let began = self.job_service.clock.now();
+        let response = self.answer_once(req).await;
+        if response.status != 503 {
+            return response;
+        }
+        let elapsed = self.job_service.clock.now().since(began);
+        let remaining = time_left(req).saturating_sub(elapsed);
+        let retry_after = retry_after_seconds(remaining, rand::random());
+        response.with_header("retry-after", retry_after)
+    }
+
+    async fn answer_once(
+        &self,
+        req: &HttpRequest,
     ) -> HttpResponse {
         let Some(table) = self.job_service.queue_table() else {
             return unavailable("no configuration is known yet");
@@ -225,5 +245,16 @@
 }
 
 fn unavailable(detail: &str) -> HttpResponse {
-    HttpResponse::text(503, detail).with_header("retry-after", RETRY_AFTER_S)
+    HttpResponse::text(503, detail)
+}
+
+/// Returns after how many seconds a caller retries that has `remaining` of its deadline left: a
+/// random number, so that callers do not retry all at once, of which the retry still fits into the
+/// deadline. It is at least 1, the shortest time that the header can state besides none.
+pub fn retry_after_seconds(
+    remaining: Duration,
+    random: u64,
+) -> u64 {
+    let latest = remaining.saturating_sub(RETRY_DURATION).as_secs();
+    1 + random % latest.clamp(1, MAX_RETRY_AFTER_S)
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,7 +19,7 @@
 
 pub use {
     boot_settings::{BootSettings, SettingsError},
-    caller_api::CallerApi,
+    caller_api::{CallerApi, retry_after_seconds},
     config::{ConfigError, decode_config, follow_config},
     discovery_api::DiscoveryApi,
     http_run_worker::HttpRunWorker,
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -37,6 +37,9 @@
 /// The number of refusals of an append after which the caller is asked to retry later.
 const MAX_REFUSALS: u32 = 3;
 
+/// How many times longer than the slowest refusal so far the next one may take.
+const REFUSAL_MARGIN: u32 = 2;
+
 /// Why a caller's call failed.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum DeskError {
@@ -236,15 +239,18 @@
         let time = time.min(MAX_STORE_TIME);
         let mut may_be_stored = false;
         let mut refusals = 0;
+        let mut slowest_refusal = Duration::ZERO;
         loop {
             let time_left = time.saturating_sub(self.clock.now().since(start));
             if time_left.is_zero() && !may_be_stored {
                 return Err(DeskError::NotStored);
             }
+            let tried_at = self.clock.now();
             match self.try_store(key, record, time_left, &is_stored).await {
                 Ok(()) => return Ok(()),
                 Err(StoreError::Refused(why)) => {
                     refusals += 1;
+                    slowest_refusal = slowest_refusal.max(self.clock.now().since(tried_at));
                     tracing::info!(%key, why, refusals, may_be_stored, "the store refused a record");
                 }
                 Err(e) => {
@@ -252,8 +258,12 @@
                     tracing::warn!(%key, error = %e, "it is not known whether a record is stored");
                 }
             }
-            let is_time_over = self.clock.now().since(start) + APPEND_RETRY >= time;
-            if !may_be_stored && (refusals >= MAX_REFUSALS || is_time_over) {
+            let retry_begins = self.clock.now().since(start) + APPEND_RETRY;
+            let is_time_over = retry_begins >= time;
+            // The outcome of an append that is cut off is unknown, also if it would be refused. So
+            // none begins that may not end in time.
+            let is_retry_cut_off = retry_begins + REFUSAL_MARGIN * slowest_refusal >= time;
+            if !may_be_stored && (refusals >= MAX_REFUSALS || is_retry_cut_off) {
                 return Err(DeskError::NotStored);
             }
             if is_time_over {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod path;
 mod paused_leader;
+mod refusals;
 mod registration;
 mod replaced_worker;
 mod run_tracker;
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -57,7 +57,8 @@
     }
 }
 
-fn job(id: StepJobId) -> StepJob {
+/// A job of one subtask.
+pub fn job(id: StepJobId) -> StepJob {
     StepJob {
         id,
         queue: QueueName::from("queue"),
