--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -100,7 +100,7 @@
             select(reading, is_read).await;
         }
         let began = shared_clock.now();
-        let result = service.submit(job(StepJobId(1)), time).await;
+        let result = service.submit(job(StepJobId::from_number(1)), time).await;
         (result, (shared_clock.now() - began).0)
     })
 }
