Enforce the limits of the store in the stand-in

The stand-in store accepted records of any size, so tests against it did not find what the store refuses. It answers 413 to a record above RecordBytes and to an append above RequestBytes, and counts them; limits on calls in each second (429) are optional.

--- a/src/platform/stand_in/mod.rs
+++ b/src/platform/stand_in/mod.rs
@@ -9,6 +9,6 @@
 pub use {
     stand_in_store::StandInStore,
     stand_in_worker::{LateCalls, StandInWorker},
-    store_model::{StoreFaults, StoreModel},
+    store_model::{StoreFaults, StoreLimits, StoreModel},
     worker_model::{ModelEnd, ModelRun, PlannedOutcome, StartObservation, WorkerModel},
 };
--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -17,20 +17,26 @@
     std::cell::Cell,
 };
 
-/// The size limit of an append, in bytes.
-const MAX_APPEND_BYTES: usize = 2 << 20;
-
 /// The upper limit of the wait that a read requests.
 const MAX_READ_WAIT: Duration = Duration::from_secs(30);
 
 /// The delay of an answer that counts as dropped: longer than any caller waits.
 const DROPPED_ANSWER_DELAY: Duration = Duration::from_secs(60);
 
+/// The calls of one second.
+#[derive(Clone, Copy, Default)]
+struct CallCounts {
+    second: u64,
+    writes: u32,
+    reads: u32,
+}
+
 /// An in-memory store with the HTTP interface of the real one.
 pub struct StandInStore {
     clock: Rc<dyn Clock>,
     model: RefCell<StoreModel>,
     faults: Cell<StoreFaults>,
+    calls: Cell<CallCounts>,
     appended: Event,
 }
 
@@ -41,6 +47,7 @@
             clock,
             model: RefCell::default(),
             faults: Cell::default(),
+            calls: Cell::default(),
             appended: Event::new(),
         }
     }
@@ -92,6 +99,9 @@
         if faults.refuses_calls {
             return HttpResponse::text(503, "down");
         }
+        if self.is_over_rate(req.method == Method::POST) {
+            return HttpResponse::text(429, "too many calls");
+        }
         let Some(topic) = req.query("Topic") else {
             return HttpResponse::text(400, "no topic");
         };
@@ -112,6 +122,31 @@
         }
     }
 
+    /// Counts a call, and returns whether it is beyond the limit on calls in one second.
+    fn is_over_rate(
+        &self,
+        is_write: bool,
+    ) -> bool {
+        let second = self.clock.now().0 / 1000;
+        let mut calls = self.calls.get();
+        if calls.second != second {
+            calls = CallCounts {
+                second,
+                ..CallCounts::default()
+            };
+        }
+        let limits = self.model.borrow().limits;
+        let (count, limit) = if is_write {
+            (&mut calls.writes, limits.writes_per_s)
+        } else {
+            (&mut calls.reads, limits.reads_per_s)
+        };
+        *count += 1;
+        let is_over = limit.is_some_and(|limit| *count > limit);
+        self.calls.set(calls);
+        is_over
+    }
+
     fn append(
         &self,
         topic: &str,
@@ -135,6 +170,7 @@
             Err(StoreError::OutOfSequence(expected)) => {
                 HttpResponse::json(409, &json!({"Reason": "seq", "Sequence": expected}))
             }
+            Err(StoreError::Refused(why)) => HttpResponse::json(413, &json!({"Error": why})),
             Err(_) => HttpResponse::json(412, &json!({"EndOffset": end})),
         }
     }
@@ -208,7 +244,7 @@
         &self,
         _path: &str,
     ) -> usize {
-        MAX_APPEND_BYTES
+        self.model.borrow().limits.request_bytes
     }
 }
 
--- a/src/platform/stand_in/store_model.rs
+++ b/src/platform/stand_in/store_model.rs
@@ -26,6 +26,55 @@
     pub delay_ms: u64,
 }
 
+/// The limits that the store enforces.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreLimits {
+    /// The size limit of a record with its key, in bytes.
+    pub record_bytes: usize,
+    /// The size limit of an append, in bytes.
+    pub request_bytes: usize,
+    /// The limit on appends in each second.
+    pub writes_per_s: Option<u32>,
+    /// The limit on reads in each second.
+    pub reads_per_s: Option<u32>,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self {
+            record_bytes: 262_144,
+            request_bytes: 2_097_152,
+            writes_per_s: None,
+            reads_per_s: None,
+        }
+    }
+}
+
+impl StoreLimits {
+    /// Checks the sizes of an append. A record consists of the key's length in one byte, the key and
+    /// the value; in an append, a length of four bytes precedes it.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if a record or the append is too large.
+    fn check(
+        &self,
+        records: &[KeyedRecord],
+    ) -> Result<(), StoreError> {
+        let sizes = records
+            .iter()
+            .map(|r| 1 + r.key.len() + r.value.as_ref().map_or(0, |v| v.len()));
+        let sizes: Vec<usize> = sizes.collect();
+        let largest = sizes.iter().copied().max().unwrap_or_default();
+        let total: usize = sizes.iter().map(|size| 4 + size).sum();
+        if largest > self.record_bytes || total > self.request_bytes {
+            return Err(StoreError::Refused(format!(
+                "a record of {largest} bytes in an append of {total} bytes"
+            )));
+        }
+        Ok(())
+    }
+}
+
 /// A topic with one partition.
 #[derive(Clone, Debug, Default)]
 struct Topic {
@@ -50,13 +99,17 @@
     topics: BTreeMap<String, Topic>,
     /// The number of appends and reads.
     pub call_count: u64,
+    /// The limits; those on calls are not enforced here.
+    pub limits: StoreLimits,
+    /// The number of appends that were refused because of their size.
+    pub oversized_appends: u64,
 }
 
 impl StoreModel {
     /// Appends records and returns the offset of the first one.
     ///
     /// # Errors
-    /// Returns a [`StoreError`] if the condition does not hold.
+    /// Returns a [`StoreError`] if a limit is exceeded or the condition does not hold.
     pub fn append(
         &mut self,
         topic: &str,
@@ -64,6 +117,10 @@
         condition: Condition,
     ) -> Result<u64, StoreError> {
         self.call_count += 1;
+        if let Err(e) = self.limits.check(records) {
+            self.oversized_appends += 1;
+            return Err(e);
+        }
         let topic = self.topics.entry(topic.to_owned()).or_default();
         let offset = topic.end();
         match condition {
