Test progress above the size of a record

The test fails on this commit:

assertion `left == right` failed left: (64, (false, false)) right: (0, (true, true))

64 appends are refused for their size within 10 s, and no progress of the term is recorded for the large job or the small one.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod fake_store;
 mod fuzz;
 mod http_client;
+mod large_progress;
 mod late_answers;
 mod leases;
 mod ledger;
