Record progress of any size

Cause: the progress of a job was one record with all its checkpoints, which the store refuses above RecordBytes. FencedWriter::append repeated an append that can never succeed, and up to 100 jobs and the renewal of the term shared it, so nothing was recorded for any job any more. RecordBytes and RequestBytes of the settings were not read.

Change: RecordLimits holds the limits. ProgressRecords divides progress that does not fit into one record; a reader may combine records of any versions, as each only adds to what is known. ProgressQueue bounds the appends, and a renewal shares them with small progress only. Statuses 400, 413 and 422 count as StoreError::Rejected: such an append is not repeated as it is, its jobs are appended one by one, and one that is rejected is skipped until its progress changes. A job that cannot be stored is refused with 413, and a checkpoint that no record holds is not kept.

--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         prelude::*,
-        process::scheduler::LeaseTerms,
+        process::{
+            ledger::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits},
+            scheduler::LeaseTerms,
+        },
         version::{Fault, Faults},
     },
     derive_more::{Display, Error},
@@ -30,6 +33,15 @@
 /// The highest factor by which remote work may take longer.
 const MAX_REMOTE_FACTOR: f64 = 1_000_000.0;
 
+/// The lowest size limit of a record: above a job with a payload of the greatest length.
+const MIN_RECORD_BYTES: usize = 8192;
+
+/// The highest size limit of an append, which is held in memory.
+const MAX_APPEND_BYTES: usize = 1 << 30;
+
+/// The length field of a record in an append, in bytes.
+const RECORD_LENGTH_BYTES: usize = 4;
+
 /// Why the settings cannot be loaded.
 #[derive(Debug, Display, Error)]
 pub enum SettingsError {
@@ -80,6 +92,8 @@
     pub metrics: SocketAddr,
     /// The address of the store.
     pub store: SocketAddr,
+    /// The sizes of records and appends that the store accepts.
+    pub record_limits: RecordLimits,
     /// The durations of the leases.
     pub leases: LeaseTerms,
     /// The factor by which work takes longer on a worker that is remote from its data.
@@ -135,6 +149,20 @@
 #[serde(rename_all = "PascalCase")]
 struct WirePlatform {
     address: SocketAddr,
+    /// The size limit of a record at the store.
+    #[serde(default = "default_record_bytes")]
+    record_bytes: usize,
+    /// The size limit of an append at the store.
+    #[serde(default = "default_append_bytes")]
+    request_bytes: usize,
+}
+
+fn default_record_bytes() -> usize {
+    DEFAULT_RECORD_BYTES
+}
+
+fn default_append_bytes() -> usize {
+    DEFAULT_APPEND_BYTES
 }
 
 /// What the machine has. `cpu_share` is its share of a core, and `cpu_cores` how many times as fast
@@ -218,6 +246,17 @@
             "Address",
             "an address with a port is expected",
         );
+        let (record, append) = (self.platform.record_bytes, self.platform.request_bytes);
+        check(
+            (MIN_RECORD_BYTES..=MAX_APPEND_BYTES).contains(&record),
+            "RecordBytes",
+            "a size of at least 8192 bytes and at most 1 GiB is expected",
+        );
+        check(
+            (record.saturating_add(RECORD_LENGTH_BYTES)..=MAX_APPEND_BYTES).contains(&append),
+            "RequestBytes",
+            "a size of at least RecordBytes and 4 bytes and at most 1 GiB is expected",
+        );
         faults
     }
 }
@@ -296,6 +335,10 @@
             peers: SocketAddr::new(wire.ip, first_port),
             metrics: SocketAddr::new(wire.ip, first_port + METRICS_PORT_OFFSET),
             store: wire.platform.address,
+            record_limits: RecordLimits::new(
+                wire.platform.record_bytes,
+                wire.platform.request_bytes,
+            ),
             leases: LeaseTerms::new(Millis(wire.bounds.max_hold_ms as u64)),
             far_factor: wire.bounds.remote_factor.ceil() as u64,
             grace: Duration::from_secs_f64(wire.bounds.grace_period_s),
--- a/src/platform/log_store.rs
+++ b/src/platform/log_store.rs
@@ -211,8 +211,8 @@
     StoreError::Malformed(e.to_string())
 }
 
-/// Converts an error status. The listed ones mean that the call had no effect; after any other
-/// status the effect is unknown.
+/// Converts an error status. The listed ones mean that the call had no effect, the first ones that it
+/// never will have; after any other status the effect is unknown.
 fn status_error(
     status: u16,
     answer: &HttpClientResponse,
@@ -220,6 +220,7 @@
     let detail = String::from_utf8_lossy(&answer.body);
     let detail: String = detail.chars().take(200).collect();
     match status {
+        400 | 413 | 422 => StoreError::Rejected(format!("status {status} {detail}")),
         400..=499 | 503 | 507 => StoreError::Refused(format!("status {status} {detail}")),
         _ => StoreError::Unknown(format!("status {status} {detail}")),
     }
@@ -263,7 +264,7 @@
     let mut body = Vec::new();
     for record in records {
         let key_len = u8::try_from(record.key.len())
-            .map_err(|_| StoreError::Refused("a key is longer than 255 bytes".to_owned()))?;
+            .map_err(|_| StoreError::Rejected("a key is longer than 255 bytes".to_owned()))?;
         let value = record.value.as_deref().unwrap_or_default();
         let len = 1 + record.key.len() + value.len();
         body.extend_from_slice(&u32::try_from(len).unwrap_or(u32::MAX).to_be_bytes());
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -79,7 +79,8 @@
             health.clone(),
         ));
         let store: Rc<dyn KeyedStore> = relayed.clone();
-        let ledger = Rc::new(Ledger::new(store.clone(), clock.clone()));
+        let ledger = Ledger::new(store.clone(), clock.clone()).with_limits(settings.record_limits);
+        let ledger = Rc::new(ledger);
         let table = Rc::new(RefCell::new(None));
         let job_service = Rc::new(JobService {
             clock: clock.clone(),
--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -48,7 +48,8 @@
         tasks.spawn(status.run(std::future::pending()));
         // A guard does not read the ledger; it only registers its address there.
         let store = Rc::new(LogStore::new(client, settings.store));
-        let ledger = Rc::new(Ledger::new(store, clock.clone()));
+        let ledger = Ledger::new(store, clock.clone()).with_limits(settings.record_limits);
+        let ledger = Rc::new(ledger);
         let member = Member {
             name: settings.instance.clone(),
             role: MemberRole::Guard,
--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -170,7 +170,7 @@
             Err(StoreError::OutOfSequence(expected)) => {
                 HttpResponse::json(409, &json!({"Reason": "seq", "Sequence": expected}))
             }
-            Err(StoreError::Refused(why)) => HttpResponse::json(413, &json!({"Error": why})),
+            Err(StoreError::Rejected(why)) => HttpResponse::json(413, &json!({"Error": why})),
             Err(_) => HttpResponse::json(412, &json!({"EndOffset": end})),
         }
     }
--- a/src/platform/stand_in/store_model.rs
+++ b/src/platform/stand_in/store_model.rs
@@ -67,7 +67,7 @@
         let largest = sizes.iter().copied().max().unwrap_or_default();
         let total: usize = sizes.iter().map(|size| 4 + size).sum();
         if largest > self.record_bytes || total > self.request_bytes {
-            return Err(StoreError::Refused(format!(
+            return Err(StoreError::Rejected(format!(
                 "a record of {largest} bytes in an append of {total} bytes"
             )));
         }
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -49,6 +49,9 @@
     /// The entry's view of the ledger is too old to answer the call.
     #[display("the view of the ledger is too old")]
     Stale,
+    /// The job or its progress does not fit into the store, so the job never runs.
+    #[display("the job is too large for the store")]
+    TooLarge,
     /// The call may have had its effect.
     #[display("the outcome is not known")]
     Unknown,
@@ -84,8 +87,9 @@
     /// Stores a job within `time`. A job that was accepted before is accepted again and runs once.
     ///
     /// # Errors
-    /// Returns [`DeskError::NotStored`] if this call will not make the job run, and
-    /// [`DeskError::Unknown`] if the job may run.
+    /// Returns [`DeskError::TooLarge`] if the job does not fit into the store,
+    /// [`DeskError::NotStored`] if this call will not make the job run, and [`DeskError::Unknown`] if
+    /// the job may run.
     pub async fn submit(
         &self,
         job: StepJob,
@@ -95,7 +99,7 @@
         let result = self.submit_once(job, time).await;
         let outcome = match &result {
             Ok(()) => "accepted",
-            Err(DeskError::NotStored) => "rejected",
+            Err(DeskError::NotStored | DeskError::TooLarge) => "rejected",
             Err(DeskError::Unknown) => "unknown",
             Err(DeskError::Gone | DeskError::Stale) => "failed",
         };
@@ -117,6 +121,10 @@
             tracing::info!(job = %id, "job has already been accepted");
             return Ok(());
         }
+        if let Err(e) = self.ledger.limits().check_job(&job) {
+            tracing::info!(job = %id, error = %e, "job rejected");
+            return Err(DeskError::TooLarge);
+        }
         if self.is_store_unresponsive() {
             // This call has sent nothing to the store, so it cannot make the job run.
             let age = self.ledger.age();
@@ -247,6 +255,10 @@
                     refusals += 1;
                     tracing::info!(%key, why, refusals, may_be_stored, "the store refused a record");
                 }
+                Err(StoreError::Rejected(why)) if !may_be_stored => {
+                    tracing::warn!(%key, why, "the store rejects a record");
+                    return Err(DeskError::TooLarge);
+                }
                 Err(e) => {
                     may_be_stored = true;
                     tracing::warn!(%key, error = %e, "it is not known whether a record is stored");
--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         prelude::*,
-        request::{JobPhase, JobProgress, StepJob, StepJobId},
+        request::{JobPhase, JobProgress, ProgressStamp, StepJob, StepJobId},
         version::QueueName,
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -71,12 +71,23 @@
     pub leader: Option<LeadView>,
     /// Progress that was read before the record of its job.
     early_progress: BTreeMap<StepJobId, JobProgress>,
+    /// The further records of the progress of jobs, and the stamps of what was read of it.
+    progress_parts: BTreeMap<StepJobId, ProgressParts>,
     /// Registrations that were ended by a record whose tombstone was not read yet.
     ending_registrations: BTreeMap<Arc<str>, Deregistration>,
     /// Offsets of cancellations that were read before the record of their job.
     early_cancels: BTreeMap<StepJobId, u64>,
 }
 
+/// The further records in which the progress of a job is stored.
+#[derive(Clone, Debug, Default)]
+struct ProgressParts {
+    /// The numbers of the stored ones.
+    numbers: BTreeSet<u32>,
+    /// The latest version of which one was read.
+    stamp: ProgressStamp,
+}
+
 impl LedgerFold {
     /// Applies one record. Returns the job that it adds, changes or removes, if any.
     pub fn apply(
@@ -102,6 +113,10 @@
                 self.record_end(id, now);
                 Some(id)
             }
+            (LedgerKey::ProgressPart(id, number), Ok(LedgerRecord::Progress(part))) => {
+                self.apply_progress_part(id, number, part);
+                Some(id)
+            }
             (LedgerKey::Cancel(id), Ok(LedgerRecord::Cancel(_))) => {
                 match self.jobs.get_mut(&id) {
                     Some(view) => view.is_cancelled = true,
@@ -145,6 +160,11 @@
         let keys: BTreeSet<LedgerKey> = keys.collect();
         self.jobs
             .retain(|id, v| v.offset >= page.end || keys.contains(&LedgerKey::Job(*id)));
+        self.progress_parts.retain(|id, parts| {
+            let is_stored = |n: &u32| keys.contains(&LedgerKey::ProgressPart(*id, *n));
+            parts.numbers.retain(is_stored);
+            !parts.numbers.is_empty()
+        });
         self.members
             .retain(|name, _| keys.contains(&LedgerKey::Member(name.clone())));
     }
@@ -183,7 +203,29 @@
         ended.map(|(id, _)| *id).take(limit).collect()
     }
 
-    /// Returns the keys under which the records of a job are stored.
+    /// Returns the numbers of the further records in which the progress of a job is stored.
+    pub fn progress_part_numbers(
+        &self,
+        id: StepJobId,
+    ) -> BTreeSet<u32> {
+        let parts = self.progress_parts.get(&id);
+        parts.map(|p| p.numbers.clone()).unwrap_or_default()
+    }
+
+    /// Returns all keys under which the records of a job are stored. The key of the job comes after
+    /// the further records of its progress, so that these are still known if only the first of the
+    /// keys are removed.
+    pub fn stored_keys(
+        &self,
+        id: StepJobId,
+    ) -> Vec<LedgerKey> {
+        let numbers = self.progress_part_numbers(id).into_iter();
+        let mut keys: Vec<LedgerKey> = numbers.map(|n| LedgerKey::ProgressPart(id, n)).collect();
+        keys.extend(Self::job_keys(id));
+        keys
+    }
+
+    /// Returns the keys of the records that every job may have.
     pub fn job_keys(id: StepJobId) -> [LedgerKey; 3] {
         [
             LedgerKey::Job(id),
@@ -216,6 +258,14 @@
             }
             LedgerKey::Member(name) => self.remove_member(name, now),
             LedgerKey::Progress(id) => drop(self.early_progress.remove(&id)),
+            LedgerKey::ProgressPart(id, number) => {
+                if let Some(parts) = self.progress_parts.get_mut(&id) {
+                    parts.numbers.remove(&number);
+                    if parts.numbers.is_empty() {
+                        self.progress_parts.remove(&id);
+                    }
+                }
+            }
             LedgerKey::Cancel(id) => drop(self.early_cancels.remove(&id)),
             LedgerKey::Leader => {}
         }
@@ -262,15 +312,46 @@
         });
     }
 
+    /// Applies the record of a job's progress that every job has. It alone holds the phase and the
+    /// stamp; the further records only add to what is known of units.
     fn apply_progress(
         &mut self,
         id: StepJobId,
         progress: JobProgress,
     ) {
+        let parts_stamp = self.progress_parts.get(&id).map(|p| p.stamp);
+        let known = self.progress_entry(id);
+        if known.stamp >= progress.stamp && known.stamp != ProgressStamp::default() {
+            return;
+        }
+        let is_newest = parts_stamp.is_none_or(|s| s <= progress.stamp);
+        (known.stamp, known.phase) = (progress.stamp, progress.phase);
+        known.merge_units(progress, is_newest);
+    }
+
+    /// Applies one of the further records of a job's progress.
+    fn apply_progress_part(
+        &mut self,
+        id: StepJobId,
+        number: u32,
+        part: JobProgress,
+    ) {
+        let main_stamp = self.progress_entry(id).stamp;
+        let parts = self.progress_parts.entry(id).or_default();
+        parts.numbers.insert(number);
+        let is_newest = part.stamp >= parts.stamp.max(main_stamp);
+        parts.stamp = parts.stamp.max(part.stamp);
+        self.progress_entry(id).merge_units(part, is_newest);
+    }
+
+    /// Returns the progress of a job, or what was read of it before the job's own record.
+    fn progress_entry(
+        &mut self,
+        id: StepJobId,
+    ) -> &mut JobProgress {
         match self.jobs.get_mut(&id) {
-            Some(view) if view.progress.stamp < progress.stamp => view.progress = progress,
-            Some(_) => {}
-            None => drop(self.early_progress.insert(id, progress)),
+            Some(view) => &mut view.progress,
+            None => self.early_progress.entry(id).or_default(),
         }
     }
 
--- a/src/process/ledger/keyed_store.rs
+++ b/src/process/ledger/keyed_store.rs
@@ -71,6 +71,10 @@
     /// The response cannot be decoded.
     #[display("malformed response: {_0}")]
     Malformed(#[error(not(source))] String),
+    /// The call had no effect and never succeeds unchanged, for example because of its size. Entries
+    /// of earlier versions do not know this error.
+    #[display("rejected: {_0}")]
+    Rejected(#[error(not(source))] String),
 }
 
 /// A store of topics with keyed records. Acknowledged records are durable, and responses are
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, LedgerFold, LedgerKey,
-        LedgerRecord, StoreError,
+        LedgerRecord, RecordLimits, StoreError,
     },
     crate::{prelude::*, request::StepJobId},
     event_listener::{Event, EventListener},
@@ -31,6 +31,7 @@
 pub struct Ledger {
     store: Rc<dyn KeyedStore>,
     clock: Rc<dyn Clock>,
+    limits: RecordLimits,
     fold: RefCell<LedgerFold>,
     /// The jobs that records have added, changed or removed since the last call of
     /// `take_changed_jobs`; `None` while changes are not tracked.
@@ -49,6 +50,7 @@
         Self {
             store,
             clock,
+            limits: RecordLimits::default(),
             fold: RefCell::default(),
             changed_jobs: RefCell::default(),
             read_at: Cell::default(),
@@ -57,6 +59,21 @@
         }
     }
 
+    /// Sets the limits of the store.
+    #[must_use]
+    pub fn with_limits(
+        mut self,
+        limits: RecordLimits,
+    ) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the limits of the store.
+    pub fn limits(&self) -> RecordLimits {
+        self.limits
+    }
+
     /// Calls `read` with the current state and returns its result.
     pub fn view<F, T>(
         &self,
@@ -99,7 +116,8 @@
         changed.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
-    /// Appends records and returns the offset of the first one.
+    /// Appends records and returns the offset of the first one. Records above the limits of the store
+    /// are not sent.
     ///
     /// # Errors
     /// Returns a [`StoreError`], which shows whether the records may be stored.
@@ -108,6 +126,7 @@
         records: &[KeyedRecord],
         condition: Condition,
     ) -> Result<u64, StoreError> {
+        self.limits.check(records)?;
         self.store.append(TOPIC, records, condition).await
     }
 
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -11,6 +11,7 @@
 )]
 mod ledger;
 mod record;
+mod record_limits;
 mod registration;
 mod store_health;
 
@@ -21,6 +22,7 @@
     leader_election::{LEADER_RENEWAL_INTERVAL, LEADER_TIMEOUT, LeaderElection},
     ledger::Ledger,
     record::{Deregistration, LeaderRecord, LedgerKey, LedgerRecord, Member, MemberRole},
+    record_limits::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits, append_size},
     registration::{deregister, register},
     store_health::StoreHealth,
 };
--- a/src/process/ledger/record.rs
+++ b/src/process/ledger/record.rs
@@ -85,6 +85,10 @@
     /// The progress of a job.
     #[display("progress/{_0}")]
     Progress(StepJobId),
+    /// One of the further records of the progress of a job, by its number. Earlier versions ignore
+    /// them.
+    #[display("progress/{_0}/{_1}")]
+    ProgressPart(StepJobId, u32),
     /// The cancellation of a job.
     #[display("cancel/{_0}")]
     Cancel(StepJobId),
@@ -106,7 +110,14 @@
         if kind == "member" {
             return Some(Self::Member(name.into()));
         }
+        let (name, part) = match name.split_once('/') {
+            Some((name, part)) if kind == "progress" => (name, Some(part.parse().ok()?)),
+            _ => (name, None),
+        };
         let id = StepJobId(u64::from_str_radix(name, 16).ok()?);
+        if let Some(part) = part {
+            return Some(Self::ProgressPart(id, part));
+        }
         match kind {
             "job" => Some(Self::Job(id)),
             "progress" => Some(Self::Progress(id)),
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -13,6 +13,8 @@
 mod pending_orders;
 mod pending_unit;
 mod preemption;
+mod progress_queue;
+mod progress_records;
 mod progress_writer;
 mod registrations;
 mod report;
@@ -35,6 +37,8 @@
     pending_orders::{MessageOrders, PendingOrders},
     pending_unit::PendingUnit,
     preemption::{Victim, choose_victims},
+    progress_queue::{ProgressBatch, ProgressQueue},
+    progress_records::ProgressRecords,
     scheduler::Scheduler,
     scheduler_counts::SchedulerCounts,
     scheduler_term::{SchedulerContext, run_scheduler},
--- a/src/process/scheduler/outcome.rs
+++ b/src/process/scheduler/outcome.rs
@@ -122,6 +122,11 @@
             .get(&unit)
             .is_none_or(|highest| run >= *highest);
         let saves_checkpoints = job.job.step_of(unit).is_some_and(|s| s.checkpoints);
+        let limit = self.record_limits.max_checkpoint_bytes(job.job.attempts);
+        if limit.is_none_or(|limit| checkpoint.len() > limit) {
+            tracing::warn!(job = %id, %unit, run, bytes = checkpoint.len(), limit, "a checkpoint is longer than a record can hold; it is not kept");
+            return;
+        }
         if is_latest && saves_checkpoints {
             job.progress.checkpoints.insert(unit, checkpoint);
             self.mark_changed(id);
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -8,7 +8,7 @@
     crate::{
         connection::{GuardOrders, RunPhase, RunStart},
         prelude::*,
-        process::ledger::JobView,
+        process::ledger::{JobView, RecordLimits},
         request::{JobPhase, JobProgress, ProgressStamp, RunRef, StepJobId, SubtaskId, UnitId},
         version::QueueTable,
     },
@@ -27,6 +27,8 @@
     pub leases: LeaseTerms,
     /// The factor by which work takes longer when it runs remote from its data.
     pub remote_factor: u64,
+    /// The sizes that the store accepts.
+    pub record_limits: RecordLimits,
     /// The queues and accounts of the configuration in force, once one is known.
     pub queue_table: Option<Rc<QueueTable>>,
     /// The open jobs.
@@ -68,6 +70,7 @@
             term,
             leases,
             remote_factor,
+            record_limits: RecordLimits::default(),
             queue_table: None,
             jobs: BTreeMap::new(),
             upstreams: BTreeMap::new(),
@@ -176,25 +179,28 @@
         }
     }
 
-    /// Returns the progress of up to `limit` jobs that have unrecorded changes, each with the
-    /// number of its last change.
-    pub fn unrecorded_progress(
-        &mut self,
-        limit: usize,
-    ) -> Vec<(StepJobId, u64, JobProgress)> {
-        let term = self.term;
+    /// Returns the jobs that have unrecorded changes, each with the number of its last change.
+    pub fn unrecorded_jobs(&self) -> impl Iterator<Item = (StepJobId, u64)> {
         let unrecorded = self
             .jobs
-            .iter_mut()
+            .iter()
             .filter(|(_, j)| j.last_change > j.last_recorded_change);
-        let changed = unrecorded.take(limit).map(|(id, job)| {
-            job.progress.stamp = ProgressStamp {
-                term,
-                number: job.last_change,
-            };
-            (*id, job.last_change, job.progress.clone())
-        });
-        changed.collect()
+        unrecorded.map(|(id, j)| (*id, j.last_change))
+    }
+
+    /// Returns the progress of a job to be recorded, with the number of its last change; `None` if
+    /// the job is no longer open.
+    pub fn progress_to_record(
+        &mut self,
+        id: StepJobId,
+    ) -> Option<(u64, JobProgress)> {
+        let term = self.term;
+        let job = self.jobs.get_mut(&id)?;
+        job.progress.stamp = ProgressStamp {
+            term,
+            number: job.last_change,
+        };
+        Some((job.last_change, job.progress.clone()))
     }
 
     /// Marks a job's progress as recorded up to a change.
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -4,7 +4,7 @@
     super::{
         LeaseTerms, RackFirstPlacement, Scheduler,
         guard_task::maintain_session,
-        progress_writer::{FencedWriter, write_progress},
+        progress_writer::{AppendResult, FencedWriter, write_progress},
         scheduler::TERM_SHIFT_BITS,
     },
     crate::{
@@ -193,10 +193,17 @@
         Ok(record) => writer.append(election, &[record]).await,
         Err(e) => {
             tracing::error!(error = %e, "the record that renews the term cannot be encoded");
-            None
+            AppendResult::Superseded
         }
     };
-    let Some(appended) = appended else {
+    if let AppendResult::Rejected(why) = &appended {
+        tracing::error!(
+            term,
+            why,
+            "the store rejects the record that renews the term"
+        );
+    }
+    let AppendResult::Stored(appended) = appended else {
         tracing::info!(
             term,
             "another entry became the leader before the term began"
@@ -250,6 +257,7 @@
     });
     let policy = Box::new(RackFirstPlacement);
     let mut scheduler = Scheduler::new(term, ctx.leases, ctx.remote_factor, policy, guards, now);
+    scheduler.record_limits = ctx.election.ledger.limits();
     scheduler.confirm_leadership(confirmed_at);
     ctx.election.ledger.view(|fold| {
         for view in fold.jobs.values() {
--- a/src/request/step_job/progress.rs
+++ b/src/request/step_job/progress.rs
@@ -77,6 +77,27 @@
         self.done.len() as u64 == per_occurrence * u64::from(job.occurrences())
     }
 
+    /// Adds what another record of the same job shows of its units. Whether a unit has succeeded and
+    /// which of its runs have failed stays true for good, so records of different versions can be
+    /// combined; of two checkpoints, that of the newer record is kept.
+    pub fn merge_units(
+        &mut self,
+        other: Self,
+        is_newer: bool,
+    ) {
+        self.done.extend(other.done);
+        for (unit, runs) in other.failed_runs {
+            self.failed_runs.entry(unit).or_default().extend(runs);
+        }
+        for (unit, checkpoint) in other.checkpoints {
+            if is_newer || !self.checkpoints.contains_key(&unit) {
+                self.checkpoints.insert(unit, checkpoint);
+            }
+        }
+        let done = &self.done;
+        self.checkpoints.retain(|unit, _| !done.contains(unit));
+    }
+
     /// Returns the number of failed runs of a unit.
     pub fn failed_run_count(
         &self,
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -69,3 +69,21 @@
     });
     insta::assert_debug_snapshot!((settings.expect("settings"), faults));
 }
+
+/// Guards against records that the store refuses: its limits are read from the settings, and limits
+/// into which nothing fits are refused.
+#[test]
+fn limits_of_the_store() {
+    let limits = [
+        r#""RecordBytes":50000,"RequestBytes":400000"#,
+        r#""RecordBytes":50000,"RequestBytes":50003"#,
+        r#""RecordBytes":0"#,
+        r#""RecordBytes":1000000,"RequestBytes":100000000"#,
+    ];
+    let parsed = limits.map(|limits| {
+        let text = SETTINGS.replace(r#""platform":{"#, &format!(r#""platform":{{{limits},"#));
+        let settings = BootSettings::parse("boot.json", &text);
+        settings.map(|s| s.record_limits).map_err(|e| e.to_string())
+    });
+    insta::assert_debug_snapshot!(parsed);
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -1082,8 +1082,13 @@
     ) {
         let sent_at = Millis(self.now);
         self.schedulers[index].scheduler.confirm_leadership(sent_at);
-        let batch = self.schedulers[index].scheduler.unrecorded_progress(100);
-        for (id, change, progress) in batch {
+        let unrecorded: Vec<(StepJobId, u64)> =
+            self.schedulers[index].scheduler.unrecorded_jobs().collect();
+        for (id, _) in unrecorded {
+            let progress = self.schedulers[index].scheduler.progress_to_record(id);
+            let Some((change, progress)) = progress else {
+                continue;
+            };
             if let Some(view) = self.ledger.get_mut(&id) {
                 view.progress = progress;
                 // The writer reads its own record after a delay, like every other reader.
