Divide replies to other entries that exceed a frame

Cause: an entry that reaches the store only through others reads the newest records in one frame, which is limited to slightly above 4 MB, so with a larger ledger it never starts. The relaying entry may also read a long list for longer than the 0.7 s for which a reply is waited for.

Change: the newest records are sent in several frames to callers that accept that, with an empty one each 300 ms while the call is in progress, and a read is cut short at 1 MiB. Entries of the previous version get replies as before; a rejection counts as refused for them. The stand-in store divides its answers at 1 MiB as the real one does, and the soak reports appends above the limits.

--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -17,6 +17,9 @@
     std::cell::Cell,
 };
 
+/// The size limit of the records in one answer, in bytes, unless a single record is larger.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// The upper limit of the wait that a read requests.
 const MAX_READ_WAIT: Duration = Duration::from_secs(30);
 
@@ -117,7 +120,7 @@
                 response
             }
             (&Method::GET, "/log-read") => self.read(topic, req).await,
-            (&Method::GET, "/log-newest") => self.newest(topic),
+            (&Method::GET, "/log-newest") => self.newest(topic, req),
             _ => HttpResponse::text(404, "no such call"),
         }
     }
@@ -200,7 +203,7 @@
                     return HttpResponse::new(
                         200,
                         "application/octet-stream",
-                        encode_page(&page.records, end, first),
+                        encode_page(&page.records[..answered_count(&page.records)], end, first),
                     );
                 }
                 Err(_) => return HttpResponse::json(410, &json!({"FirstOffset": first})),
@@ -208,19 +211,28 @@
         }
     }
 
+    /// Answers with the newest records whose keys come after that of the parameter `DependsOn`, in the
+    /// order of the keys.
     fn newest(
         &self,
         topic: &str,
+        req: &HttpRequest,
     ) -> HttpResponse {
-        let page = self.model.borrow_mut().newest(topic);
-        let items = page.records.iter().map(|r| {
+        let after = req.query("DependsOn").unwrap_or_default();
+        let after = after.replace("%2F", "/");
+        let mut page = self.model.borrow_mut().newest(topic);
+        page.records.retain(|r| *r.key > *after);
+        page.records.sort_by(|a, b| a.key.cmp(&b.key));
+        let count = answered_count(&page.records);
+        let has_more = count < page.records.len();
+        let items = page.records.iter().take(count).map(|r| {
             let value = STANDARD.encode(r.value.as_deref().unwrap_or_default());
             json!({"Key": &*r.key, "Value": value, "Offset": r.offset})
         });
         let items: Vec<_> = items.collect();
         HttpResponse::json(
             200,
-            &json!({"items": items, "HasMore": false, "EndOffset": page.end}),
+            &json!({"items": items, "HasMore": has_more, "EndOffset": page.end}),
         )
     }
 }
@@ -267,6 +279,17 @@
     Some(records)
 }
 
+/// Returns how many of the records one answer holds.
+fn answered_count(records: &[KeyedRecord]) -> usize {
+    let mut bytes = 0;
+    let fitting = records.iter().take_while(|r| {
+        bytes += r.key.len() + r.value.as_ref().map_or(0, |v| v.len());
+        bytes <= MAX_ANSWER_BYTES
+    });
+    let count = fitting.count().max(1);
+    count.min(records.len())
+}
+
 fn encode_page(
     records: &[KeyedRecord],
     end: u64,
--- a/src/process/relay/relay_server.rs
+++ b/src/process/relay/relay_server.rs
@@ -1,19 +1,30 @@
 //! Makes calls to the store on behalf of other entries.
 
 use {
-    super::StoreCall,
+    super::{StoreCall, StoreReply},
     crate::{
         connection::{FrameError, read_frame, set_nodelay, write_frame},
         prelude::*,
-        process::{clock::with_timeout, ledger::KeyedStore},
+        process::{
+            clock::with_timeout,
+            ledger::{KeyedPage, KeyedStore},
+        },
     },
     compio::net::{TcpListener, TcpStream},
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
     std::io,
 };
 
 /// The maximum time for a call to arrive on a new connection.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The interval at which a caller learns that its call is in progress, if it accepts a reply of several
+/// frames: a list of many pages takes longer than the caller waits for one frame, which is 0.7 s.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
+
 /// The pause after a failed accept, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
@@ -84,7 +95,23 @@
     let Some(call) = with_timeout(clock, CALL_TIMEOUT, reading).await else {
         return Ok(());
     };
-    let reply = call?.run(store).await;
-    write_frame(&mut stream, &reply).await?;
+    let call = call?;
+    let reply = {
+        let running = call.run(store);
+        pin_mut!(running);
+        loop {
+            match select(running.as_mut(), clock.sleep(PROGRESS_INTERVAL)).await {
+                Either::Left((reply, _)) => break reply,
+                Either::Right(_) if call.accepts_parts() => {
+                    let in_progress = StoreReply::Part(KeyedPage::default());
+                    write_frame(&mut stream, &in_progress).await?;
+                }
+                Either::Right(_) => {}
+            }
+        }
+    };
+    for frame in call.reply_frames(reply) {
+        write_frame(&mut stream, &frame).await?;
+    }
     Ok(())
 }
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -28,8 +28,8 @@
 /// call is also sent to another entry. A slow store answers in about 300 ms.
 const HEDGE_DELAY: Duration = Duration::from_millis(450);
 
-/// The timeout of a relayed call, which never waits for records. A slow store answers in about
-/// 300 ms.
+/// The timeout of a relayed call, which never waits for records, and of each further frame of its
+/// reply. A slow store answers in about 300 ms.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The pause after a relayed read without records, which replaces the wait at the store.
@@ -248,8 +248,7 @@
                 self.next_peer.set(position.wrapping_add(1));
                 continue;
             };
-            let sending = send_call(stream, call);
-            let reply = match with_timeout(&*self.clock, RELAY_TIMEOUT, sending).await {
+            let reply = match send_call(stream, call, &*self.clock).await {
                 Some(Ok(reply)) if outage_error(&reply).is_none() => {
                     self.health.record_relayed(self.clock.now());
                     self.count_call(call, &reply, "relayed");
@@ -323,6 +322,7 @@
             into_page(
                 self.call(StoreCall::Newest {
                     topic: topic.to_owned(),
+                    accepts_parts: true,
                 })
                 .await,
             )
@@ -353,11 +353,12 @@
             topic: topic.to_owned(),
             records: records.to_vec(),
             condition,
+            accepts_rejection: true,
         };
         Box::pin(async move {
             match self.call(call).await {
                 StoreReply::Appended(result) => result,
-                StoreReply::Page(_) => Err(StoreError::Unknown(
+                StoreReply::Page(_) | StoreReply::Part(_) => Err(StoreError::Unknown(
                     "the reply is for another kind of call".to_owned(),
                 )),
             }
@@ -365,14 +366,30 @@
     }
 }
 
-/// Sends a call to another entry over a new connection and returns its reply.
+/// Sends a call to another entry over a new connection and returns its reply; `None` if a frame of
+/// the reply does not arrive in time.
 async fn send_call(
     mut stream: TcpStream,
     call: &StoreCall,
-) -> Result<StoreReply, FrameError> {
+    clock: &dyn Clock,
+) -> Option<Result<StoreReply, FrameError>> {
     set_nodelay(&stream);
-    write_frame(&mut stream, call).await?;
-    read_frame(&mut stream).await
+    let calling = async {
+        write_frame(&mut stream, call).await?;
+        read_frame(&mut stream).await
+    };
+    let mut reply = with_timeout(clock, RELAY_TIMEOUT, calling).await?;
+    let mut records = Vec::new();
+    while let Ok(StoreReply::Part(part)) = reply {
+        records.extend(part.records);
+        let reading = read_frame(&mut stream);
+        reply = with_timeout(clock, RELAY_TIMEOUT, reading).await?;
+    }
+    if let Ok(StoreReply::Page(Ok(page))) = &mut reply {
+        records.append(&mut page.records);
+        page.records = records;
+    }
+    Some(reply)
 }
 
 /// Returns the error of a reply that does not come from a working store.
@@ -415,7 +432,7 @@
 fn into_page(reply: StoreReply) -> Result<KeyedPage, StoreError> {
     match reply {
         StoreReply::Page(result) => result,
-        StoreReply::Appended(_) => Err(StoreError::Unknown(
+        StoreReply::Appended(_) | StoreReply::Part(_) => Err(StoreError::Unknown(
             "the reply is for another kind of call".to_owned(),
         )),
     }
--- a/src/process/relay/store_call.rs
+++ b/src/process/relay/store_call.rs
@@ -2,10 +2,17 @@
 
 use {
     crate::process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
     std::time::Duration,
 };
 
+/// The size of the records in one frame of a reply, in bytes, unless a single record is larger. It is
+/// far below the limit of a frame, and as much as one read of the store returns.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+
+/// The upper limit on the encoded length of a record's offset and lengths, in bytes.
+const RECORD_ENVELOPE_BYTES: usize = 40;
+
 /// A call to the store on behalf of another entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum StoreCall {
@@ -13,6 +20,10 @@
     Newest {
         /// The topic.
         topic: String,
+        /// Whether the caller accepts a reply of several frames. Entries of earlier versions do not
+        /// send this field.
+        #[serde(deserialize_with = "false_if_missing")]
+        accepts_parts: bool,
     },
     /// Reads the records from an offset on.
     Read {
@@ -31,9 +42,21 @@
         records: Vec<KeyedRecord>,
         /// The condition of the append.
         condition: Condition,
+        /// Whether the caller knows [`StoreError::Rejected`]. Entries of earlier versions do not send
+        /// this field.
+        #[serde(deserialize_with = "false_if_missing")]
+        accepts_rejection: bool,
     },
 }
 
+/// Decodes the last field of a message, which is false if the message ends before it.
+fn false_if_missing<'de, D>(deserializer: D) -> Result<bool, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    Ok(bool::deserialize(deserializer).unwrap_or(false))
+}
+
 /// The store's reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum StoreReply {
@@ -41,6 +64,8 @@
     Page(Result<KeyedPage, StoreError>),
     /// The offset of the first appended record.
     Appended(Result<u64, StoreError>),
+    /// Records of a page that continues in the next frame; none while the call is in progress. Entries of earlier versions do not know it.
+    Part(KeyedPage),
 }
 
 impl StoreCall {
@@ -83,7 +108,7 @@
         store: &dyn KeyedStore,
     ) -> StoreReply {
         match self {
-            Self::Newest { topic } => StoreReply::Page(store.newest(topic).await),
+            Self::Newest { topic, .. } => StoreReply::Page(store.newest(topic).await),
             Self::Read { topic, from, .. } => {
                 StoreReply::Page(store.read(topic, *from, self.wait()).await)
             }
@@ -91,17 +116,99 @@
                 topic,
                 records,
                 condition,
+                ..
             } => StoreReply::Appended(store.append(topic, records, *condition).await),
         }
     }
 }
 
+impl StoreCall {
+    /// Returns whether the caller accepts a reply of several frames.
+    pub fn accepts_parts(&self) -> bool {
+        matches!(
+            self,
+            Self::Newest {
+                accepts_parts: true,
+                ..
+            }
+        )
+    }
+
+    /// Returns the frames by which a reply to this call is sent. A list of the newest records is
+    /// divided over several ones if the caller accepts that, and a read is cut short, as its caller
+    /// reads on. An append that was rejected counts as refused for a caller that does not know the
+    /// difference.
+    pub fn reply_frames(
+        &self,
+        reply: StoreReply,
+    ) -> Vec<StoreReply> {
+        match (self, reply) {
+            (
+                Self::Newest {
+                    accepts_parts: true,
+                    ..
+                },
+                StoreReply::Page(Ok(page)),
+            ) => page_frames(page),
+            (Self::Read { .. }, StoreReply::Page(Ok(page))) => {
+                vec![StoreReply::Page(Ok(first_records(page)))]
+            }
+            (
+                Self::Append {
+                    accepts_rejection: false,
+                    ..
+                },
+                StoreReply::Appended(Err(StoreError::Rejected(why))),
+            ) => vec![StoreReply::Appended(Err(StoreError::Refused(why)))],
+            (_, reply) => vec![reply],
+        }
+    }
+}
+
+/// Divides the records of a page over several frames, of which the last one is a page.
+fn page_frames(page: KeyedPage) -> Vec<StoreReply> {
+    let mut frames = Vec::new();
+    let mut records = Vec::new();
+    let mut bytes = 0;
+    for record in page.records {
+        let record_bytes = record.size() + RECORD_ENVELOPE_BYTES;
+        if !records.is_empty() && bytes + record_bytes > MAX_REPLY_BYTES {
+            frames.push(StoreReply::Part(KeyedPage {
+                records: std::mem::take(&mut records),
+                end: page.end,
+            }));
+            bytes = 0;
+        }
+        bytes += record_bytes;
+        records.push(record);
+    }
+    let end = page.end;
+    frames.push(StoreReply::Page(Ok(KeyedPage { records, end })));
+    frames
+}
+
+/// Returns the first records of a read that fit into a frame.
+fn first_records(mut page: KeyedPage) -> KeyedPage {
+    let mut bytes = 0;
+    let fitting = page.records.iter().take_while(|r| {
+        bytes += r.size() + RECORD_ENVELOPE_BYTES;
+        bytes <= MAX_REPLY_BYTES
+    });
+    let fitting = fitting.count().max(1);
+    if let Some(next) = page.records.get(fitting) {
+        page.end = next.offset;
+        page.records.truncate(fitting);
+    }
+    page
+}
+
 impl StoreReply {
     /// Returns the error of a failed call.
     pub fn error(&self) -> Option<&StoreError> {
         match self {
             Self::Page(result) => result.as_ref().err(),
             Self::Appended(result) => result.as_ref().err(),
+            Self::Part(_) => None,
         }
     }
 }
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -14,9 +14,9 @@
         prelude::*,
         process::{
             clock::SystemClock,
-            ledger::{Condition, Fence, KeyedRecord, KeyedStore, StoreError},
+            ledger::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, StoreError},
             metrics::PlatformMetrics,
-            relay::{RelayServer, RelayedStore, StoreCall},
+            relay::{RelayServer, RelayedStore, StoreCall, StoreReply},
         },
     },
 };
@@ -353,3 +353,160 @@
         "{newest:?}"
     );
 }
+
+/// A ledger above the frame limit, and the entry that reads it through another one.
+async fn start_with_large_ledger(testbed: &Testbed) -> RelayedStore {
+    let value = "x".repeat(200_000);
+    for i in 0..30 {
+        let key = format!("job/{i:02}");
+        let stored = testbed.stand_in.put("keyed.test", &key, value.as_bytes());
+        stored.expect("a stored record");
+    }
+    let peer = start_relay(testbed).await;
+    let refused = testbed.client("127.0.0.1:1".parse().expect("an address"));
+    let store = RelayedStore::new(refused, testbed.clock.clone(), Rc::default(), Rc::default());
+    store.set_peers(vec![peer]);
+    store
+}
+
+/// Guards against an entry that never reads the ledger: it starts while it reaches the store only
+/// through other entries, and the newest records are larger than a frame.
+#[test]
+fn a_ledger_above_the_frame_limit_is_read_through_another_entry() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let testbed = Testbed::start().await;
+        let store = start_with_large_ledger(&testbed).await;
+        let page = store.newest("keyed.test").await;
+        let page = page.map(|p| {
+            (
+                p.records.len(),
+                p.end,
+                p.records.is_sorted_by_key(|r| r.offset),
+            )
+        });
+        assert_eq!(page, Ok((30, 30, true)));
+    });
+}
+
+/// Guards against an entry that stops following the ledger: what it has missed is larger than a
+/// frame. It reads on where the first reply ends.
+#[test]
+fn a_read_above_the_frame_limit_goes_on_after_its_first_part() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let testbed = Testbed::start().await;
+        let store = start_with_large_ledger(&testbed).await;
+        let (mut from, mut offsets) = (0, Vec::new());
+        while from < 30 {
+            let page = store.read("keyed.test", from, Duration::ZERO).await;
+            let page = page.expect("a page");
+            offsets.extend(page.records.iter().map(|r| r.offset));
+            from = page.end;
+        }
+        assert!(offsets.into_iter().eq(0..30));
+    });
+}
+
+/// Guards against a reply that exceeds a frame whatever the store returns in one read: the rest is
+/// read by the next call.
+#[test]
+fn a_reply_to_a_read_ends_before_the_frame_limit() {
+    let value = "x".repeat(600_000);
+    let records = (5..8).map(|offset| KeyedRecord {
+        offset,
+        ..record("a", Some(&value))
+    });
+    let page = KeyedPage {
+        records: records.collect(),
+        end: 8,
+    };
+    let call = StoreCall::Read {
+        topic: "keyed.test".to_owned(),
+        from: 5,
+        wait_ms: 0,
+    };
+    let frames = call.reply_frames(StoreReply::Page(Ok(page)));
+    let ends = frames.iter().map(|frame| match frame {
+        StoreReply::Page(Ok(page)) => (page.records.len(), page.end),
+        other => panic!("a page is expected: {other:?}"),
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [(1, 6)]);
+}
+
+/// The calls and replies of entries of the previous version, which lack the last field.
+#[derive(serde::Serialize)]
+enum PreviousCall {
+    Newest {
+        topic: String,
+    },
+    #[expect(dead_code, reason = "it gives the next variant its number")]
+    Read,
+    Append {
+        topic: String,
+        records: Vec<KeyedRecord>,
+        condition: Condition,
+    },
+}
+
+/// Guards against a reply that an entry of the previous version cannot decode: it gets a whole list,
+/// and a refusal in place of a rejection.
+#[test]
+fn entries_of_the_previous_version_get_replies_that_they_know() {
+    let call = |call: &PreviousCall| {
+        let encoded = postcard::to_stdvec(call).expect("an encodable call");
+        postcard::from_bytes::<StoreCall>(&encoded).expect("a call of the previous version")
+    };
+    let topic = "keyed.test".to_owned();
+    let newest = call(&PreviousCall::Newest {
+        topic: topic.clone(),
+    });
+    let append = call(&PreviousCall::Append {
+        topic,
+        records: vec![],
+        condition: Condition::Always,
+    });
+    let value = "x".repeat(2_000_000);
+    let records = vec![record("a", Some(&value)), record("b", Some(&value))];
+    let page = StoreReply::Page(Ok(KeyedPage { records, end: 2 }));
+    let frames = newest.reply_frames(page);
+    let rejected = StoreReply::Appended(Err(StoreError::Rejected("too large".to_owned())));
+    let refused = append.reply_frames(rejected);
+    assert!(matches!(&frames[..], [StoreReply::Page(Ok(page))] if page.records.len() == 2));
+    let is_refused = |frame: &StoreReply| matches!(frame.error(), Some(StoreError::Refused(_)));
+    assert!(
+        matches!(&refused[..], [frame] if is_refused(frame)),
+        "{refused:?}"
+    );
+}
+
+/// The stand-in enforces the limits of the store, so that tests against it find what the store would
+/// not accept: the size of a record and of an append, and the calls in each second.
+#[test]
+fn the_stand_in_enforces_the_limits_of_the_store() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let testbed = Testbed::start().await;
+        let store = testbed.client(testbed.address);
+        let append = async |records: Vec<KeyedRecord>| {
+            let result = store
+                .append("keyed.test", &records, Condition::Always)
+                .await;
+            result.map_err(|e| matches!(e, StoreError::Rejected(_)))
+        };
+        let of_size = |size: usize| record("k", Some(&"x".repeat(size - 2)));
+        let many = |last: usize| {
+            let mut records = vec![of_size(262_144); 7];
+            records.push(of_size(last));
+            records
+        };
+        let room = 2_097_152 - 7 * (262_144 + 4) - 4;
+        let results = [
+            append(vec![of_size(262_144)]).await,
+            append(vec![of_size(262_145)]).await,
+            append(many(room)).await,
+            append(many(room + 1)).await,
+        ];
+        assert_eq!(results, [Ok(0), Err(true), Ok(1), Err(true)]);
+        testbed.stand_in.model().borrow_mut().limits.writes_per_s = Some(0);
+        let over_rate = append(vec![of_size(10)]).await;
+        assert_eq!(over_rate, Err(false));
+    });
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -86,6 +86,10 @@
     fleet.oracle.borrow_mut().check_history();
     fleet.stop();
     let mut violations = fleet.oracle.borrow().violations.clone();
+    let oversized = fleet.store.model().borrow().oversized_appends;
+    if oversized > 0 {
+        violations.push(format!("{oversized} appends above the limits of the store"));
+    }
     if violations.is_empty() {
         drop(std::fs::remove_dir_all(&dir));
     } else {
