--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -17,8 +17,8 @@
     std::cell::Cell,
 };
 
-/// The size limit of an append, in bytes.
-const MAX_APPEND_BYTES: usize = 2 << 20;
+/// The size limit of the records in one answer, in bytes, unless a single record is larger.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// The upper limit of the wait that a read requests.
 const MAX_READ_WAIT: Duration = Duration::from_secs(30);
@@ -26,11 +26,20 @@
 /// The delay of an answer that counts as dropped: longer than any caller waits.
 const DROPPED_ANSWER_DELAY: Duration = Duration::from_secs(60);
 
+/// The calls of one second.
+#[derive(Clone, Copy, Default)]
+struct CallCounts {
+    second: u64,
+    writes: u32,
+    reads: u32,
+}
+
 /// An in-memory store with the HTTP interface of the real one.
 pub struct StandInStore {
     clock: Rc<dyn Clock>,
     model: RefCell<StoreModel>,
     faults: Cell<StoreFaults>,
+    calls: Cell<CallCounts>,
     appended: Event,
 }
 
@@ -41,6 +50,7 @@
             clock,
             model: RefCell::default(),
             faults: Cell::default(),
+            calls: Cell::default(),
             appended: Event::new(),
         }
     }
@@ -92,6 +102,9 @@
         if faults.refuses_calls {
             return HttpResponse::text(503, "down");
         }
+        if self.is_over_rate(req.method == Method::POST) {
+            return HttpResponse::text(429, "too many calls");
+        }
         let Some(topic) = req.query("Topic") else {
             return HttpResponse::text(400, "no topic");
         };
@@ -107,11 +120,36 @@
                 response
             }
             (&Method::GET, "/log-read") => self.read(topic, req).await,
-            (&Method::GET, "/log-newest") => self.newest(topic),
+            (&Method::GET, "/log-newest") => self.newest(topic, req),
             _ => HttpResponse::text(404, "no such call"),
         }
     }
 
+    /// Counts a call, and returns whether it is beyond the limit on calls in one second.
+    fn is_over_rate(
+        &self,
+        is_write: bool,
+    ) -> bool {
+        let second = self.clock.now().0 / 1000;
+        let mut calls = self.calls.get();
+        if calls.second != second {
+            calls = CallCounts {
+                second,
+                ..CallCounts::default()
+            };
+        }
+        let limits = self.model.borrow().limits;
+        let (count, limit) = if is_write {
+            (&mut calls.writes, limits.writes_per_s)
+        } else {
+            (&mut calls.reads, limits.reads_per_s)
+        };
+        *count += 1;
+        let is_over = limit.is_some_and(|limit| *count > limit);
+        self.calls.set(calls);
+        is_over
+    }
+
     fn append(
         &self,
         topic: &str,
@@ -135,6 +173,7 @@
             Err(StoreError::OutOfSequence(expected)) => {
                 HttpResponse::json(409, &json!({"Reason": "seq", "Sequence": expected}))
             }
+            Err(StoreError::Rejected(why)) => HttpResponse::json(413, &json!({"Error": why})),
             Err(_) => HttpResponse::json(412, &json!({"EndOffset": end})),
         }
     }
@@ -164,7 +203,7 @@
                     return HttpResponse::new(
                         200,
                         "application/octet-stream",
-                        encode_page(&page.records, end, first),
+                        encode_page(&page.records[..answered_count(&page.records)], end, first),
                     );
                 }
                 Err(_) => return HttpResponse::json(410, &json!({"FirstOffset": first})),
@@ -172,19 +211,28 @@
         }
     }
 
+    /// Answers with the newest records whose keys come after that of the parameter `DependsOn`, in the
+    /// order of the keys.
     fn newest(
         &self,
         topic: &str,
+        req: &HttpRequest,
     ) -> HttpResponse {
-        let page = self.model.borrow_mut().newest(topic);
-        let items = page.records.iter().map(|r| {
+        let after = req.query("DependsOn").unwrap_or_default();
+        let after = after.replace("%2F", "/");
+        let mut page = self.model.borrow_mut().newest(topic);
+        page.records.retain(|r| *r.key > *after);
+        page.records.sort_by(|a, b| a.key.cmp(&b.key));
+        let count = answered_count(&page.records);
+        let has_more = count < page.records.len();
+        let items = page.records.iter().take(count).map(|r| {
             let value = STANDARD.encode(r.value.as_deref().unwrap_or_default());
             json!({"Key": &*r.key, "Value": value, "Offset": r.offset})
         });
         let items: Vec<_> = items.collect();
         HttpResponse::json(
             200,
-            &json!({"items": items, "HasMore": false, "EndOffset": page.end}),
+            &json!({"items": items, "HasMore": has_more, "EndOffset": page.end}),
         )
     }
 }
@@ -208,7 +256,7 @@
         &self,
         _path: &str,
     ) -> usize {
-        MAX_APPEND_BYTES
+        self.model.borrow().limits.request_bytes
     }
 }
 
@@ -231,6 +279,17 @@
     Some(records)
 }
 
+/// Returns how many of the records one answer holds.
+fn answered_count(records: &[KeyedRecord]) -> usize {
+    let mut bytes = 0;
+    let fitting = records.iter().take_while(|r| {
+        bytes += r.key.len() + r.value.as_ref().map_or(0, |v| v.len());
+        bytes <= MAX_ANSWER_BYTES
+    });
+    let count = fitting.count().max(1);
+    count.min(records.len())
+}
+
 fn encode_page(
     records: &[KeyedRecord],
     end: u64,
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, LedgerFold, LedgerKey,
-        LedgerRecord, StoreError,
+        LedgerRecord, RecordLimits, StoreError,
     },
     crate::{prelude::*, request::StepJobId},
     event_listener::{Event, EventListener},
@@ -40,6 +40,7 @@
 pub struct Ledger {
     store: Rc<dyn KeyedStore>,
     clock: Rc<dyn Clock>,
+    limits: RecordLimits,
     fold: RefCell<LedgerFold>,
     /// The jobs that records have added, changed or removed since the last call of
     /// `take_changed_jobs`; `None` while changes are not tracked.
@@ -64,6 +65,7 @@
         Self {
             store,
             clock,
+            limits: RecordLimits::default(),
             fold: RefCell::default(),
             changed_jobs: RefCell::default(),
             read_at: Cell::default(),
@@ -75,6 +77,21 @@
         }
     }
 
+    /// Sets the limits of the store.
+    #[must_use]
+    pub fn with_limits(
+        mut self,
+        limits: RecordLimits,
+    ) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the limits of the store.
+    pub fn limits(&self) -> RecordLimits {
+        self.limits
+    }
+
     /// Calls `read` with the current state and returns its result.
     pub fn view<F, T>(
         &self,
@@ -117,7 +134,8 @@
         changed.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
-    /// Appends records and returns the offset of the first one.
+    /// Appends records and returns the offset of the first one. Records above the limits of the store
+    /// are not sent.
     ///
     /// # Errors
     /// Returns a [`StoreError`], which shows whether the records may be stored.
@@ -126,6 +144,7 @@
         records: &[KeyedRecord],
         condition: Condition,
     ) -> Result<u64, StoreError> {
+        self.limits.check(records)?;
         let offset = self.store.append(TOPIC, records, condition).await?;
         let end = offset + records.len() as u64;
         self.stored_end.set(self.stored_end.get().max(end));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod http_client;
 mod idle_connections;
 mod job_ids;
+mod large_progress;
 mod late_answers;
 mod leases;
 mod ledger;
--- a/tests/platform/pending.rs
+++ b/tests/platform/pending.rs
@@ -87,7 +87,10 @@
         &mut self,
         what: &str,
     ) {
-        for (id, change, progress) in self.scheduler.unrecorded_progress(100) {
+        let unrecorded: Vec<_> = self.scheduler.unrecorded_jobs().collect();
+        for (id, _) in unrecorded {
+            let progress = self.scheduler.progress_to_record(id);
+            let (change, progress) = progress.expect("a job that is open");
             let record = LedgerKey::Progress(id).record(&LedgerRecord::Progress(progress));
             self.fold.apply(&record.expect("a record"), self.now);
             self.scheduler.mark_recorded(id, change);
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -1099,8 +1099,13 @@
     ) {
         let sent_at = Millis(self.now);
         self.schedulers[index].scheduler.confirm_leadership(sent_at);
-        let batch = self.schedulers[index].scheduler.unrecorded_progress(100);
-        for (id, change, progress) in batch {
+        let unrecorded: Vec<(StepJobId, u64)> =
+            self.schedulers[index].scheduler.unrecorded_jobs().collect();
+        for (id, _) in unrecorded {
+            let progress = self.schedulers[index].scheduler.progress_to_record(id);
+            let Some((change, progress)) = progress else {
+                continue;
+            };
             self.check_phase(id, progress.phase);
             if let Some(view) = self.ledger.get_mut(&id) {
                 view.progress = progress;
