Stop urgent work beyond its account's guarantee for another account's claim

Cause: preemptible_units took only work of a less urgent priority for a unit within its account's guarantee, so another account's work of priority 0 beyond that account's guarantee was never stopped. Change: for a unit within its account's guarantee, running units of priority 0 of other accounts beyond their guarantees are preemptible too. An account's units count in the order in which they became active; a unit is within the guarantee if the total up to it is. The cost of stopping is compared by urgent work first, so such work is stopped only where less urgent work does not suffice, the cheapest first, and no more of it than is needed.

--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -1,15 +1,16 @@
-//! Preempts less urgent work and reserves workers for pending units that do not fit.
+//! Preempts other work and reserves workers for pending units that do not fit.
 
 use {
     super::{
         Host, PendingUnit, PlacementRequest, Scheduler, Victim, choose_victims,
+        scheduler::TERM_SHIFT_BITS,
         scheduling_pass::{PassHost, claim_capacity},
     },
     crate::{
         prelude::*,
         request::{JobPhase, Resources, StepJobId, UnitId},
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// The work time that is lost whenever a run is stopped, in milliseconds: its stop and its next
@@ -28,8 +29,9 @@
 const MIN_REMAINING_MS: u64 = 300;
 
 impl Scheduler {
-    /// Preempts less urgent work so that an urgent unit can start. Returns `false`, and stops
-    /// nothing, when that would not free enough.
+    /// Preempts other work so that an urgent unit can start: less urgent work, and if that does not
+    /// suffice for a unit within its account's guarantee, urgent work of other accounts beyond
+    /// their guarantees. Returns `false`, and stops nothing, when that would not free enough.
     pub(super) fn preempt_for(
         &mut self,
         pending: &PendingUnit,
@@ -38,17 +40,13 @@
         hosts: &mut [PassHost],
         now: Millis,
     ) -> bool {
-        let less_urgent = self.preemptible_units(now, pending);
-        let choice = choose_victims(
-            &*self.placement_policy,
-            req,
-            hosts_after_stops,
-            &less_urgent,
-        );
+        let candidates = self.preemptible_units(now, pending);
+        let choice = choose_victims(&*self.placement_policy, req, hosts_after_stops, &candidates);
         let Some((victims, placed)) = choice else {
             return false;
         };
-        tracing::info!(job = %pending.job, unit = %pending.unit, victims = victims.len(), guaranteed = pending.is_guaranteed, "preempting less urgent work");
+        let urgent = victims.iter().filter(|v| v.is_urgent).count();
+        tracing::info!(job = %pending.job, unit = %pending.unit, victims = victims.len(), beyond_guarantee = urgent, guaranteed = pending.is_guaranteed, "preempting other work");
         for victim in &victims {
             self.counts.count("preempted");
             for host in hosts.iter_mut() {
@@ -60,7 +58,12 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 *job.preemptions.entry(unit).or_default() += 1;
             }
-            self.stop_unit(id, unit, "preempted by more urgent work");
+            let why = if victim.is_urgent {
+                "beyond its account's guarantee, preempted for another account's guarantee"
+            } else {
+                "preempted by more urgent work"
+            };
+            self.stop_unit(id, unit, why);
         }
         claim_capacity(hosts, &placed, req.step);
         true
@@ -82,19 +85,32 @@
         }
     }
 
-    /// Returns the running units that are less urgent than `priority`, with what stopping each
-    /// would cost. Of equal losses, that of the less urgent work counts less, and that of a unit
-    /// that was stopped before counts more; a gang that was stopped several times is left alone
-    /// unless the room is guaranteed, so that it is not stopped again and again.
+    /// Returns the running units that may be stopped for a pending unit, with what stopping each
+    /// would cost: those that are less urgent, and for a unit that is guaranteed its room also the
+    /// urgent ones of other accounts that are beyond their accounts' guarantees.
+    ///
+    /// Of equal losses, that of the less urgent work counts less, and that of a unit that was stopped
+    /// before counts more; a gang that was stopped several times is left alone unless the room is
+    /// guaranteed, so that it is not stopped again and again.
     fn preemptible_units(
         &self,
         now: Millis,
         pending: &PendingUnit,
     ) -> Vec<Victim> {
         let (priority, is_guaranteed) = (pending.priority, pending.is_guaranteed);
-        let jobs = self.jobs.values().filter(|j| j.job.priority > priority);
-        let units = jobs.flat_map(|open| {
-            let active = open.active_units.iter().filter(|(_, a)| !a.is_stopping);
+        let beyond_guarantee = if is_guaranteed {
+            let account = self.jobs.get(&pending.job).map(|j| &j.job.account);
+            account.map_or_else(BTreeSet::new, |a| self.units_beyond_guarantee(a))
+        } else {
+            BTreeSet::new()
+        };
+        let beyond_guarantee = &beyond_guarantee;
+        let units = self.jobs.values().flat_map(|open| {
+            let is_less_urgent = open.job.priority > priority;
+            let active = open.active_units.iter().filter(move |(unit, a)| {
+                let may_stop = is_less_urgent || beyond_guarantee.contains(&(open.job.id, **unit));
+                may_stop && !a.is_stopping
+            });
             active.filter_map(move |(unit, a)| {
                 let step = open.job.step_of(*unit)?;
                 let age_ms = Millis::from(now.since(a.active_since)).0;
@@ -107,14 +123,61 @@
                 if step.gang && preemptions >= MAX_GANG_PREEMPTIONS && !is_guaranteed {
                     return None;
                 }
-                let urgency = u64::from(open.job.priority - priority);
+                let urgency = u64::from(open.job.priority.saturating_sub(priority)).max(1);
                 let cost = weight * lost_ms / 1000 * (1 + preemptions) / urgency;
-                Some(self.victim(open.job.id, *unit, cost))
+                let mut victim = self.victim(open.job.id, *unit, cost);
+                victim.is_urgent = !is_less_urgent;
+                Some(victim)
             })
         });
         units.collect()
     }
 
+    /// Returns the running units of priority 0 that are beyond the guarantees of their accounts,
+    /// without those of the account `except`.
+    ///
+    /// The units of an account count in the order in which they became active, and a unit is within
+    /// the guarantee if the total up to it is. A unit that started within the guarantee therefore
+    /// stays within it: units that become active later do not count before it. The order of starts
+    /// of an earlier term is unknown, and that of the jobs' acceptance stands for it. Units that are
+    /// being stopped do not count.
+    fn units_beyond_guarantee(
+        &self,
+        except: &AccountName,
+    ) -> BTreeSet<(StepJobId, UnitId)> {
+        let Some(table) = &self.queue_table else {
+            return BTreeSet::new();
+        };
+        let urgent = self.jobs.values().filter(|j| j.job.priority == 0);
+        let others = urgent.filter(|j| j.job.account != *except);
+        let units = others.flat_map(|open| {
+            let active = open.active_units.iter().filter(|(_, a)| !a.is_stopping);
+            active.filter_map(move |(unit, a)| {
+                let step = open.job.step_of(*unit)?;
+                let accelerators = step.demand.accelerators * u64::from(step.members_per_unit());
+                let started_in = a.run >> TERM_SHIFT_BITS;
+                let started_at = (started_in == self.term).then_some(a.active_since);
+                let order = (started_in, started_at, open.offset, *unit);
+                Some((&open.job.account, order, open.job.id, accelerators))
+            })
+        });
+        let mut units: Vec<_> = units
+            .filter(|(.., accelerators)| *accelerators > 0)
+            .collect();
+        units.sort_unstable();
+        let mut totals: BTreeMap<&AccountName, u64> = BTreeMap::new();
+        let beyond = units
+            .into_iter()
+            .filter_map(|(account, order, id, accelerators)| {
+                let total = totals.entry(account).or_default();
+                *total += accelerators;
+                let guarantee = table.accounts.get(account);
+                let guaranteed = guarantee.map_or(0, |a| a.guaranteed_accelerators);
+                (*total > guaranteed).then_some((id, order.3))
+            });
+        beyond.collect()
+    }
+
     /// Returns the running units with the remaining accelerator time of each as its cost.
     fn units_by_remaining_time(
         &self,
@@ -154,6 +217,7 @@
         Victim {
             unit: (id, unit),
             cost,
+            is_urgent: false,
             freed_by_worker,
         }
     }
--- a/src/process/scheduler/preemption.rs
+++ b/src/process/scheduler/preemption.rs
@@ -17,10 +17,17 @@
     /// What stopping it costs. For preemption this is the lost work in thousandths of a core times
     /// seconds, for a reservation the remaining time in milliseconds times accelerators.
     pub cost: u64,
+    /// Whether it is as urgent as the unit that is to be placed. Such work is stopped only where
+    /// less urgent work does not suffice, whatever that costs.
+    pub is_urgent: bool,
     /// The resources that it frees on each worker.
     pub freed_by_worker: BTreeMap<UpstreamName, Resources>,
 }
 
+/// The cost of stopping several victims: that of the urgent ones, which is compared first, and that
+/// of the others.
+type TotalCost = (u64, u64);
+
 /// Returns the units to stop so that a unit can be placed, and the worker of each of its members
 /// then. Plans each group of workers that could hold the whole unit by itself and chooses the group
 /// with the least cost. This serves bursts of urgent work whose members need whole workers of one
@@ -35,20 +42,46 @@
     let plans = groups
         .iter()
         .filter_map(|group| ClearingPlan::new(group, victims).plan(req));
-    let mut plans: Vec<(u64, BTreeSet<usize>)> = plans.collect();
+    let mut plans: Vec<(TotalCost, BTreeSet<usize>)> = plans.collect();
     plans.sort();
     plans.into_iter().find_map(|(_, chosen)| {
         let chosen: Vec<Victim> = chosen.into_iter().map(|i| victims[i].clone()).collect();
         let placed = policy.place(req, &hosts_without(hosts, &chosen))?;
-        Some((chosen, placed))
+        Some(without_needless_urgent_victims(
+            policy, req, hosts, chosen, placed,
+        ))
     })
 }
 
+/// Drops the urgent victims without which the unit can be placed as well, the highest cost first. A
+/// plan chooses member by member, so a gang that is chosen for a later member may free what an
+/// earlier victim was chosen for.
+fn without_needless_urgent_victims(
+    policy: &dyn UnitPlacementPolicy,
+    req: &PlacementRequest<'_>,
+    hosts: &[Host],
+    mut chosen: Vec<Victim>,
+    mut placed: Vec<UpstreamName>,
+) -> (Vec<Victim>, Vec<UpstreamName>) {
+    let urgent = chosen.iter().filter(|v| v.is_urgent);
+    let mut urgent: Vec<_> = urgent.map(|v| (v.cost, v.unit)).collect();
+    urgent.sort_unstable();
+    for (_, unit) in urgent.into_iter().rev() {
+        let others = chosen.iter().filter(|v| v.unit != unit).cloned();
+        let others: Vec<Victim> = others.collect();
+        if let Some(with_others) = policy.place(req, &hosts_without(hosts, &others)) {
+            chosen = others;
+            placed = with_others;
+        }
+    }
+    (chosen, placed)
+}
+
 /// A plan to free one group of workers for a unit, member by member.
 struct ClearingPlan<'a> {
     hosts: Vec<Host>,
     victims: &'a [Victim],
-    /// The indices of the victims on each worker, the lowest cost first.
+    /// The indices of the victims on each worker: the less urgent ones first, then the lowest cost.
     victims_by_host: BTreeMap<&'a UpstreamName, Vec<usize>>,
     chosen: BTreeSet<usize>,
 }
@@ -65,7 +98,10 @@
             }
         }
         for indices in victims_by_host.values_mut() {
-            indices.sort_by_key(|i| (victims[*i].cost, victims[*i].unit));
+            indices.sort_by_key(|i| {
+                let victim = &victims[*i];
+                (victim.is_urgent, victim.cost, victim.unit)
+            });
         }
         Self {
             hosts: hosts.to_vec(),
@@ -79,14 +115,13 @@
     fn plan(
         mut self,
         req: &PlacementRequest<'_>,
-    ) -> Option<(u64, BTreeSet<usize>)> {
+    ) -> Option<(TotalCost, BTreeSet<usize>)> {
         for _ in 0..req.members {
             let options = (0..self.hosts.len()).filter_map(|host| self.placement_cost(req, host));
             let (_, _, host, added) = options.min()?;
             self.place_member(req, host, added);
         }
-        let cost = self.chosen.iter().map(|i| self.victims[*i].cost).sum();
-        Some((cost, self.chosen))
+        Some((self.total_cost(&self.chosen), self.chosen))
     }
 
     /// Returns how one more member fits on a host: the added cost, the accelerators that are free
@@ -95,7 +130,7 @@
         &self,
         req: &PlacementRequest<'_>,
         host: usize,
-    ) -> Option<(u64, u64, usize, Vec<usize>)> {
+    ) -> Option<(TotalCost, u64, usize, Vec<usize>)> {
         let h = &self.hosts[host];
         let limit = req.step.max_per_upstream;
         if limit > 0 && h.sibling_runs >= limit {
@@ -110,7 +145,7 @@
             free += self.freed_on(*next, h);
             added.push(*next);
         }
-        // Removes victims that turn out not to be needed, the highest cost first.
+        // Removes victims that turn out not to be needed, the urgent ones and the highest cost first.
         for i in (0..added.len()).rev() {
             let without = free.saturating_sub(&self.freed_on(added[i], h));
             if req.step.demand.fits_in(&without) {
@@ -118,10 +153,27 @@
                 added.remove(i);
             }
         }
-        let cost = added.iter().map(|i| self.victims[*i].cost).sum();
+        let cost = self.total_cost(&added);
         Some((cost, h.free_capacity.accelerators, host, added))
     }
 
+    fn total_cost<'i, I>(
+        &self,
+        indices: I,
+    ) -> TotalCost
+    where
+        I: IntoIterator<Item = &'i usize>,
+    {
+        indices.into_iter().fold((0, 0), |(urgent, other), i| {
+            let victim = &self.victims[*i];
+            if victim.is_urgent {
+                (urgent + victim.cost, other)
+            } else {
+                (urgent, other + victim.cost)
+            }
+        })
+    }
+
     fn freed_on(
         &self,
         victim: usize,
--- /dev/null
+++ b/tests/platform/guarantees.rs
@@ -0,0 +1,269 @@
+//! Accounts' guarantees: a unit within its account's guarantee starts in time on full workers.
+
+use {
+    super::world::{CAPACITY, Faults, World},
+    limpetquay::{
+        connection::EndKind,
+        platform::decode_config,
+        prelude::*,
+        process::scheduler::{Host, PlacementRequest, RackFirstPlacement, Victim, choose_victims},
+        request::{JobPhase, Resources, Step, StepJobId, UnitId},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// The time in which a job within its account's guarantee has to begin, in milliseconds.
+const RECLAIM_MS: u64 = 2700;
+
+const WORK_MS: u64 = 8000;
+
+/// Returns a world whose gangs work for [`WORK_MS`], with the guarantees of some accounts.
+fn world(
+    guards: usize,
+    guarantees: &[(&str, u64)],
+) -> World {
+    let mut world = World::new(1, guards, Faults::default());
+    world.gang_work_ms = WORK_MS;
+    let tenants = guarantees.iter().map(|(name, accelerators)| {
+        format!(r#"{{"Name": "{name}", "Guaranteed": {{"Gpu": {accelerators}}}}}"#)
+    });
+    let tenants: Vec<String> = tenants.collect();
+    let config = format!(r#"{{"Version": 1, "Tenants": [{}]}}"#, tenants.join(","));
+    let table = decode_config(config.as_bytes()).expect("a valid configuration");
+    world.queue_table = Some(Rc::new(table));
+    world.run_for(1000);
+    world
+}
+
+/// Returns a gang whose members need a whole worker each.
+fn gang(count: u32) -> Vec<Step> {
+    let demand = Resources {
+        cpu_milli: 15_000,
+        memory_mb: 22_000,
+        accelerators: CAPACITY.accelerators,
+    };
+    vec![Step {
+        count,
+        demand,
+        gang: true,
+        estimate_ms: WORK_MS,
+        ..Step::default()
+    }]
+}
+
+/// Returns how long after `submitted` all members of a job had begun.
+fn begun_after(
+    world: &World,
+    id: StepJobId,
+    submitted: u64,
+) -> Option<u64> {
+    let count = world.oracle.jobs[&id].steps[0].count;
+    let starts = world.oracle.starts.iter();
+    let own = starts.filter(|(_, run)| run.subtask.job == id);
+    let mut begun = BTreeSet::new();
+    for (at, run) in own {
+        begun.insert(run.subtask.index);
+        if begun.len() == count as usize {
+            return Some(at - submitted);
+        }
+    }
+    None
+}
+
+/// Returns the number of distinct runs of a job that were stopped.
+fn stops(
+    world: &World,
+    id: StepJobId,
+) -> usize {
+    let ends = world.oracle.ends.iter();
+    let stopped = ends.filter(|e| e.run.subtask.job == id && e.kind == EndKind::Stopped);
+    stopped.map(|e| e.run.run).collect::<BTreeSet<u64>>().len()
+}
+
+/// Guards against a guarantee that waits for another account's urgent work: a burst of gangs of
+/// priority 0 takes all workers, and a job of another account is within its guarantee. One gang
+/// beyond its account's guarantee is stopped, the cheapest one, and completes later without having
+/// failed. Review case 10.
+#[test]
+fn a_burst_beyond_a_guarantee_makes_room_for_another_account() {
+    let mut world = world(11, &[("burst", 24), ("reclaimer", 8)]);
+    let mut burst = Vec::new();
+    for count in [3, 3, 3, 2] {
+        burst.push(world.submit_for("burst", gang(count), 0, 1));
+        world.run_for(1200);
+    }
+    let submitted = world.now;
+    let reclaimer = world.submit_for("reclaimer", gang(1), 0, 1);
+    world.run_for(40_000);
+    let waited = begun_after(&world, reclaimer, submitted);
+    assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+    let stops: Vec<usize> = burst.iter().map(|id| stops(&world, *id)).collect();
+    assert_eq!(stops, [0, 0, 0, 1]);
+    let jobs = burst.iter().chain([&reclaimer]);
+    let phases: Vec<JobPhase> = jobs.map(|id| world.progress(*id).phase()).collect();
+    assert_eq!(phases, [JobPhase::Completed; 5]);
+    let failed = world.progress(burst[3]).progress.failed_runs.len();
+    assert_eq!(failed, 0);
+    world.oracle.check_history();
+    assert_eq!(world.oracle.violations, Vec::<String>::new());
+}
+
+/// Guards against stopping what is within another account's guarantee, and against two accounts
+/// that stop each other's work in turn: each takes the idle workers of the other, which then claims
+/// its own. Whatever a guarantee has started runs to its end, and every job completes.
+#[test]
+fn two_accounts_in_turn_stop_nothing_within_a_guarantee() {
+    let mut world = world(4, &[("a", 16), ("b", 16)]);
+    let mut within = Vec::new();
+    let mut beyond = Vec::new();
+    for (first, second) in [("a", "b"), ("b", "a"), ("a", "b")] {
+        let ids = [(); 4].map(|()| {
+            let id = world.submit_for(first, gang(1), 0, 1);
+            world.run_for(200);
+            id
+        });
+        world.run_for(1000);
+        let submitted = world.now;
+        let claims = [(); 2].map(|()| world.submit_for(second, gang(1), 0, 1));
+        world.run_for(RECLAIM_MS);
+        for id in claims {
+            let waited = begun_after(&world, id, submitted);
+            assert!(waited.is_some(), "{second} has not begun: {waited:?}");
+        }
+        within.extend_from_slice(&ids[..2]);
+        within.extend_from_slice(&claims);
+        beyond.extend_from_slice(&ids[2..]);
+        world.run_for(3 * WORK_MS);
+    }
+    let stopped_within: Vec<usize> = within.iter().map(|id| stops(&world, *id)).collect();
+    assert_eq!(stopped_within, vec![0; within.len()]);
+    let stopped_beyond: Vec<usize> = beyond.iter().map(|id| stops(&world, *id)).collect();
+    assert_eq!(stopped_beyond, vec![1; beyond.len()]);
+    let jobs = within.iter().chain(&beyond);
+    let phases: BTreeSet<JobPhase> = jobs.map(|id| world.progress(*id).phase()).collect();
+    assert_eq!(phases, BTreeSet::from([JobPhase::Completed]));
+}
+
+/// Guards against a loop of mutual preemption: both accounts always have more urgent work than
+/// their guarantees, on workers that the guarantees cover entirely. Each stop is paid for once by
+/// the first claim of the other account, and none follows.
+#[test]
+fn two_accounts_with_too_much_work_do_not_stop_each_other_again_and_again() {
+    let mut world = world(4, &[("a", 16), ("b", 16)]);
+    let mut jobs: Vec<StepJobId> = Vec::new();
+    for account in ["a", "b"] {
+        for _ in 0..8 {
+            jobs.push(world.submit_for(account, gang(1), 0, 1));
+            world.run_for(100);
+        }
+    }
+    world.run_for(8 * WORK_MS);
+    let stops: usize = jobs.iter().map(|id| stops(&world, *id)).sum();
+    assert_eq!(stops, 2);
+    let phases: BTreeSet<JobPhase> = jobs.iter().map(|id| world.progress(*id).phase()).collect();
+    assert_eq!(phases, BTreeSet::from([JobPhase::Completed]));
+}
+
+/// Guards against stopping an account's own work for it: its unit without accelerators is within
+/// the guarantee while its gangs beyond the guarantee fill the workers, and it waits for them.
+#[test]
+fn an_account_is_not_its_own_victim() {
+    let mut world = world(2, &[("a", 8)]);
+    let mut whole_worker = gang(1);
+    whole_worker[0].demand.cpu_milli = CAPACITY.cpu_milli;
+    let gangs = [(); 2].map(|()| world.submit_for("a", whole_worker.clone(), 0, 1));
+    world.run_for(1000);
+    let mut small = gang(1);
+    small[0].demand.accelerators = 0;
+    let id = world.submit_for("a", small, 0, 1);
+    world.run_for(3 * WORK_MS);
+    let stops: Vec<usize> = gangs.iter().map(|id| stops(&world, *id)).collect();
+    assert_eq!(stops, [0, 0]);
+    assert_eq!(world.progress(id).phase(), JobPhase::Completed);
+}
+
+/// Guards against a guarantee that is lost with the leader: the next leader finds all runs at once
+/// and does not know in which order they began, and still makes room for the claim.
+#[test]
+fn a_guarantee_is_kept_after_a_takeover() {
+    let mut world = world(3, &[("a", 8), ("b", 8)]);
+    let burst = [(); 3].map(|()| world.submit_for("a", gang(1), 0, 1));
+    world.run_for(1000);
+    world.take_over();
+    world.run_for(2000);
+    let submitted = world.now;
+    let claim = world.submit_for("b", gang(1), 0, 1);
+    world.run_for(3 * WORK_MS);
+    let waited = begun_after(&world, claim, submitted);
+    assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+    let stops: Vec<usize> = burst.iter().map(|id| stops(&world, *id)).collect();
+    assert_eq!((stops[0], stops.iter().sum::<usize>()), (0, 1));
+}
+
+fn victim(
+    number: u32,
+    upstream: &str,
+    cost: u64,
+    is_urgent: bool,
+) -> Victim {
+    let unit = UnitId {
+        occurrence: 0,
+        step: 0,
+        index: number,
+    };
+    let freed = Resources {
+        accelerators: 4,
+        ..Resources::default()
+    };
+    Victim {
+        unit: (StepJobId(1), unit),
+        cost,
+        is_urgent,
+        freed_by_worker: BTreeMap::from([(UpstreamName::from(upstream), freed)]),
+    }
+}
+
+/// Guards against stopping urgent work that is cheaper than less urgent work, and more urgent work
+/// than is needed.
+#[test]
+fn less_urgent_work_is_chosen_first_whatever_its_cost() {
+    let host = |name: &str| Host {
+        upstream: UpstreamName::from(name),
+        rack: None,
+        free_capacity: Resources::default(),
+        capacity: Resources {
+            accelerators: 8,
+            ..Resources::default()
+        },
+        sibling_runs: 0,
+    };
+    let choice = |accelerators, victims: &[Victim]| {
+        let step = Step {
+            count: 1,
+            demand: Resources {
+                accelerators,
+                ..Resources::default()
+            },
+            ..Step::default()
+        };
+        let req = PlacementRequest {
+            step: &step,
+            members: 1,
+            waited: Duration::ZERO,
+            remote_factor: 3,
+        };
+        let hosts = [host("a"), host("b")];
+        let choice = choose_victims(&RackFirstPlacement, &req, &hosts, victims);
+        let chosen = choice.map(|(chosen, _)| chosen).unwrap_or_default();
+        chosen.iter().map(|v| v.unit.1.index).collect::<Vec<u32>>()
+    };
+    let victims = [
+        victim(0, "a", 1, true),
+        victim(1, "a", 2, true),
+        victim(2, "b", 1000, false),
+        victim(3, "b", 5, true),
+    ];
+    assert_eq!(choice(4, &victims), [2]);
+    assert_eq!(choice(8, &victims), [0, 1]);
+    assert_eq!(choice(4, &victims[..2]), [0]);
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod election_model;
 mod fake_store;
 mod fuzz;
+mod guarantees;
 mod http_client;
 mod late_answers;
 mod leases;
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -285,6 +285,7 @@
             },
         ),
         cost,
+        is_urgent: false,
         freed_by_worker: BTreeMap::from([(UpstreamName::from(upstream), freed)]),
     }
 }
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -18,7 +18,7 @@
             scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
         },
         request::{JobProgress, Resources, RunRef, Step, StepJob, StepJobId},
-        version::QueueName,
+        version::{QueueName, QueueTable},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::collections::{BTreeMap, BTreeSet},
@@ -162,6 +162,10 @@
     ledger: BTreeMap<StepJobId, JobView>,
     offset: u64,
     store_down_until: u64,
+    /// The configuration in force, which every scheduler has read.
+    pub queue_table: Option<Rc<QueueTable>>,
+    /// How long a complete gang works, in milliseconds.
+    pub gang_work_ms: u64,
     gangs: BTreeMap<(StepJobId, u16, u64), Gang>,
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
@@ -186,6 +190,8 @@
             ledger: BTreeMap::new(),
             offset: 10,
             store_down_until: 0,
+            queue_table: None,
+            gang_work_ms: GANG_WORK_MS,
             gangs: BTreeMap::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -219,12 +225,23 @@
         steps: Vec<Step>,
         priority: u32,
         attempts: u32,
+    ) -> StepJobId {
+        self.submit_for("account", steps, priority, attempts)
+    }
+
+    /// Submits a job of an account and returns its id.
+    pub fn submit_for(
+        &mut self,
+        account: &str,
+        steps: Vec<Step>,
+        priority: u32,
+        attempts: u32,
     ) -> StepJobId {
         let id = StepJobId(self.offset);
         let job = StepJob {
             id,
             queue: QueueName::from("queue"),
-            account: AccountName::from("account"),
+            account: AccountName::from(account),
             service: "service".into(),
             priority,
             attempts,
@@ -1029,6 +1046,10 @@
         let is_store_up = self.store_down_until <= now;
         for i in 0..self.schedulers.len() {
             self.connect(i);
+            self.schedulers[i]
+                .scheduler
+                .queue_table
+                .clone_from(&self.queue_table);
             self.schedulers[i]
                 .scheduler
                 .run_pass(Millis(now), Millis(now));
@@ -1158,6 +1179,7 @@
         }
         let fails = self.chance(self.faults.failing_runs);
         let mut ended_gangs = Vec::new();
+        let work_ms = self.gang_work_ms;
         for (key, gang) in &mut self.gangs {
             let running = members_by_gang.get(key).map_or(0, BTreeSet::len);
             let size = self.oracle.jobs[&key.0].steps[usize::from(key.1)].count as usize;
@@ -1166,7 +1188,7 @@
                 gang.complete_since = Some(now);
             }
             let kind = match gang.complete_since {
-                Some(since) if is_whole && now >= since + GANG_WORK_MS => Some(if fails {
+                Some(since) if is_whole && now >= since + work_ms => Some(if fails {
                     EndKind::Failed
                 } else {
                     EndKind::Done
