Report the data centre of a guard to the leader

Cause: the leader does not know in which data centre a worker is, and evacuations need that. Change: a guard takes the name from Zone in its settings and sends it in a new last field of its reports. Reports of the two versions before are read without it, and those versions ignore it. An empty or missing Zone counts as unknown. The test of the earlier version's reports compares both earlier encodings byte for byte now, in place of one.

--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -81,6 +81,10 @@
     /// this field, and their reports count as complete.
     #[serde(deserialize_with = "true_if_missing")]
     pub lists_all_runs: bool,
+    /// The data centre of the guard and its worker; `None` if it is not known. The guards of the
+    /// previous version do not send this field.
+    #[serde(deserialize_with = "none_if_missing")]
+    pub data_centre: Option<DataCentre>,
 }
 
 /// Decodes the last field of a message, which is true if the message ends before it.
@@ -91,6 +95,14 @@
     Ok(bool::deserialize(deserializer).unwrap_or(true))
 }
 
+/// Decodes the last field of a message, which is `None` if the message ends before it.
+fn none_if_missing<'de, D>(deserializer: D) -> Result<Option<DataCentre>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    Ok(Option::deserialize(deserializer).unwrap_or(None))
+}
+
 /// What a guard has observed of the worker on its machine.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum WorkerView {
--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -74,6 +74,8 @@
     pub readiness: Option<SocketAddr>,
     /// The address at which a guard receives its worker's heartbeats.
     pub discovery: Option<SocketAddr>,
+    /// The data centre of the instance; `None` if the settings do not name it.
+    pub data_centre: Option<DataCentre>,
     /// The address at which other processes of the system connect.
     pub peers: SocketAddr,
     /// The address at which health and metrics are served.
@@ -101,6 +103,9 @@
 struct WireSettings {
     node_name: Arc<str>,
     ip: IpAddr,
+    /// The data centre.
+    #[serde(default)]
+    zone: Option<Arc<str>>,
     #[serde(default)]
     listen_addrs: WireAddresses,
     internal_port_range: [u16; 2],
@@ -293,6 +298,10 @@
             callers: wire.listen_addrs.frontend,
             readiness: wire.listen_addrs.ready,
             discovery: wire.listen_addrs.control_plane,
+            data_centre: wire
+                .zone
+                .filter(|name| !name.is_empty())
+                .map(|name| DataCentre::from(&*name)),
             peers: SocketAddr::new(wire.ip, first_port),
             metrics: SocketAddr::new(wire.ip, first_port + METRICS_PORT_OFFSET),
             store: wire.platform.address,
--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -39,6 +39,11 @@
             settings.heartbeat,
             settings.leases.worker,
         ));
+        guard
+            .tracker
+            .borrow_mut()
+            .data_centre
+            .clone_from(&settings.data_centre);
         let server = HttpServer::bind(discovery, Rc::new(DiscoveryApi::new(guard.clone()))).await?;
         let sessions = guard.start(TcpListener::bind(settings.peers).await?);
         let tasks = TaskGroup::default();
--- a/src/process/runs/run_tracker.rs
+++ b/src/process/runs/run_tracker.rs
@@ -40,6 +40,8 @@
     pub session: Option<Session>,
     /// The highest fencing token of any session so far.
     pub highest_token: u64,
+    /// The data centre of the machine; `None` if it is not known.
+    pub data_centre: Option<DataCentre>,
     /// The worker's address and incarnation.
     pub worker: Option<WorkerAddress>,
     /// The number of the last end that the scheduling entry has acknowledged.
@@ -469,6 +471,7 @@
             registration: self.registration,
             lease_age_ms: self.lease_age(now).map(|age| Millis::from(age).0),
             lists_all_runs: self.is_list_complete,
+            data_centre: self.data_centre.clone(),
         }
     }
 
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -33,6 +33,7 @@
         upstream.last_report_at = Some(now);
         upstream.guard_clock_ms = Some(report.clock_ms);
         upstream.reported_registration = report.registration;
+        upstream.data_centre = report.data_centre;
         let worker = match report.worker {
             WorkerView::Known(worker) => {
                 upstream.leased_at = Some(now);
--- a/src/process/scheduler/upstream.rs
+++ b/src/process/scheduler/upstream.rs
@@ -70,6 +70,8 @@
     pub capacity: Resources,
     /// Its labels, the rack last.
     pub labels: Vec<Arc<str>>,
+    /// Its data centre; `None` if its guard reports none.
+    pub data_centre: Option<DataCentre>,
     /// When it was first reported as leaving.
     pub leaving_since: Option<Millis>,
     /// The earliest time at which it leaves, if it has announced that.
--- a/tests/platform/cut_lists.rs
+++ b/tests/platform/cut_lists.rs
@@ -19,7 +19,7 @@
         },
         request::{JobPhase, Resources, Step, StepJobId},
     },
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
     serde_json::{Value, json},
     std::collections::BTreeSet,
 };
@@ -254,7 +254,7 @@
 }
 
 /// A guard's report as the version before `lists_all_runs` encodes it.
-#[derive(Serialize)]
+#[derive(Deserialize, Serialize)]
 struct EarlierGuardReport {
     token: u64,
     handled: u64,
@@ -265,12 +265,21 @@
     lease_age_ms: Option<u64>,
 }
 
-/// Guards against entries and guards of two consecutive versions that do not understand each other:
-/// a report without the last field counts as complete, and an earlier reader ignores that field.
+/// A guard's report as the version before `data_centre` encodes it.
+#[derive(Deserialize, Serialize)]
+struct PreviousGuardReport {
+    earlier: EarlierGuardReport,
+    lists_all_runs: bool,
+}
+
+/// Guards against entries and guards of consecutive versions that do not understand each other: a
+/// report without the last two fields counts as complete and names no data centre, one without the
+/// last field names none, and an earlier reader ignores the fields that it does not know.
 #[test]
 fn reports_of_the_earlier_version_are_read() {
     let mut tracker = tracker();
     tracker.open_session(1);
+    tracker.data_centre = Some(DataCentre::from("north"));
     let report = tracker.report(Millis(7));
     let earlier = EarlierGuardReport {
         token: report.token,
@@ -281,9 +290,23 @@
         registration: report.registration,
         lease_age_ms: report.lease_age_ms,
     };
-    let earlier = postcard::to_stdvec(&earlier).expect("an encoded report");
+    let previous = PreviousGuardReport {
+        earlier,
+        lists_all_runs: report.lists_all_runs,
+    };
+    let earlier = postcard::to_stdvec(&previous.earlier).expect("an encoded report");
+    let previous = postcard::to_stdvec(&previous).expect("an encoded report");
     let encoded = postcard::to_stdvec(&report).expect("an encoded report");
-    assert_eq!(encoded[..encoded.len() - 1], earlier);
+    assert_eq!(previous[..previous.len() - 1], earlier);
+    // The last field takes a byte that says whether there is a name, its length and five letters.
+    assert_eq!(encoded[..encoded.len() - 7], previous);
+    let by_previous: PreviousGuardReport = postcard::from_bytes(&encoded).expect("a report");
+    assert_eq!(by_previous.lists_all_runs, report.lists_all_runs);
+    let read: GuardReport = postcard::from_bytes(&encoded).expect("a report");
+    assert_eq!(read.data_centre, report.data_centre);
+    let read: GuardReport = postcard::from_bytes(&previous).expect("a report");
+    let read = (read.lists_all_runs, read.data_centre);
+    assert_eq!(read, (report.lists_all_runs, None));
     let read: GuardReport = postcard::from_bytes(&earlier).expect("a report");
     insta::assert_debug_snapshot!((report.lists_all_runs, read));
 }
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -15,7 +15,7 @@
     "Limits":{"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
     "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Guaranteed":{"Gpu":16}}]}"#;
 
-const SETTINGS: &str = r#"{"NodeName":"edge-1","Ip":"10.1.0.19",
+const SETTINGS: &str = r#"{"NodeName":"edge-1","Ip":"10.1.0.19","Zone":"north",
     "ListenAddrs":{"Frontend":"10.1.0.19:8521","Ready":"10.1.0.19:8523"},"InternalPortRange":[7000,7015],"HeartbeatMs":1500,
     "Bounds":{"MaxHoldMs":6000,"RemoteFactor":3,"GracePeriodS":6,"status_s":120,"StrictRevoke":false},
     "platform":{"Address":"10.200.1.7:8524"},"Unknown":{"a":1}}"#;
