Start nothing in an evacuated data centre

Change: follow_config also folds the records evacuate/NAME. The scheduler leaves out the workers of an evacuated data centre, and those of unknown data centre while anything is evacuated, when it places, reserves and preempts, and withdraws starts there that are not sent. It starts nothing before the first complete read of the topic, nor when no read was answered up to its end for as long as the leader's lease: appends can be confirmed while reads of this topic get no answer, so the lease alone does not show that the view is current. Metrics, GET /evacuations and log lines show the evacuations. Tests that build a Scheduler tell it that nothing is evacuated, since it starts nothing otherwise.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,9 +1,13 @@
-//! Decoding and following of the operator's configuration: queues, accounts and limits.
+//! Decoding and following of the operator's topic: the configuration with its queues, accounts and
+//! limits, and the requests to evacuate data centres.
 
 use {
     crate::{
         prelude::*,
-        process::ledger::{KeyedPage, KeyedStore, StoreError},
+        process::{
+            evacuations::Evacuations,
+            ledger::{KeyedPage, KeyedRecord, KeyedStore, StoreError},
+        },
         version::{ApiAccount, CallerLimits, Queue, QueueName, QueueTable},
     },
     derive_more::{Display, Error},
@@ -17,6 +21,9 @@
 /// The key of the configuration in its topic.
 const CONFIG_KEY: &str = "config";
 
+/// The start of the key of a request to evacuate a data centre; its name follows.
+const EVACUATION_KEY_PREFIX: &str = "evacuate/";
+
 /// How long one read waits for a new record.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(1000);
 
@@ -148,29 +155,49 @@
     }
 }
 
-/// Follows the configuration and stores each newer version in `table`. A malformed record leaves
-/// the table as it is. Never returns.
+/// Follows the operator's topic: stores each newer version of the configuration in `table`, and
+/// keeps `evacuations` up to date. A malformed record leaves both as they are. Never returns.
 pub async fn follow_config(
     store: Rc<dyn KeyedStore>,
     clock: Rc<dyn Clock>,
     table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    evacuations: Rc<RefCell<Evacuations>>,
 ) {
     let mut next_offset = None;
+    let mut wait = LONG_POLL_WAIT;
     loop {
+        let sent_at = clock.now();
         let result = match next_offset {
             None => store.newest(CONFIG_TOPIC).await,
-            Some(from) => store.read(CONFIG_TOPIC, from, LONG_POLL_WAIT).await,
+            Some(from) => store.read(CONFIG_TOPIC, from, wait).await,
         };
         match result {
             Ok(page) => {
+                let is_complete = next_offset.is_none();
+                // A page with records may end before the topic does. The read after it does not
+                // wait, so that an answer without records soon shows that the view is current.
+                let is_current = is_complete || next_offset == Some(page.end);
                 next_offset = Some(page.end);
+                wait = if is_current {
+                    LONG_POLL_WAIT
+                } else {
+                    Duration::ZERO
+                };
                 apply_page(&page, &table);
+                let mut evacuations = evacuations.borrow_mut();
+                apply_evacuations(&page, is_complete, &mut evacuations);
+                if is_current {
+                    evacuations.confirm_read(sent_at);
+                }
             }
             Err(StoreError::Trimmed) => next_offset = None,
             Err(e) => {
                 let version = table.borrow().as_ref().map(|t| t.version);
                 tracing::warn!(error = %e, version, "failed to read the configuration");
                 clock.sleep(READ_RETRY_DELAY).await;
+                // The age of the view counts from the time at which an answered read was sent, so
+                // the read after a failed one does not wait for a record.
+                wait = Duration::ZERO;
             }
         }
     }
@@ -204,3 +231,40 @@
         *table.borrow_mut() = Some(Rc::new(new));
     }
 }
+
+/// Applies the evacuation requests of a page. A complete page replaces all earlier ones.
+fn apply_evacuations(
+    page: &KeyedPage,
+    is_complete: bool,
+    evacuations: &mut Evacuations,
+) {
+    if is_complete {
+        let requests = page.records.iter().filter_map(decode_evacuation);
+        let requested = requests.filter(|(_, is_requested, _)| *is_requested);
+        evacuations.replace(requested.map(|(name, _, at)| (name, at)).collect());
+        return;
+    }
+    for (name, is_requested, offset) in page.records.iter().filter_map(decode_evacuation) {
+        if is_requested {
+            evacuations.begin(name, offset);
+        } else {
+            evacuations.end(&name, offset);
+        }
+    }
+}
+
+/// Decodes an evacuation request: the data centre, whether the record requests or withdraws the
+/// evacuation, and the record's offset. Returns `None` for records of other kinds.
+fn decode_evacuation(record: &KeyedRecord) -> Option<(DataCentre, bool, u64)> {
+    match record.key.strip_prefix(EVACUATION_KEY_PREFIX) {
+        Some(name) if !name.is_empty() => {
+            let is_requested = record.value.as_ref().is_some_and(|v| !v.is_empty());
+            Some((DataCentre::from(name), is_requested, record.offset))
+        }
+        None if &*record.key == CONFIG_KEY => None,
+        Some(_) | None => {
+            tracing::warn!(key = %record.key, offset = record.offset, "ignored a record with an unknown key");
+            None
+        }
+    }
+}
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -6,6 +6,7 @@
         connection::{HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer},
         prelude::*,
         process::{
+            evacuations::Evacuations,
             job_service::JobService,
             ledger::{
                 CandidateMachine, KeyedStore, LeaderElection, Ledger, Member, MemberRole,
@@ -81,6 +82,7 @@
         let store: Rc<dyn KeyedStore> = relayed.clone();
         let ledger = Rc::new(Ledger::new(store.clone(), clock.clone()));
         let table = Rc::new(RefCell::new(None));
+        let evacuations: Rc<RefCell<Evacuations>> = Rc::default();
         let job_service = Rc::new(JobService {
             clock: clock.clone(),
             ledger: ledger.clone(),
@@ -98,7 +100,8 @@
         let tasks = TaskGroup::default();
         tasks.spawn(ready_server.run(std::future::pending()));
         tasks.spawn(relay.run());
-        let status = StatusApi::new(metrics.clone(), Some(job_service.clone()));
+        let status = StatusApi::new(metrics.clone(), Some(job_service.clone()))
+            .with_evacuations(evacuations.clone());
         let status = HttpServer::bind(settings.metrics, Rc::new(status)).await?;
         tasks.spawn(status.run(std::future::pending()));
         tasks.spawn(track_peers(
@@ -106,7 +109,12 @@
             ledger.clone(),
             settings.instance.clone(),
         ));
-        tasks.spawn(follow_config(store, clock.clone(), table.clone()));
+        tasks.spawn(follow_config(
+            store,
+            clock.clone(),
+            table.clone(),
+            evacuations.clone(),
+        ));
         let follower = ledger.clone();
         tasks.spawn(async move { follower.follow().await });
         ledger.wait_until_read().await;
@@ -133,6 +141,7 @@
             election: election.clone(),
             clock: clock.clone(),
             queue_table: table,
+            evacuations,
             leases: settings.leases,
             remote_factor: settings.far_factor,
             retention: settings.retention,
--- a/src/platform/status_api.rs
+++ b/src/platform/status_api.rs
@@ -3,16 +3,17 @@
 use crate::{
     connection::{HttpHandler, HttpRequest, HttpResponse, Problem},
     prelude::*,
-    process::{job_service::JobService, metrics::PlatformMetrics},
+    process::{evacuations::Evacuations, job_service::JobService, metrics::PlatformMetrics},
 };
 
 /// The body limit of a request, in bytes. None of the paths expects a body.
 const MAX_BODY_BYTES: usize = 1024;
 
-/// The HTTP handler of `/healthz` and `/metrics`.
+/// The HTTP handler of `/healthz`, `/metrics` and, at an entry, `/evacuations`.
 pub struct StatusApi {
     metrics: Rc<PlatformMetrics>,
     job_service: Option<Rc<JobService>>,
+    evacuations: Option<Rc<RefCell<Evacuations>>>,
 }
 
 impl StatusApi {
@@ -24,9 +25,19 @@
         Self {
             metrics,
             job_service,
+            evacuations: None,
         }
     }
 
+    /// Adds the evacuated data centres, which an entry follows.
+    pub fn with_evacuations(
+        mut self,
+        evacuations: Rc<RefCell<Evacuations>>,
+    ) -> Self {
+        self.evacuations = Some(evacuations);
+        self
+    }
+
     fn answer(
         &self,
         req: &HttpRequest,
@@ -37,11 +48,25 @@
                 self.update_gauges();
                 HttpResponse::text(200, &self.metrics.render())
             }
+            ["evacuations"] => match &self.evacuations {
+                Some(evacuations) => HttpResponse::json(
+                    200,
+                    &serde_json::json!({"data_centres": evacuations.borrow().names()}),
+                ),
+                None => Problem::not_found().into(),
+            },
             _ => Problem::not_found().into(),
         }
     }
 
     fn update_gauges(&self) {
+        if let Some(evacuations) = &self.evacuations {
+            let gauge = &self.metrics.evacuated_data_centres;
+            gauge.reset();
+            for name in evacuations.borrow().names() {
+                gauge.with_label_values(&[name.as_str()]).set(1);
+            }
+        }
         let Some(job_service) = &self.job_service else {
             return;
         };
--- a/src/process/metrics/platform_metrics.rs
+++ b/src/process/metrics/platform_metrics.rs
@@ -6,8 +6,8 @@
         metrics::{gauge, register},
     },
     prometheus::{
-        Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-        TextEncoder,
+        Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+        Registry, TextEncoder,
     },
 };
 
@@ -37,6 +37,10 @@
     pub leader_term: IntGauge,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
+    /// 1 for each data centre that is evacuated.
+    pub evacuated_data_centres: IntGaugeVec,
+    /// Runs that are still on the workers of each evacuated data centre, if this entry is the leader.
+    pub evacuated_runs: IntGaugeVec,
     /// The age of the local view of the ledger, in milliseconds.
     pub ledger_age_ms: IntGauge,
     cpu_seconds: Gauge,
@@ -52,6 +56,10 @@
                 expect_valid(IntCounterVec::new(Opts::new(name, help), labels)),
             )
         };
+        let data_centre_gauge = |name: &str, help: &str| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), &["data_centre"]);
+            register(&registry, expect_valid(gauge))
+        };
         let histogram_opts = |name: &str, help: &str| {
             HistogramOpts::new(name, help).buckets(WAIT_BUCKETS_S.to_vec())
         };
@@ -104,6 +112,14 @@
                 "limpetquay_config_version",
                 "Version of the configuration in force.",
             ),
+            evacuated_data_centres: data_centre_gauge(
+                "limpetquay_evacuated_data_centre",
+                "1 for each data centre that is evacuated.",
+            ),
+            evacuated_runs: data_centre_gauge(
+                "limpetquay_evacuated_runs",
+                "Runs that are still in each evacuated data centre, at the entry that schedules.",
+            ),
             ledger_age_ms: gauge(
                 &registry,
                 "limpetquay_ledger_age_milliseconds",
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod decision_report;
 pub mod entry;
+pub mod evacuations;
 pub mod guard;
 pub mod job_queue;
 pub mod job_service;
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -2,6 +2,7 @@
 //! all services.
 
 mod active_unit;
+mod data_centre_evacuation;
 mod evacuation;
 mod guard_task;
 mod leader_lease;
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -35,6 +35,10 @@
     pub upstreams: BTreeMap<UpstreamName, UpstreamState>,
     /// The events since the last export of metrics.
     pub counts: SchedulerCounts,
+    /// The data centres in which nothing is started, as they were last known.
+    pub(super) evacuated: Rc<BTreeSet<DataCentre>>,
+    /// Whether the evacuated data centres are known at present. Otherwise, nothing is started.
+    pub(super) knows_evacuations: bool,
     pub(super) placement_policy: Box<dyn UnitPlacementPolicy>,
     pub(super) pending_orders: BTreeMap<UpstreamName, PendingOrders>,
     pub(super) messages_sent: BTreeMap<UpstreamName, u64>,
@@ -54,7 +58,8 @@
 
 impl Scheduler {
     /// Creates the scheduler of a term, which starts nothing before
-    /// [`confirm_leadership`](Self::confirm_leadership). Until all of `guards` have reported or their workers'
+    /// [`confirm_leadership`](Self::confirm_leadership) and
+    /// [`set_evacuated`](Self::set_evacuated). Until all of `guards` have reported or their workers'
     /// leases have expired, it starts only jobs that no earlier scheduler can have started.
     pub fn new(
         term: u64,
@@ -72,6 +77,8 @@
             jobs: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             counts: SchedulerCounts::default(),
+            evacuated: Rc::default(),
+            knows_evacuations: false,
             placement_policy,
             pending_orders: BTreeMap::new(),
             messages_sent: BTreeMap::new(),
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -11,6 +11,7 @@
         prelude::*,
         process::{
             clock::{sleep_logging_delay, with_timeout},
+            evacuations::Evacuations,
             ledger::{LeaderElection, Ledger, LedgerFold, LedgerKey, Member, MemberRole},
             metrics::PlatformMetrics,
             task_group::TaskGroup,
@@ -43,6 +44,8 @@
     pub clock: Rc<dyn Clock>,
     /// The queues and accounts of the configuration in force, once one is known.
     pub queue_table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    /// The data centres in which nothing may be started.
+    pub evacuations: Rc<RefCell<Evacuations>>,
     /// The durations of the guards' and workers' leases.
     pub leases: LeaseTerms,
     /// The factor by which work takes longer when it runs remote from its data.
@@ -222,6 +225,7 @@
     run_passes(ctx, &shared).await;
     tasks.cancel();
     ctx.metrics.leader_term.set(0);
+    ctx.metrics.evacuated_runs.reset();
     shared.sessions.borrow_mut().clear();
     election.ledger.track_changed_jobs(false);
     if shared.is_unfit.get() {
@@ -292,6 +296,7 @@
         }
         sync_sessions(shared, ledger);
         apply_ledger_changes(ctx, shared);
+        apply_evacuations(ctx, shared);
         run_scheduling_pass(shared);
         export_metrics(ctx, shared);
         sleep_logging_delay(&*shared.clock, MIN_PASS_INTERVAL).await;
@@ -370,6 +375,18 @@
     });
 }
 
+/// Passes the evacuated data centres on to the scheduler. A view of them that is older than the
+/// leader's lease does not count, because the store may accept the leader's appends while reads of
+/// the topic get no answer.
+fn apply_evacuations(
+    ctx: &SchedulerContext,
+    shared: &SchedulerTerm,
+) {
+    let now = shared.clock.now();
+    let evacuated = ctx.evacuations.borrow().known(now, ctx.leases.leader);
+    shared.scheduler.borrow_mut().set_evacuated(evacuated);
+}
+
 fn run_scheduling_pass(shared: &SchedulerTerm) {
     let (now, wall) = (shared.clock.now(), shared.clock.wall_time());
     shared.scheduler.borrow_mut().run_pass(now, wall);
@@ -412,6 +429,11 @@
     metrics.placed_runs.set(placed as i64);
     metrics.open_jobs.set(scheduler.jobs.len() as i64);
     metrics.leader_term.set(shared.term as i64);
+    metrics.evacuated_runs.reset();
+    for (name, runs) in scheduler.evacuated_runs() {
+        let gauge = metrics.evacuated_runs.with_label_values(&[name.as_str()]);
+        gauge.set(runs as i64);
+    }
 }
 
 fn registered_guards(ledger: &Ledger) -> BTreeMap<UpstreamName, Member> {
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -30,7 +30,8 @@
 
 impl Scheduler {
     /// Runs one scheduling pass: starts units that fit, preempts less urgent work, and reserves
-    /// workers for units that wait. Does none of it without the leader's lease. `now` is by the process's clock, `wall` is the time of day.
+    /// workers for units that wait. Does none of it without the leader's lease, nor while the evacuated
+    /// data centres are not known. `now` is by the process's clock, `wall` is the time of day.
     pub fn run_pass(
         &mut self,
         now: Millis,
@@ -41,7 +42,11 @@
         if !self.check_lease(now) {
             return;
         }
+        self.withdraw_unsent_starts();
         self.evacuate_leaving_workers(now);
+        if !self.knows_evacuations {
+            return;
+        }
         let mut pending_units = self.pending_units(now, wall);
         pending_units.sort_by_key(PendingUnit::order_key);
         let mut hosts = self.pass_hosts(now);
@@ -125,7 +130,8 @@
         &self,
         now: Millis,
     ) -> Vec<PassHost> {
-        let usable = self.upstreams.iter().filter(|(_, u)| u.is_usable(now));
+        let upstreams = self.upstreams.iter();
+        let usable = upstreams.filter(|(_, u)| u.is_usable(now) && !self.is_evacuated(u));
         let hosts = usable.map(|(name, u)| {
             let staying = u.runs.values().filter(|r| !r.is_stopping).map(|r| r.demand);
             PassHost {
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -95,6 +95,7 @@
             election: election.clone(),
             clock: self.clock.clone(),
             queue_table: Rc::default(),
+            evacuations: Rc::default(),
             leases: LeaseTerms::new(Millis(6000)),
             remote_factor: 3,
             retention: Duration::from_secs(240),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod cut_lists;
 mod election;
 mod election_model;
+mod evacuation;
 mod fake_store;
 mod fuzz;
 mod guarantees;
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -167,7 +167,12 @@
         put(vec![config(1)]);
         let store = FakeStore::new(shared.clone(), shared_clock.clone(), Duration::ZERO);
         let table: Rc<RefCell<Option<Rc<QueueTable>>>> = Rc::default();
-        let following = follow_config(store, shared_clock.clone(), Rc::clone(&table));
+        let following = follow_config(
+            store,
+            shared_clock.clone(),
+            Rc::clone(&table),
+            Rc::default(),
+        );
         let writing = async {
             shared_clock.sleep(Duration::from_millis(500)).await;
             put(vec![config(3), Bytes::from_static(b"{\"Version\":")]);
--- a/tests/platform/one_guard.rs
+++ b/tests/platform/one_guard.rs
@@ -93,7 +93,9 @@
     let policy = Box::new(RackFirstPlacement);
     let guards = guards.iter().copied().cloned().collect();
     let leases = LeaseTerms::new(Millis(6000));
-    Scheduler::new(term, leases, 3, policy, guards, Millis(0))
+    let mut scheduler = Scheduler::new(term, leases, 3, policy, guards, Millis(0));
+    scheduler.set_evacuated(Some(Rc::default()));
+    scheduler
 }
 
 /// A leader of term 1 that may start `job`, and its only guard, which is registered.
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -92,6 +92,7 @@
             election,
             clock: clock.clone(),
             queue_table: Rc::default(),
+            evacuations: Rc::default(),
             leases: LeaseTerms::new(Millis(LEASES_MS)),
             remote_factor: 3,
             retention: Duration::from_secs(240),
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -126,6 +126,7 @@
     reported_at: u64,
     has_changes: bool,
     heartbeats: u64,
+    rack: Arc<str>,
     /// Whether the worker was lost for good: it sends nothing and answers nothing.
     is_worker_lost: bool,
 }
@@ -164,6 +165,9 @@
     store_down_until: u64,
     /// The configuration in force, which every scheduler has read.
     pub queue_table: Option<Rc<QueueTable>>,
+    /// The evacuated data centres, which every scheduler has read; `None` while no scheduler has
+    /// read them.
+    pub evacuated: Option<Rc<BTreeSet<DataCentre>>>,
     /// How long a complete gang works, in milliseconds.
     pub gang_work_ms: u64,
     gangs: BTreeMap<(StepJobId, u16, u64), Gang>,
@@ -191,6 +195,7 @@
             offset: 10,
             store_down_until: 0,
             queue_table: None,
+            evacuated: Some(Rc::default()),
             gang_work_ms: GANG_WORK_MS,
             gangs: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -212,6 +217,7 @@
                 reported_at: 0,
                 has_changes: true,
                 heartbeats: 0,
+                rack: "r1".into(),
                 is_worker_lost: false,
             });
         }
@@ -219,6 +225,33 @@
         world
     }
 
+    /// Sets the data centre of a guard's machine, and its rack to one of the same name.
+    pub fn set_data_centre(
+        &mut self,
+        guard: usize,
+        data_centre: &str,
+    ) {
+        self.guards[guard].tracker.data_centre = Some(DataCentre::from(data_centre));
+        self.guards[guard].rack = data_centre.into();
+    }
+
+    /// Sets the evacuated data centres.
+    pub fn evacuate(
+        &mut self,
+        data_centres: &[&str],
+    ) {
+        let names = data_centres.iter().copied().map(DataCentre::from);
+        self.evacuated = Some(Rc::new(names.collect()));
+    }
+
+    /// Returns the number of runs on a guard's worker.
+    pub fn running_on(
+        &self,
+        guard: usize,
+    ) -> usize {
+        self.guards[guard].worker.runs.len()
+    }
+
     /// Submits a job and returns its id.
     pub fn submit(
         &mut self,
@@ -382,7 +415,8 @@
         self.break_session(guard);
         let g = &mut self.guards[guard];
         g.boot += 1;
-        g.tracker = RunTracker::default();
+        let before = std::mem::take(&mut g.tracker);
+        g.tracker.data_centre = before.data_centre;
         g.up_from = self.now + down;
         g.is_polling = false;
         g.heartbeats = 0;
@@ -955,7 +989,7 @@
             info: WorkerInfo {
                 service: "service".into(),
                 capacity: CAPACITY,
-                labels: vec!["a".into(), "r1".into()],
+                labels: vec!["a".into(), g.rack.clone()],
                 leaving_ms: None,
             },
         };
@@ -1050,6 +1084,9 @@
                 .scheduler
                 .queue_table
                 .clone_from(&self.queue_table);
+            self.schedulers[i]
+                .scheduler
+                .set_evacuated(self.evacuated.clone());
             self.schedulers[i]
                 .scheduler
                 .run_pass(Millis(now), Millis(now));
