--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -18,7 +18,7 @@
             scheduler::{LeaseTerms, RackFirstPlacement, Scheduler},
         },
         request::{JobPhase, JobProgress, Resources, RunRef, Step, StepJob, StepJobId},
-        version::QueueName,
+        version::{QueueName, QueueTable},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::collections::{BTreeMap, BTreeSet},
@@ -126,6 +126,7 @@
     reported_at: u64,
     has_changes: bool,
     heartbeats: u64,
+    rack: Arc<str>,
     /// Whether the worker was lost for good: it sends nothing and answers nothing.
     is_worker_lost: bool,
 }
@@ -162,6 +163,13 @@
     ledger: BTreeMap<StepJobId, JobView>,
     offset: u64,
     store_down_until: u64,
+    /// The configuration in force, which every scheduler has read.
+    pub queue_table: Option<Rc<QueueTable>>,
+    /// The evacuated data centres, which every scheduler has read; `None` while no scheduler has
+    /// read them.
+    pub evacuated: Option<Rc<BTreeSet<DataCentre>>>,
+    /// How long a complete gang works, in milliseconds.
+    pub gang_work_ms: u64,
     gangs: BTreeMap<(StepJobId, u16, u64), Gang>,
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
@@ -186,6 +194,9 @@
             ledger: BTreeMap::new(),
             offset: 10,
             store_down_until: 0,
+            queue_table: None,
+            evacuated: Some(Rc::default()),
+            gang_work_ms: GANG_WORK_MS,
             gangs: BTreeMap::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -206,6 +217,7 @@
                 reported_at: 0,
                 has_changes: true,
                 heartbeats: 0,
+                rack: "r1".into(),
                 is_worker_lost: false,
             });
         }
@@ -213,18 +225,56 @@
         world
     }
 
+    /// Sets the data centre of a guard's machine, and its rack to one of the same name.
+    pub fn set_data_centre(
+        &mut self,
+        guard: usize,
+        data_centre: &str,
+    ) {
+        self.guards[guard].tracker.data_centre = Some(DataCentre::from(data_centre));
+        self.guards[guard].rack = data_centre.into();
+    }
+
+    /// Sets the evacuated data centres.
+    pub fn evacuate(
+        &mut self,
+        data_centres: &[&str],
+    ) {
+        let names = data_centres.iter().copied().map(DataCentre::from);
+        self.evacuated = Some(Rc::new(names.collect()));
+    }
+
+    /// Returns the number of runs on a guard's worker.
+    pub fn running_on(
+        &self,
+        guard: usize,
+    ) -> usize {
+        self.guards[guard].worker.runs.len()
+    }
+
     /// Submits a job and returns its id.
     pub fn submit(
         &mut self,
         steps: Vec<Step>,
         priority: u32,
         attempts: u32,
+    ) -> StepJobId {
+        self.submit_for("account", steps, priority, attempts)
+    }
+
+    /// Submits a job of an account and returns its id.
+    pub fn submit_for(
+        &mut self,
+        account: &str,
+        steps: Vec<Step>,
+        priority: u32,
+        attempts: u32,
     ) -> StepJobId {
         let id = StepJobId::from_number(self.offset);
         let job = StepJob {
             id,
             queue: QueueName::from("queue"),
-            account: AccountName::from("account"),
+            account: AccountName::from(account),
             service: "service".into(),
             priority,
             attempts,
@@ -365,7 +415,8 @@
         self.break_session(guard);
         let g = &mut self.guards[guard];
         g.boot += 1;
-        g.tracker = RunTracker::default();
+        let before = std::mem::take(&mut g.tracker);
+        g.tracker.data_centre = before.data_centre;
         g.up_from = self.now + down;
         g.is_polling = false;
         g.heartbeats = 0;
@@ -938,7 +989,7 @@
             info: WorkerInfo {
                 service: "service".into(),
                 capacity: CAPACITY,
-                labels: vec!["a".into(), "r1".into()],
+                labels: vec!["a".into(), g.rack.clone()],
                 leaving_ms: None,
             },
         };
@@ -1029,6 +1080,13 @@
         let is_store_up = self.store_down_until <= now;
         for i in 0..self.schedulers.len() {
             self.connect(i);
+            self.schedulers[i]
+                .scheduler
+                .queue_table
+                .clone_from(&self.queue_table);
+            self.schedulers[i]
+                .scheduler
+                .set_evacuated(self.evacuated.clone());
             self.schedulers[i]
                 .scheduler
                 .run_pass(Millis(now), Millis(now));
@@ -1181,6 +1239,7 @@
         }
         let fails = self.chance(self.faults.failing_runs);
         let mut ended_gangs = Vec::new();
+        let work_ms = self.gang_work_ms;
         for (key, gang) in &mut self.gangs {
             let running = members_by_gang.get(key).map_or(0, BTreeSet::len);
             let size = self.oracle.jobs[&key.0].steps[usize::from(key.1)].count as usize;
@@ -1189,7 +1248,7 @@
                 gang.complete_since = Some(now);
             }
             let kind = match gang.complete_since {
-                Some(since) if is_whole && now >= since + GANG_WORK_MS => Some(if fails {
+                Some(since) if is_whole && now >= since + work_ms => Some(if fails {
                     EndKind::Failed
                 } else {
                     EndKind::Done
