Show that clients can exhaust a process

A new integration test, tests/limits, starts an entry as a process of its own beside the stand-in store. The test checks that the process is alive, that its peak of memory and its open descriptors stay within the machine's, and that ordinary submissions, readiness checks and reads of the metrics are answered while the crowd is connected and after it.

--- /dev/null
+++ b/tests/limits/main.rs
@@ -0,0 +1,111 @@
+//! Tests of the limits of a process: a crowd of clients sends bodies that never end, or that are far
+//! over the limit, to an entry that runs as a process of its own beside the stand-in store. The
+//! limits of the entry's machine are lowered, so that a few hundred clients would exceed them.
+//!
+//! The tests check only what does not depend on the machine's speed. They run one at a time.
+
+mod crowd;
+mod entry;
+
+use {
+    crowd::{Crowd, Script},
+    entry::Entry,
+    std::sync::{Mutex, PoisonError},
+};
+
+/// Held by the test that runs.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// The length of the bodies of legal size: just under the limit of 262,144 bytes.
+const BODY_BYTES: usize = 250_000;
+
+/// The length of bodies far over the limit, as announced.
+const ANNOUNCED_BYTES: usize = 1 << 30;
+
+/// The length of bodies far over the limit that are sent without an announcement.
+const UNANNOUNCED_BYTES: usize = 1 << 20;
+
+/// The length of a large chunk.
+const LARGE_CHUNK_BYTES: usize = 50_000;
+
+/// The number of chunks of one byte that are sent one at a time.
+const SMALL_CHUNKS_ALONE: usize = 60;
+
+/// The number of chunks of one byte that follow many at a time.
+const SMALL_CHUNKS: usize = 5_000;
+
+/// The length of the pieces of a body that is sent piece by piece.
+const PIECE_BYTES: usize = 8_000;
+
+/// Lets a crowd play a script at a new entry, sends ordinary requests while the crowd's connections
+/// are open, and checks the entry.
+fn check_entry_against(
+    name: &str,
+    script: &Script,
+) {
+    let _guard = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut entry = Entry::start(name);
+    let mut faults = entry.ordinary_request_faults();
+    assert!(faults.is_empty(), "before the crowd: {faults:?}");
+    let mut crowd = Crowd::connect(entry.callers_address());
+    crowd.play(script, || entry.observe());
+    faults.extend(entry.ordinary_request_faults());
+    entry.observe();
+    drop(crowd);
+    faults.extend(entry.ordinary_request_faults());
+    faults.extend(entry.faults());
+    println!("{name}: {}", entry.summary());
+    assert!(faults.is_empty(), "{name}: {faults:#?}");
+}
+
+/// Guards against the exhaustion of memory by whole bodies that lack their last byte.
+#[test]
+fn whole_bodies_do_not_exhaust_memory() {
+    let script = Script::with_length(BODY_BYTES, BODY_BYTES - 1, BODY_BYTES);
+    check_entry_against("whole-bodies", &script);
+}
+
+/// Guards against the exhaustion of memory by bodies that arrive piece by piece and lack their last
+/// byte.
+#[test]
+fn bodies_sent_piece_by_piece_do_not_exhaust_memory() {
+    let script = Script::with_length(BODY_BYTES, BODY_BYTES - 1, PIECE_BYTES);
+    check_entry_against("bodies-by-piece", &script);
+}
+
+/// Guards against the exhaustion of memory by bodies in large chunks that lack the last chunk.
+#[test]
+fn large_chunks_do_not_exhaust_memory() {
+    let script = Script::chunked(LARGE_CHUNK_BYTES, BODY_BYTES / LARGE_CHUNK_BYTES);
+    check_entry_against("large-chunks", &script);
+}
+
+/// Guards against the exhaustion of memory by bodies in chunks of one byte, each of which retained a
+/// buffer of its own.
+#[test]
+fn very_small_chunks_do_not_exhaust_memory() {
+    let script = Script::small_chunks(SMALL_CHUNKS_ALONE, SMALL_CHUNKS);
+    check_entry_against("small-chunks", &script);
+}
+
+/// Guards against the exhaustion of memory by bodies that are announced far over the limit.
+#[test]
+fn announced_bodies_over_the_limit_do_not_exhaust_memory() {
+    let script = Script::with_length(ANNOUNCED_BYTES, BODY_BYTES, PIECE_BYTES);
+    check_entry_against("announced-over-limit", &script);
+}
+
+/// Guards against the exhaustion of memory by bodies that grow far over the limit without an
+/// announcement.
+#[test]
+fn unannounced_bodies_over_the_limit_do_not_exhaust_memory() {
+    let chunks = UNANNOUNCED_BYTES / LARGE_CHUNK_BYTES;
+    let script = Script::chunked(LARGE_CHUNK_BYTES, chunks);
+    check_entry_against("unannounced-over-limit", &script);
+}
+
+/// Guards against the exhaustion of descriptors by connections that send nothing.
+#[test]
+fn silent_connections_do_not_exhaust_descriptors() {
+    check_entry_against("silent-connections", &Script::silent());
+}
