Decide which bodies and connections a process holds

BodyBudget admits the bodies of a group of ports: it counts the bytes of their buffers and the bodies in progress, and aborts slow bodies first, then the oldest ones. Bodies that are being handled count and are never aborted. ConnectionTable closes the connection that has been idle longest. Both are plain data that take the time; PortLimiter applies them to tasks, frees the buffer of an aborted body at once and logs at most one line a second. ProcessLimits derives the limits from a machine's memory and descriptors.

--- a/src/process/metrics/metrics.rs
+++ b/src/process/metrics/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of an entry or a guard.
 
 use {
-    super::{GangMetrics, ProcessUsage},
+    super::{GangMetrics, LimitMetrics, ProcessUsage},
     prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
 };
 
@@ -54,6 +54,8 @@
     pub accelerators_in_use: IntGauge,
     /// Metrics of gangs and of guaranteed accelerators.
     pub gangs: GangMetrics,
+    /// Metrics of the limits on clients.
+    pub limits: LimitMetrics,
     cpu_seconds: Gauge,
     resident_bytes: IntGauge,
 }
@@ -184,6 +186,7 @@
                 "Resident memory of the process.",
             ),
             gangs: GangMetrics::new(&registry),
+            limits: LimitMetrics::new(&registry),
             registry,
         }
     }
--- a/src/process/metrics/mod.rs
+++ b/src/process/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of one process, and its use of processor time and memory.
 
 mod gang_metrics;
+mod limit_metrics;
 #[expect(
     clippy::module_inception,
     reason = "a file bears the name of its main type"
@@ -10,6 +11,6 @@
 mod process_usage;
 
 pub use {
-    gang_metrics::GangMetrics, metrics::Metrics, platform_metrics::PlatformMetrics,
-    process_usage::ProcessUsage,
+    gang_metrics::GangMetrics, limit_metrics::LimitMetrics, metrics::Metrics,
+    platform_metrics::PlatformMetrics, process_usage::ProcessUsage,
 };
--- a/src/process/metrics/platform_metrics.rs
+++ b/src/process/metrics/platform_metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ProcessUsage,
+        LimitMetrics, ProcessUsage,
         metrics::{gauge, register},
     },
     prometheus::{
@@ -39,6 +39,8 @@
     pub config_version: IntGauge,
     /// The age of the local view of the ledger, in milliseconds.
     pub ledger_age_ms: IntGauge,
+    /// Metrics of the limits on clients.
+    pub limits: LimitMetrics,
     cpu_seconds: Gauge,
     resident_bytes: IntGauge,
 }
@@ -109,6 +111,7 @@
                 "limpetquay_ledger_age_milliseconds",
                 "Age of the view of the ledger.",
             ),
+            limits: LimitMetrics::new(&registry),
             cpu_seconds: register(
                 &registry,
                 expect_valid(Gauge::new(
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod job_queue;
 pub mod job_service;
 pub mod ledger;
+pub mod limits;
 pub mod link;
 pub mod load;
 pub mod local;
