Apply the limits to the HTTP server and the frame servers

Cause: each body was collected in as many buffers as it had chunks, with a limit for each request and none for the process. Each chunk retained the read buffer that it arrived in.

HttpServer copies a body into one buffer that counts, answers an announced length above the limit with 413 without reading the body, and a body that is aborted with 503 and retry-after. A connection counts as idle between two requests. PeerServer and RelayServer bound their connections and the bytes of frames that are being read; a frame takes memory only as its bytes arrive. A server that is bound without a limiter behaves as before.

--- a/src/connection/http/server.rs
+++ b/src/connection/http/server.rs
@@ -2,15 +2,27 @@
 
 use {
     super::{HttpHandler, HttpRequest, HttpResponse, Problem},
-    crate::{connection::set_nodelay, prelude::*, process::task_group::TaskGroup},
+    crate::{
+        connection::set_nodelay,
+        prelude::*,
+        process::{
+            limits::{BodyError, BodySlot, OpenConnection, PortLimiter},
+            task_group::TaskGroup,
+        },
+    },
     compio::net::{TcpListener, TcpStream},
     cyper_core::{CompioTimer, HyperStream},
     futures_util::{
         future::{Either, FutureExt, Shared, select},
         pin_mut,
     },
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request, Response,
+        body::{Body, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     std::{cell::Cell, convert::Infallible, io},
 };
 
@@ -26,6 +38,12 @@
 /// The timeout for reading the body of a request after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The interval at which the arrival rate of a body is checked.
+const RATE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The delay before a client whose body was aborted may try again: limits are reached for moments.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// The delay after a failed accept, which prevents a busy loop when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -39,38 +57,53 @@
 pub struct HttpServer {
     listener: TcpListener,
     handler: Rc<dyn HttpHandler>,
+    limiter: Rc<PortLimiter>,
     open_connections: Rc<Cell<usize>>,
     connections: TaskGroup,
 }
 
-/// A token that counts one open connection until it is dropped.
-struct OpenConnection(Rc<Cell<usize>>);
+/// A token that counts one open connection of a server until it is dropped.
+struct ServedConnection(Rc<Cell<usize>>);
 
-impl OpenConnection {
+impl ServedConnection {
     fn new(open: &Rc<Cell<usize>>) -> Self {
         open.set(open.get() + 1);
         Self(open.clone())
     }
 }
 
-impl Drop for OpenConnection {
+impl Drop for ServedConnection {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
 }
 
 impl HttpServer {
-    /// Creates a server that listens on `address`.
+    /// Creates a server without limits that listens on `address`.
     ///
     /// # Errors
     /// Returns the I/O error when the address cannot be bound.
     pub async fn bind(
         address: SocketAddr,
         handler: Rc<dyn HttpHandler>,
+    ) -> io::Result<Self> {
+        let limiter = Rc::new(PortLimiter::unlimited());
+        Self::bind_limited(address, handler, limiter).await
+    }
+
+    /// Creates a server that listens on `address`. Its connections and bodies count in `limiter`.
+    ///
+    /// # Errors
+    /// Returns the I/O error when the address cannot be bound.
+    pub async fn bind_limited(
+        address: SocketAddr,
+        handler: Rc<dyn HttpHandler>,
+        limiter: Rc<PortLimiter>,
     ) -> io::Result<Self> {
         Ok(Self {
             listener: TcpListener::bind(address).await?,
             handler,
+            limiter,
             open_connections: Rc::default(),
             connections: TaskGroup::default(),
         })
@@ -97,7 +130,11 @@
             let accepting = self.listener.accept();
             pin_mut!(accepting);
             match select(accepting, stop.clone()).await {
-                Either::Left((Ok((stream, _)), _)) => self.spawn_connection(stream, stop.clone()),
+                Either::Left((Ok((stream, _)), _)) => {
+                    if let Some(open) = self.limiter.open_connection().await {
+                        self.spawn_connection(stream, open, stop.clone());
+                    }
+                }
                 Either::Left((Err(e), _)) => {
                     tracing::warn!(error = %e, "failed to accept a connection");
                     compio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -113,13 +150,23 @@
     fn spawn_connection(
         &self,
         stream: TcpStream,
+        open: OpenConnection,
         stop: StopSignal,
     ) {
         let handler = self.handler.clone();
-        let open = OpenConnection::new(&self.open_connections);
+        let served = ServedConnection::new(&self.open_connections);
         self.connections.spawn(async move {
-            let _open = open;
-            serve_connection(stream, handler, stop).await;
+            let _served = served;
+            let open = Rc::new(open);
+            let serving = serve_connection(stream, handler, open.clone(), stop);
+            pin_mut!(serving);
+            let closing = open.wait_for_close();
+            pin_mut!(closing);
+            // The request to close is checked first, so that an idle connection begins no request
+            // once it is to be closed.
+            if let Either::Left(_) = select(closing, serving).await {
+                tracing::debug!("idle connection closed to make room");
+            }
         });
     }
 }
@@ -129,11 +176,12 @@
 async fn serve_connection(
     stream: TcpStream,
     handler: Rc<dyn HttpHandler>,
+    open: Rc<OpenConnection>,
     stop: StopSignal,
 ) {
     set_nodelay(&stream);
     let request_handler = handler.clone();
-    let service = service_fn(move |req| handle_request(request_handler.clone(), req));
+    let service = service_fn(move |req| handle_request(request_handler.clone(), open.clone(), req));
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(handler.head_timeout().unwrap_or(HEAD_TIMEOUT))
@@ -159,24 +207,28 @@
 /// Reads the body of one request, passes the request to the handler and builds the response.
 async fn handle_request(
     handler: Rc<dyn HttpHandler>,
+    open: Rc<OpenConnection>,
     req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    let _busy = open.begin_request();
     let (head, body) = req.into_parts();
     let limit = handler.max_body(head.uri.path());
-    let reading = Limited::new(body, limit).collect();
-    let body = match compio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(_)) => {
-            let detail = format!("the body was cut short or is above {limit} bytes");
-            return Ok(reject_body(Problem::new(413, "body-too-large", detail)));
-        }
-        Err(_) => {
-            handler.record_malformed_request();
-            let detail = format!(
-                "the body did not arrive within {} s",
-                BODY_TIMEOUT.as_secs()
-            );
-            return Ok(reject_body(Problem::new(408, "body-too-slow", detail)));
+    let hint = body.size_hint();
+    if hint.lower() > limit as u64 {
+        return Ok(reject_body(too_large(limit)));
+    }
+    let max_len = hint.exact().map_or(limit, |len| len as usize);
+    // The bytes of the body count until the request is handled.
+    let slot = (!body.is_end_stream()).then(|| open.limiter().admit_body(max_len));
+    let body = match &slot {
+        Some(slot) => receive_body(&*handler, body, slot, limit).await,
+        None => Ok(Bytes::new()),
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(problem) => {
+            drop(slot);
+            return Ok(reject_body(problem));
         }
     };
     let req = HttpRequest {
@@ -184,11 +236,71 @@
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
         headers: head.headers,
-        body: body.to_bytes(),
+        body,
     };
     Ok(build_response(handler.handle(req).await))
 }
 
+/// Receives a body within its time and the limits of the port.
+async fn receive_body(
+    handler: &dyn HttpHandler,
+    body: Incoming,
+    slot: &BodySlot,
+    limit: usize,
+) -> Result<Bytes, Problem> {
+    let too_slow = || {
+        handler.record_malformed_request();
+        let seconds = BODY_TIMEOUT.as_secs();
+        let detail = format!("the body arrived too slowly or not within {seconds} s");
+        Problem::new(408, "body-too-slow", detail)
+    };
+    let aborted = slot.wait_for_abort();
+    let reading = compio::time::timeout(BODY_TIMEOUT, read_body(body, slot));
+    let rate_check = wait_until_too_slow(slot);
+    pin_mut!(aborted, reading, rate_check);
+    match select(aborted, select(reading, rate_check)).await {
+        Either::Right((Either::Left((Ok(Ok(body)), _)), _)) => Ok(body),
+        Either::Right((Either::Left((Ok(Err(BodyError::TooLarge)), _)), _)) => {
+            Err(too_large(limit))
+        }
+        Either::Left(_) | Either::Right((Either::Left((Ok(Err(BodyError::Aborted)), _)), _)) => {
+            let detail = "too many bodies are in progress; the request has not run";
+            Err(Problem::new(503, "too-many-bodies", detail).retry_after(RETRY_DELAY))
+        }
+        Either::Right((Either::Left((Err(_), _)) | Either::Right(_), _)) => Err(too_slow()),
+    }
+}
+
+/// Copies a body into the buffer of its slot. A body that is cut short counts as too large, as its
+/// client cannot be told anything else.
+async fn read_body(
+    mut body: Incoming,
+    slot: &BodySlot,
+) -> Result<Bytes, BodyError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            tracing::debug!(error = %e, "a body was cut short");
+            BodyError::TooLarge
+        })?;
+        if let Some(data) = frame.data_ref() {
+            slot.push(data)?;
+        }
+    }
+    slot.complete()
+}
+
+/// Waits until a body arrives below the minimum rate.
+async fn wait_until_too_slow(slot: &BodySlot) {
+    while !slot.is_too_slow() {
+        compio::time::sleep(RATE_CHECK_INTERVAL).await;
+    }
+}
+
+fn too_large(limit: usize) -> Problem {
+    let detail = format!("the body was cut short or is above {limit} bytes");
+    Problem::new(413, "body-too-large", detail)
+}
+
 /// Builds the response to a request whose body was not read completely. It closes the connection,
 /// which cannot be reused for another request.
 fn reject_body(problem: Problem) -> Response<Full<Bytes>> {
--- a/src/connection/peer/frame.rs
+++ b/src/connection/peer/frame.rs
@@ -2,11 +2,18 @@
 //! postcard message.
 
 use {
-    crate::version::MAX_PAYLOAD_BYTES,
+    crate::{
+        process::limits::{BodyError, BodySlot, PortLimiter},
+        version::MAX_PAYLOAD_BYTES,
+    },
     compio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     derive_more::{Display, Error, From},
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
     serde::{Serialize, de::DeserializeOwned},
-    std::io,
+    std::{io, rc::Rc},
 };
 
 /// The protocol version in each frame header.
@@ -18,6 +25,10 @@
 /// The limit on the encoded message of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = MAX_PAYLOAD_BYTES as usize + MAX_ENVELOPE_BYTES;
 
+/// The size of the parts in which a limited frame is read, in bytes. What has not arrived yet takes no
+/// more memory than this.
+const PART_BYTES: usize = 16 << 10;
+
 /// The length of a frame header, in bytes.
 const HEADER_BYTES: usize = 5;
 
@@ -38,6 +49,9 @@
     #[display("a frame of {_0} bytes is above the limit of {MAX_FRAME_BYTES}")]
     #[from(skip)]
     TooLarge(#[error(not(source))] usize),
+    /// The frame was aborted because a limit was reached.
+    #[display("the frame was aborted: {_0}")]
+    Aborted(BodyError),
 }
 
 impl FrameError {
@@ -48,7 +62,7 @@
 
     /// Returns whether a frame violates the protocol, as opposed to an I/O error.
     pub fn is_protocol_violation(&self) -> bool {
-        !matches!(self, Self::Io(_))
+        !matches!(self, Self::Io(_) | Self::Aborted(_))
     }
 }
 
@@ -60,6 +74,57 @@
 where
     R: AsyncRead,
     T: DeserializeOwned,
+{
+    let len = read_header(stream).await?;
+    let content = read_exact(stream, len).await?;
+    Ok(postcard::from_bytes(&content)?)
+}
+
+/// Reads one frame whose bytes count in `limiter` until its message is decoded.
+///
+/// # Errors
+/// Returns [`FrameError`] when the connection fails, the frame violates the protocol, or it is aborted
+/// because a limit is reached.
+pub async fn read_limited_frame<R, T>(
+    stream: &mut R,
+    limiter: &Rc<PortLimiter>,
+) -> Result<T, FrameError>
+where
+    R: AsyncRead,
+    T: DeserializeOwned,
+{
+    let len = read_header(stream).await?;
+    let slot = limiter.admit_body(len);
+    let reading = read_parts(stream, len, &slot);
+    let aborted = slot.wait_for_abort();
+    pin_mut!(reading, aborted);
+    match select(aborted, reading).await {
+        Either::Left(_) => Err(BodyError::Aborted.into()),
+        Either::Right((content, _)) => Ok(postcard::from_bytes(&content?)?),
+    }
+}
+
+async fn read_parts<R>(
+    stream: &mut R,
+    len: usize,
+    slot: &BodySlot,
+) -> Result<bytes::Bytes, FrameError>
+where
+    R: AsyncRead,
+{
+    let mut missing = len;
+    while missing > 0 {
+        let part = read_exact(stream, missing.min(PART_BYTES)).await?;
+        slot.push(&part)?;
+        missing -= part.len();
+    }
+    Ok(slot.complete()?)
+}
+
+/// Reads the header of a frame and returns the length of its content.
+async fn read_header<R>(stream: &mut R) -> Result<usize, FrameError>
+where
+    R: AsyncRead,
 {
     let header = read_exact(stream, HEADER_BYTES).await?;
     if header[0] != PROTOCOL_VERSION {
@@ -69,8 +134,7 @@
     if len > MAX_FRAME_BYTES {
         return Err(FrameError::TooLarge(len));
     }
-    let content = read_exact(stream, len).await?;
-    Ok(postcard::from_bytes(&content)?)
+    Ok(len)
 }
 
 /// Encodes a message, writes it as one frame and returns the frame's length in bytes.
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -9,7 +9,7 @@
 mod run_message;
 
 pub use {
-    frame::{FrameError, MAX_FRAME_BYTES, read_frame, write_frame},
+    frame::{FrameError, MAX_FRAME_BYTES, read_frame, read_limited_frame, write_frame},
     gang_message::{
         CommitCall, EvictionMode, GangEnd, GangId, GangPhase, GangReply, GangRequest, GangWork,
         KnownGang, PieceAddress, PieceEnd, PieceHeartbeat, PieceState, ReserveCall, StartCall,
--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -1,11 +1,17 @@
 //! The server side of connections from entries and other guards.
 
 use {
-    super::{FrameError, GuardReply, GuardRequest, peer_link::Numbered, read_frame, write_frame},
+    super::{
+        FrameError, GuardReply, GuardRequest, peer_link::Numbered, read_limited_frame, write_frame,
+    },
     crate::{
         connection::set_nodelay,
         prelude::*,
-        process::{metrics::Metrics, task_group::TaskGroup},
+        process::{
+            limits::{OpenConnection, PortLimiter},
+            metrics::Metrics,
+            task_group::TaskGroup,
+        },
     },
     compio::net::{TcpListener, TcpStream},
     futures_channel::mpsc,
@@ -34,11 +40,12 @@
     listener: TcpListener,
     handler: Rc<dyn PeerHandler>,
     metrics: Rc<Metrics>,
+    limiter: Rc<PortLimiter>,
     tasks: Rc<TaskGroup>,
 }
 
 impl PeerServer {
-    /// Creates a server that listens on `address`.
+    /// Creates a server without limits that listens on `address`.
     ///
     /// # Errors
     /// Returns the I/O error when the address cannot be bound.
@@ -51,10 +58,20 @@
             listener: TcpListener::bind(address).await?,
             handler,
             metrics,
+            limiter: Rc::new(PortLimiter::unlimited()),
             tasks: Rc::default(),
         })
     }
 
+    /// Makes the server's connections and the frames that it reads count in `limiter`.
+    pub fn with_limiter(
+        mut self,
+        limiter: Rc<PortLimiter>,
+    ) -> Self {
+        self.limiter = limiter;
+        self
+    }
+
     /// Returns the address that the server listens on.
     ///
     /// # Errors
@@ -69,12 +86,15 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
+                    let Some(open) = self.limiter.open_connection().await else {
+                        continue;
+                    };
                     set_nodelay(&stream);
                     let handler = self.handler.clone();
                     let metrics = self.metrics.clone();
                     let calls = self.tasks.clone();
                     self.tasks
-                        .spawn(serve_peer(stream, handler, metrics, calls));
+                        .spawn(serve_peer(stream, open, handler, metrics, calls));
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "failed to accept a peer connection");
@@ -91,20 +111,24 @@
     }
 }
 
-/// Serves one connection: reads calls, handles each in a separate task and writes the replies.
+/// Serves one connection: reads calls, handles each in a separate task and writes the replies. The
+/// connection counts as idle between the arrivals of calls.
 async fn serve_peer(
     stream: TcpStream,
+    open: OpenConnection,
     handler: Rc<dyn PeerHandler>,
     metrics: Rc<Metrics>,
     calls: Rc<TaskGroup>,
 ) {
     let (mut read_half, mut write_half) = stream.into_split();
     let (tx, rx) = mpsc::unbounded();
-    let reading = read_calls(&mut read_half, handler, tx, &calls);
+    let reading = read_calls(&mut read_half, &open, handler, tx, &calls);
     let writing = write_replies(&mut write_half, rx);
-    pin_mut!(reading, writing);
-    let result = match select(reading, writing).await {
-        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    let closing = open.wait_for_close();
+    pin_mut!(reading, writing, closing);
+    let result = match select(closing, select(reading, writing)).await {
+        Either::Left(_) => Ok(()),
+        Either::Right((Either::Left((result, _)) | Either::Right((result, _)), _)) => result,
     };
     if let Err(e) = result
         && e.is_protocol_violation()
@@ -116,12 +140,16 @@
 
 async fn read_calls(
     stream: &mut TcpStream,
+    open: &OpenConnection,
     handler: Rc<dyn PeerHandler>,
     tx: mpsc::UnboundedSender<Numbered<GuardReply>>,
     calls: &TaskGroup,
 ) -> Result<(), FrameError> {
     loop {
-        let (number, req): Numbered<GuardRequest> = read_frame(stream).await?;
+        let (number, req): Numbered<GuardRequest> =
+            read_limited_frame(stream, open.limiter()).await?;
+        // Restarts the time for which the connection counts as idle.
+        drop(open.begin_request());
         let handling = handler.clone().handle(req);
         let tx = tx.clone();
         calls.spawn(async move {
--- a/src/process/relay/relay_server.rs
+++ b/src/process/relay/relay_server.rs
@@ -3,11 +3,19 @@
 use {
     super::StoreCall,
     crate::{
-        connection::{FrameError, read_frame, set_nodelay, write_frame},
+        connection::{FrameError, read_limited_frame, set_nodelay, write_frame},
         prelude::*,
-        process::{clock::with_timeout, ledger::KeyedStore},
+        process::{
+            clock::with_timeout,
+            ledger::KeyedStore,
+            limits::{OpenConnection, PortLimiter},
+        },
     },
     compio::net::{TcpListener, TcpStream},
+    futures_util::{
+        future::{Either, select},
+        pin_mut,
+    },
     std::io,
 };
 
@@ -23,10 +31,11 @@
     listener: TcpListener,
     store: Rc<dyn KeyedStore>,
     clock: Rc<dyn Clock>,
+    limiter: Rc<PortLimiter>,
 }
 
 impl RelayServer {
-    /// Binds the server's address. Calls go to `store`, which must not relay them further.
+    /// Binds the address of a server without limits. Calls go to `store`, which must not relay them further.
     ///
     /// # Errors
     /// Returns an error if the address cannot be bound.
@@ -40,9 +49,19 @@
             listener,
             store,
             clock,
+            limiter: Rc::new(PortLimiter::unlimited()),
         })
     }
 
+    /// Makes the server's connections and calls count in `limiter`.
+    pub fn with_limiter(
+        mut self,
+        limiter: Rc<PortLimiter>,
+    ) -> Self {
+        self.limiter = limiter;
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -56,9 +75,12 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, peer)) => {
+                    let Some(open) = self.limiter.open_connection().await else {
+                        continue;
+                    };
                     let (store, clock) = (self.store.clone(), self.clock.clone());
                     let serving = async move {
-                        if let Err(e) = serve(stream, &*store, &*clock).await {
+                        if let Err(e) = serve(stream, &open, &*store, &*clock).await {
                             tracing::info!(%peer, error = %e, "relayed store call ended");
                         }
                     };
@@ -73,18 +95,27 @@
     }
 }
 
-/// Receives one call, makes it and sends the reply.
+/// Receives one call, makes it and sends the reply. A connection without a complete call is closed
+/// when others need its place.
 async fn serve(
     mut stream: TcpStream,
+    open: &OpenConnection,
     store: &dyn KeyedStore,
     clock: &dyn Clock,
 ) -> Result<(), FrameError> {
     set_nodelay(&stream);
-    let reading = read_frame::<_, StoreCall>(&mut stream);
-    let Some(call) = with_timeout(clock, CALL_TIMEOUT, reading).await else {
-        return Ok(());
+    let call = {
+        let reading = read_limited_frame::<_, StoreCall>(&mut stream, open.limiter());
+        let reading = with_timeout(clock, CALL_TIMEOUT, reading);
+        let closing = open.wait_for_close();
+        pin_mut!(reading, closing);
+        match select(closing, reading).await {
+            Either::Right((Some(call), _)) => call?,
+            Either::Left(_) | Either::Right((None, _)) => return Ok(()),
+        }
     };
-    let reply = call?.run(store).await;
+    let _busy = open.begin_request();
+    let reply = call.run(store).await;
     write_frame(&mut stream, &reply).await?;
     Ok(())
 }
