Derive the limits of entries and guards from the machine's settings

Limits.MemoryMb and Limits.MaxFds give the limits. A machine without them counts as one of the smallest, 128 MB and 4,096 descriptors. Callers, operators and other processes of the system have a share each.

--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         prelude::*,
-        process::scheduler::LeaseTerms,
+        process::{limits::ProcessLimits, scheduler::LeaseTerms},
         version::{Fault, Faults},
     },
     derive_more::{Display, Error},
@@ -24,6 +24,12 @@
 /// The bandwidth of a machine whose settings give none.
 const DEFAULT_LINK_MBPS: f64 = 1000.0;
 
+/// The memory of a machine whose settings give none, in MB: that of the smallest machines.
+const DEFAULT_MEMORY_MB: f64 = 128.0;
+
+/// The descriptors of a machine whose settings give no number: those of the smallest machines.
+const DEFAULT_MAX_FDS: f64 = 4096.0;
+
 /// The longest time that a setting may hold, in seconds: ten years.
 const MAX_TIME_S: f64 = 315_360_000.0;
 
@@ -94,6 +100,8 @@
     pub cpu_milli: u64,
     /// The bandwidth of the instance's link, in kilobits per second.
     pub link_kbps: u64,
+    /// What clients may make the process hold.
+    pub limits: ProcessLimits,
 }
 
 #[derive(Deserialize)]
@@ -138,13 +146,16 @@
 }
 
 /// What the machine has. `cpu_share` is its share of a core, and `cpu_cores` how many times as fast
-/// as one core it is. A value that is missing or not positive counts as that of a whole machine.
+/// as one core it is. A value that is missing or not positive counts as that of a whole machine; memory
+/// and descriptors then count as those of the smallest machines.
 #[derive(Default, Deserialize)]
 #[serde(default, rename_all = "PascalCase")]
 struct WireMachineLimits {
     cpu_share: Option<f64>,
     cpu_cores: Option<f64>,
     link_speed_mbps: Option<f64>,
+    memory_mb: Option<f64>,
+    max_fds: Option<f64>,
 }
 
 impl WireMachineLimits {
@@ -156,6 +167,12 @@
     fn link_kbps(&self) -> u64 {
         (positive_or(self.link_speed_mbps, DEFAULT_LINK_MBPS) * 1000.0) as u64
     }
+
+    fn process_limits(&self) -> ProcessLimits {
+        let memory_mb = positive_or(self.memory_mb, DEFAULT_MEMORY_MB);
+        let max_fds = positive_or(self.max_fds, DEFAULT_MAX_FDS);
+        ProcessLimits::for_machine(memory_mb as usize, max_fds as usize)
+    }
 }
 
 fn positive_or(
@@ -303,6 +320,7 @@
             retention: Duration::from_secs_f64(wire.bounds.status_s * RETENTION_FACTOR),
             cpu_milli: wire.limits.cpu_milli(),
             link_kbps: wire.limits.link_kbps(),
+            limits: wire.limits.process_limits(),
         })
     }
 
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -11,6 +11,7 @@
                 CandidateMachine, KeyedStore, LeaderElection, Ledger, Member, MemberRole,
                 StoreHealth, register,
             },
+            limits::ProcessLimiter,
             metrics::PlatformMetrics,
             relay::{RelayServer, RelayedStore},
             scheduler::{SchedulerContext, run_scheduler},
@@ -69,8 +70,10 @@
         let readiness = required_address(settings.readiness, "ListenAddrs.Ready")?;
         let client = HttpClient::new(clock.clone());
         let metrics = Rc::new(PlatformMetrics::default());
+        let limiter = ProcessLimiter::new(&settings.limits, &clock, &metrics.limits);
         let direct: Rc<dyn KeyedStore> = Rc::new(LogStore::new(client, settings.store));
         let relay = RelayServer::bind(settings.peers, direct.clone(), clock.clone()).await?;
+        let relay = relay.with_limiter(limiter.peers);
         let health = Rc::new(StoreHealth::default());
         let relayed = Rc::new(RelayedStore::new(
             direct,
@@ -88,10 +91,11 @@
             is_stopping: Cell::new(false),
             metrics: metrics.clone(),
         });
-        let server =
-            HttpServer::bind(callers, Rc::new(CallerApi::new(job_service.clone()))).await?;
+        let caller_api = Rc::new(CallerApi::new(job_service.clone()));
+        let server = HttpServer::bind_limited(callers, caller_api, limiter.callers).await?;
+        let ready = Rc::new(Readiness(job_service.clone()));
         let ready_server =
-            HttpServer::bind(readiness, Rc::new(Readiness(job_service.clone()))).await?;
+            HttpServer::bind_limited(readiness, ready, limiter.operators.clone()).await?;
         let shutdown = Rc::new(Shutdown::default());
         let stop = shutdown.clone();
         let server = compio::runtime::spawn(server.run(async move { stop.wait().await }));
@@ -99,7 +103,8 @@
         tasks.spawn(ready_server.run(std::future::pending()));
         tasks.spawn(relay.run());
         let status = StatusApi::new(metrics.clone(), Some(job_service.clone()));
-        let status = HttpServer::bind(settings.metrics, Rc::new(status)).await?;
+        let status =
+            HttpServer::bind_limited(settings.metrics, Rc::new(status), limiter.operators).await?;
         tasks.spawn(status.run(std::future::pending()));
         tasks.spawn(track_peers(
             relayed,
--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -7,6 +7,7 @@
         prelude::*,
         process::{
             ledger::{Ledger, Member, MemberRole},
+            limits::ProcessLimiter,
             metrics::PlatformMetrics,
             runs::{RunGuard, keep_registered},
             task_group::TaskGroup,
@@ -39,12 +40,16 @@
             settings.heartbeat,
             settings.leases.worker,
         ));
-        let server = HttpServer::bind(discovery, Rc::new(DiscoveryApi::new(guard.clone()))).await?;
+        let metrics = Rc::new(PlatformMetrics::default());
+        let limiter = ProcessLimiter::new(&settings.limits, &clock, &metrics.limits);
+        let discovery_api = Rc::new(DiscoveryApi::new(guard.clone()));
+        let server = HttpServer::bind_limited(discovery, discovery_api, limiter.callers).await?;
         let sessions = guard.start(TcpListener::bind(settings.peers).await?);
         let tasks = TaskGroup::default();
         tasks.spawn(server.run(std::future::pending()));
-        let status = StatusApi::new(Rc::new(PlatformMetrics::default()), None);
-        let status = HttpServer::bind(settings.metrics, Rc::new(status)).await?;
+        let status = StatusApi::new(metrics, None);
+        let status =
+            HttpServer::bind_limited(settings.metrics, Rc::new(status), limiter.operators).await?;
         tasks.spawn(status.run(std::future::pending()));
         // A guard does not read the ledger; it only registers its address there.
         let store = Rc::new(LogStore::new(client, settings.store));
