Read the limits of processes from their settings files

The settings of entries and guards have an optional section [limits]. Also declares the tests of the decisions and of the answers at a limit.

--- a/src/process/bench/capacity/guard_probe.rs
+++ b/src/process/bench/capacity/guard_probe.rs
@@ -145,5 +145,6 @@
         plain_tasks: 32,
         http: None,
         drain_timeout: Duration::from_secs(1),
+        limits: crate::process::limits::ProcessLimits::default(),
     }
 }
--- a/src/process/entry/running_entry.rs
+++ b/src/process/entry/running_entry.rs
@@ -12,6 +12,7 @@
         process::{
             admission::run_dispatch,
             clock::with_timeout,
+            limits::ProcessLimiter,
             membership::{DatagramLink, Membership, MembershipContext, UdpLink},
             metrics::Metrics,
             platform::HttpLog,
@@ -54,7 +55,10 @@
         let announcement_address = link.address();
         let entry = Rc::new(build_entry(settings, clock, announcement_address));
         let http = entry.settings.http;
-        let server = HttpServer::bind(http, Rc::new(EntryApi::new(entry.clone()))).await?;
+        let limits = &entry.settings.limits;
+        let limiter = ProcessLimiter::new(limits, &entry.clock, &entry.metrics.limits);
+        let api = Rc::new(EntryApi::new(entry.clone()));
+        let server = HttpServer::bind_limited(http, api, limiter.callers).await?;
         let http_address = server.local_addr()?;
         let membership = Membership::start(MembershipContext {
             clock: entry.clock.clone(),
--- a/src/process/guard/running_guard.rs
+++ b/src/process/guard/running_guard.rs
@@ -7,6 +7,7 @@
         prelude::*,
         process::{
             clock::with_timeout,
+            limits::ProcessLimiter,
             membership::{Announcer, AnnouncerContext, UdpLink, new_incarnation},
             metrics::Metrics,
             platform::HttpWorker,
@@ -51,6 +52,7 @@
         let http = settings.http;
         let drain_timeout = settings.drain_timeout;
         let seeds = settings.entries.clone();
+        let limiter = ProcessLimiter::new(&settings.limits, &clock, &metrics.limits);
         let guard = Rc::new(Guard::new(
             settings,
             clock.clone(),
@@ -59,6 +61,7 @@
             new_incarnation(&*clock),
         ));
         let server = PeerServer::bind(listen, guard.clone(), metrics.clone()).await?;
+        let server = server.with_limiter(limiter.peers);
         let address = server.local_addr()?;
         let link = UdpLink::bind(SocketAddr::new(listen.ip(), 0), clock.clone()).await?;
         let tasks = TaskGroup::default();
@@ -67,7 +70,7 @@
         let mut http_address = None;
         if let Some(http) = http {
             let status = GuardStatus::new(guard.clone(), metrics);
-            let server = HttpServer::bind(http, Rc::new(status)).await?;
+            let server = HttpServer::bind_limited(http, Rc::new(status), limiter.operators).await?;
             http_address = Some(server.local_addr()?);
             tasks.spawn(server.run(pending()));
         }
--- a/src/process/local/local_system.rs
+++ b/src/process/local/local_system.rs
@@ -200,6 +200,7 @@
                 bootstrap: self.bootstrap.clone(),
                 peers: Some(self.peers.clone()),
                 log_retention: LOG_RETENTION,
+                limits: crate::process::limits::ProcessLimits::default(),
             };
             self.start_entry(settings).await?;
         }
@@ -243,6 +244,7 @@
                 plain_tasks: workers.plain_tasks,
                 http: Some(ANY_LOOPBACK_PORT),
                 drain_timeout: DRAIN_TIMEOUT,
+                limits: crate::process::limits::ProcessLimits::default(),
             };
             self.guard_settings.push(settings.clone());
             let guard = RunningGuard::start(settings, self.clock.clone()).await?;
--- a/src/process/settings/entry_settings.rs
+++ b/src/process/settings/entry_settings.rs
@@ -4,9 +4,11 @@
     super::{
         PeerSettings,
         common_values::{read_address, read_drain_timeout, read_name, read_optional_list},
+        limits_settings::read_limits,
     },
     crate::{
         prelude::*,
+        process::limits::ProcessLimits,
         version::{Faults, IniFile, IniSection, KeyHash, parse_duration},
     },
 };
@@ -49,6 +51,8 @@
     pub peers: Option<PeerSettings>,
     /// The time for which the platform's log keeps a record.
     pub log_retention: Duration,
+    /// What clients may make the process hold.
+    pub limits: ProcessLimits,
 }
 
 impl EntrySettings {
@@ -62,7 +66,7 @@
     ) -> Result<Self, Faults> {
         let file = IniFile::parse(name, text);
         let settings = Self::read(&file);
-        file.finish(&["entry", "bootstrap", "peers"])?;
+        file.finish(&["entry", "bootstrap", "peers", "limits"])?;
         settings.ok_or_else(Faults::default)
     }
 
@@ -99,6 +103,7 @@
             bootstrap,
             peers,
             log_retention,
+            limits: read_limits(file),
         })
     }
 }
--- a/src/process/settings/guard_settings.rs
+++ b/src/process/settings/guard_settings.rs
@@ -1,11 +1,15 @@
 //! The settings file of a guard.
 
 use {
-    super::common_values::{
-        read_address, read_count, read_drain_timeout, read_list, read_name, read_plain_tasks,
+    super::{
+        common_values::{
+            read_address, read_count, read_drain_timeout, read_list, read_name, read_plain_tasks,
+        },
+        limits_settings::read_limits,
     },
     crate::{
         prelude::*,
+        process::limits::ProcessLimits,
         version::{Faults, IniFile},
     },
 };
@@ -39,6 +43,8 @@
     pub plain_tasks: u32,
     /// The time for which a graceful shutdown waits for work in progress.
     pub drain_timeout: Duration,
+    /// What clients may make the process hold.
+    pub limits: ProcessLimits,
 }
 
 impl GuardSettings {
@@ -52,7 +58,7 @@
     ) -> Result<Self, Faults> {
         let file = IniFile::parse(name, text);
         let settings = Self::read(&file);
-        file.finish(&["guard"])?;
+        file.finish(&["guard", "limits"])?;
         settings.ok_or_else(Faults::default)
     }
 
@@ -101,6 +107,7 @@
             accelerators: accelerators?,
             plain_tasks,
             drain_timeout,
+            limits: read_limits(file),
         })
     }
 }
--- a/src/process/settings/mod.rs
+++ b/src/process/settings/mod.rs
@@ -3,6 +3,7 @@
 mod common_values;
 mod entry_settings;
 mod guard_settings;
+mod limits_settings;
 mod local_settings;
 mod peer_settings;
 mod stand_in_settings;
--- a/tests/limits/main.rs
+++ b/tests/limits/main.rs
@@ -4,7 +4,9 @@
 //!
 //! The tests check only what does not depend on the machine's speed. They run one at a time.
 
+mod answers;
 mod crowd;
+mod decisions;
 mod entry;
 
 use {
--- a/tests/requests/network.rs
+++ b/tests/requests/network.rs
@@ -84,6 +84,7 @@
             plain_tasks: 0,
             http: None,
             drain_timeout: Duration::from_secs(1),
+            limits: limpetquay::process::limits::ProcessLimits::default(),
         };
         let guard = Guard::new(
             settings,
--- a/tests/requests/test_cluster.rs
+++ b/tests/requests/test_cluster.rs
@@ -172,6 +172,7 @@
             bootstrap: None,
             peers: None,
             log_retention: Duration::from_secs(86_400),
+            limits: limpetquay::process::limits::ProcessLimits::default(),
         };
         let builder = EntryBuilder {
             settings,
