--- a/tests/limits/entry.rs
+++ b/tests/limits/entry.rs
@@ -1,4 +1,4 @@
-//! An entry that runs as a process of its own, with its stand-in store.
+//! An entry or a guard that runs as a process of its own, with its stand-in store.
 
 use {
     compio::runtime::Runtime,
@@ -48,7 +48,7 @@
 /// Distinguishes the addresses of the entries of one test run.
 static NEXT_SUBNET: AtomicU8 = AtomicU8::new(1);
 
-/// A running entry. It is killed when this value is dropped.
+/// A running entry, or a guard. It is killed when this value is dropped.
 pub struct Entry {
     child: Child,
     ip: Ipv4Addr,
@@ -61,6 +61,27 @@
     /// # Panics
     /// Panics if the entry does not become ready.
     pub fn start(name: &str) -> Self {
+        let entry = Self::start_role(name, "entry");
+        let is_ready = retry(|| entry.get(8523, "/").is_ok_and(|status| status == 200));
+        assert!(is_ready, "the entry becomes ready");
+        entry
+    }
+
+    /// Starts the store and a guard, which has the same limits as an entry, and waits until it serves
+    /// its metrics.
+    ///
+    /// # Panics
+    /// Panics if the guard does not become ready.
+    pub fn start_guard(name: &str) -> Self {
+        let guard = Self::start_role(name, "guard");
+        assert!(guard.has_metrics(), "the guard becomes ready");
+        guard
+    }
+
+    fn start_role(
+        name: &str,
+        role: &str,
+    ) -> Self {
         let run = std::process::id();
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("limits-{run}"));
         fs::create_dir_all(&dir).expect("the folder can be created");
@@ -72,19 +93,17 @@
         let settings_path = dir.join(format!("{name}.json"));
         let settings = format!(
             r#"{{"NodeName":"entry","Ip":"{ip}","InternalPortRange":[7000,7015],"HeartbeatMs":300,
-            "ListenAddrs":{{"Frontend":"{ip}:8521","Ready":"{ip}:8523"}},
+            "ListenAddrs":{{"Frontend":"{ip}:8521","Ready":"{ip}:8523","ControlPlane":"{ip}:8526"}},
             "Bounds":{{"MaxHoldMs":3000,"RemoteFactor":3,"GracePeriodS":6,"status_s":120}},
             "Limits":{{"MemoryMb":{MEMORY_MB},"MaxFds":{MAX_FDS}}},
             "platform":{{"Address":"{store}"}}}}"#
         );
         fs::write(&settings_path, settings).expect("the settings file can be written");
         let mut entry = Self {
-            child: spawn(&settings_path, &dir.join(format!("{name}.log"))),
+            child: spawn(role, &settings_path, &dir.join(format!("{name}.log"))),
             ip,
             max_open_files: 0,
         };
-        let is_ready = retry(|| entry.get(8523, "/").is_ok_and(|status| status == 200));
-        assert!(is_ready, "the entry becomes ready");
         entry.observe();
         entry
     }
@@ -94,6 +113,16 @@
         SocketAddr::from((self.ip, 8521))
     }
 
+    /// Returns the address for other processes of the system.
+    pub fn peers_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, 7000))
+    }
+
+    /// Returns whether the metrics are served.
+    pub fn has_metrics(&self) -> bool {
+        retry(|| self.get(7001, "/metrics").is_ok_and(|status| status == 200))
+    }
+
     /// Sends a few ordinary submissions, readiness checks and reads of the metrics, and returns those
     /// that were not answered.
     pub fn ordinary_request_faults(&mut self) -> Vec<String> {
@@ -201,12 +230,13 @@
 }
 
 fn spawn(
+    role: &str,
     settings_path: &Path,
     log_path: &Path,
 ) -> Child {
     let log = File::create(log_path).expect("the log file can be created");
     let child = Command::new(env!("CARGO_BIN_EXE_limpetquay"))
-        .args(["platform", "entry"])
+        .args(["platform", role])
         .env("LIMPETQUAY_BOOT", settings_path)
         .stdin(Stdio::null())
         .stdout(log)
--- a/tests/limits/main.rs
+++ b/tests/limits/main.rs
@@ -111,3 +111,17 @@
 fn silent_connections_do_not_exhaust_descriptors() {
     check_entry_against("silent-connections", &Script::silent());
 }
+
+/// Guards against the exhaustion of a guard's descriptors by connections to its port for sessions that
+/// send nothing.
+#[test]
+fn silent_sessions_do_not_exhaust_descriptors() {
+    let _guard = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut guard = Entry::start_guard("silent-sessions");
+    let mut crowd = Crowd::connect(guard.peers_address());
+    crowd.play(&Script::silent(), || guard.observe());
+    assert!(guard.has_metrics(), "the metrics are served");
+    guard.observe();
+    println!("silent-sessions: {}", guard.summary());
+    assert_eq!(guard.faults(), Vec::<String>::new());
+}
