Limit the connections of a guard's sessions

A connection without its first frame is closed when others need its place, the longest idle first; an open session is busy and stays. silent_sessions_do_not_exhaust_descriptors, which failed before, passes:

--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -44,7 +44,7 @@
         let limiter = ProcessLimiter::new(&settings.limits, &clock, &metrics.limits);
         let discovery_api = Rc::new(DiscoveryApi::new(guard.clone()));
         let server = HttpServer::bind_limited(discovery, discovery_api, limiter.callers).await?;
-        let sessions = guard.start(TcpListener::bind(settings.peers).await?);
+        let sessions = guard.start_limited(TcpListener::bind(settings.peers).await?, limiter.peers);
         let tasks = TaskGroup::default();
         tasks.spawn(server.run(std::future::pending()));
         let status = StatusApi::new(metrics, None);
--- a/src/process/runs/run_guard.rs
+++ b/src/process/runs/run_guard.rs
@@ -8,7 +8,11 @@
         session_task::serve_sessions,
         worker_end::longest_lease,
     },
-    crate::{connection::GuardOrders, prelude::*, process::task_group::TaskGroup},
+    crate::{
+        connection::GuardOrders,
+        prelude::*,
+        process::{limits::PortLimiter, task_group::TaskGroup},
+    },
     async_lock::Semaphore,
     compio::net::TcpListener,
     event_listener::Event,
@@ -171,14 +175,24 @@
         }
     }
 
-    /// Starts the guard's tasks.
+    /// Starts the guard's tasks, without a limit on connections.
     pub fn start(
         self: &Rc<Self>,
         listener: TcpListener,
+    ) -> TaskGroup {
+        self.start_limited(listener, Rc::new(PortLimiter::unlimited()))
+    }
+
+    /// Starts the guard's tasks. The connections of sessions, and the frames that open them, count in
+    /// `limiter`.
+    pub fn start_limited(
+        self: &Rc<Self>,
+        listener: TcpListener,
+        limiter: Rc<PortLimiter>,
     ) -> TaskGroup {
         let tasks = TaskGroup::default();
         tasks.spawn(poll_worker(self.clone()));
-        tasks.spawn(serve_sessions(self.clone(), listener));
+        tasks.spawn(serve_sessions(self.clone(), listener, limiter));
         tasks
     }
 }
--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -3,9 +3,15 @@
 use {
     super::RunGuard,
     crate::{
-        connection::{FrameError, GuardOrders, WorkerView, read_frame, set_nodelay, write_frame},
+        connection::{
+            FrameError, GuardOrders, WorkerView, read_frame, read_limited_frame, set_nodelay,
+            write_frame,
+        },
         prelude::*,
-        process::clock::with_timeout,
+        process::{
+            clock::with_timeout,
+            limits::{OpenConnection, PortLimiter},
+        },
     },
     compio::net::{TcpListener, TcpStream},
     futures_util::{
@@ -31,14 +37,18 @@
 pub(super) async fn serve_sessions(
     guard: Rc<RunGuard>,
     listener: TcpListener,
+    limiter: Rc<PortLimiter>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
+                let Some(open) = limiter.open_connection().await else {
+                    continue;
+                };
                 set_nodelay(&stream);
                 let guard = guard.clone();
                 let serving = async move {
-                    if let Err(e) = serve_session(&guard, stream).await {
+                    if let Err(e) = serve_session(&guard, &open, stream).await {
                         tracing::info!(%peer, error = %e, "session ended");
                     }
                 };
@@ -52,15 +62,17 @@
     }
 }
 
+/// Serves one connection. It is closed when others need its place, until its first frame has arrived.
 async fn serve_session(
     guard: &Rc<RunGuard>,
+    open: &OpenConnection,
     mut stream: TcpStream,
 ) -> Result<(), FrameError> {
-    let first: GuardOrders =
-        match with_timeout(&*guard.clock, SCHEDULER_TIMEOUT, read_frame(&mut stream)).await {
-            Some(first) => first?,
-            None => return Ok(()),
-        };
+    let Some(first) = read_first_orders(guard, open, &mut stream).await else {
+        return Ok(());
+    };
+    let first = first?;
+    let _busy = open.begin_request();
     let token = first.token;
     let is_open = guard.tracker.borrow_mut().open_session(token);
     let highest_token = guard.tracker.borrow().highest_token;
@@ -82,6 +94,23 @@
     }
 }
 
+/// Reads the frame that opens a session; `None` if it does not arrive in time, or if the connection has
+/// to be closed before.
+async fn read_first_orders(
+    guard: &RunGuard,
+    open: &OpenConnection,
+    stream: &mut TcpStream,
+) -> Option<Result<GuardOrders, FrameError>> {
+    let reading = read_limited_frame(stream, open.limiter());
+    let reading = with_timeout(&*guard.clock, SCHEDULER_TIMEOUT, reading);
+    let closing = open.wait_for_close();
+    pin_mut!(reading, closing);
+    match select(closing, reading).await {
+        Either::Left(_) => None,
+        Either::Right((first, _)) => first,
+    }
+}
+
 async fn read_orders<R>(
     guard: &Rc<RunGuard>,
     token: u64,
