--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -5,6 +5,7 @@
         prelude::*,
         process::{
             ledger::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits},
+            limits::ProcessLimits,
             scheduler::LeaseTerms,
         },
         version::{Fault, Faults},
@@ -27,9 +28,19 @@
 /// The bandwidth of a machine whose settings give none.
 const DEFAULT_LINK_MBPS: f64 = 1000.0;
 
+/// The memory of a machine whose settings give none, in MB: that of the smallest machines.
+const DEFAULT_MEMORY_MB: f64 = 128.0;
+
+/// The descriptors of a machine whose settings give no number: those of the smallest machines.
+const DEFAULT_MAX_FDS: f64 = 4096.0;
+
 /// The longest time that a setting may hold, in seconds: ten years.
 const MAX_TIME_S: f64 = 315_360_000.0;
 
+/// The shortest bound on evacuations, in milliseconds: a read of the operator's topic and its retry,
+/// and the time that a start may take.
+const MIN_EVACUATION_MS: f64 = 3000.0;
+
 /// The highest factor by which remote work may take longer.
 const MAX_REMOTE_FACTOR: f64 = 1_000_000.0;
 
@@ -88,6 +99,9 @@
     pub discovery: Option<SocketAddr>,
     /// The data centre of the instance; `None` if the settings do not name it.
     pub data_centre: Option<DataCentre>,
+    /// The time after the confirmation of an evacuation from which nothing may start in the data
+    /// centre; `None` if the settings give no bound.
+    pub evacuation_bound: Option<Duration>,
     /// The address at which other processes of the system connect.
     pub peers: SocketAddr,
     /// The address at which health and metrics are served.
@@ -110,6 +124,8 @@
     pub cpu_milli: u64,
     /// The bandwidth of the instance's link, in kilobits per second.
     pub link_kbps: u64,
+    /// What clients may make the process hold.
+    pub limits: ProcessLimits,
 }
 
 #[derive(Deserialize)]
@@ -148,6 +164,10 @@
     /// How long callers may query a job's state after its end, in seconds.
     #[serde(rename = "status_s")]
     status_s: f64,
+    /// The time after the confirmation of an evacuation from which nothing may start in the data
+    /// centre, in milliseconds; missing where no data centre is evacuated.
+    #[serde(default)]
+    evacuate_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -171,13 +191,16 @@
 }
 
 /// What the machine has. `cpu_share` is its share of a core, and `cpu_cores` how many times as fast
-/// as one core it is. A value that is missing or not positive counts as that of a whole machine.
+/// as one core it is. A value that is missing or not positive counts as that of a whole machine; memory
+/// and descriptors then count as those of the smallest machines.
 #[derive(Default, Deserialize)]
 #[serde(default, rename_all = "PascalCase")]
 struct WireMachineLimits {
     cpu_share: Option<f64>,
     cpu_cores: Option<f64>,
     link_speed_mbps: Option<f64>,
+    memory_mb: Option<f64>,
+    max_fds: Option<f64>,
 }
 
 impl WireMachineLimits {
@@ -189,6 +212,12 @@
     fn link_kbps(&self) -> u64 {
         (positive_or(self.link_speed_mbps, DEFAULT_LINK_MBPS) * 1000.0) as u64
     }
+
+    fn process_limits(&self) -> ProcessLimits {
+        let memory_mb = positive_or(self.memory_mb, DEFAULT_MEMORY_MB);
+        let max_fds = positive_or(self.max_fds, DEFAULT_MAX_FDS);
+        ProcessLimits::for_machine(memory_mb as usize, max_fds as usize)
+    }
 }
 
 fn positive_or(
@@ -241,6 +270,12 @@
             "status_s",
             "a time from 0 s to ten years is expected",
         );
+        let evacuate_ms = self.bounds.evacuate_ms.unwrap_or(MIN_EVACUATION_MS);
+        check(
+            (MIN_EVACUATION_MS..=MAX_TIME_S * 1000.0).contains(&evacuate_ms),
+            "EvacuateMs",
+            "a time of at least 3000 ms and at most ten years is expected",
+        );
         check(
             (1..=MAX_TIME_S as u64 * 1000).contains(&self.heartbeat_ms),
             "HeartbeatMs",
@@ -341,6 +376,10 @@
                 .zone
                 .filter(|name| !name.is_empty())
                 .map(|name| DataCentre::from(&*name)),
+            evacuation_bound: wire
+                .bounds
+                .evacuate_ms
+                .map(|ms| Duration::from_millis(ms as u64)),
             peers: SocketAddr::new(wire.ip, first_port),
             metrics: SocketAddr::new(wire.ip, first_port + METRICS_PORT_OFFSET),
             store: wire.platform.address,
@@ -355,6 +394,7 @@
             retention: Duration::from_secs_f64(wire.bounds.status_s * RETENTION_FACTOR),
             cpu_milli: wire.limits.cpu_milli(),
             link_kbps: wire.limits.link_kbps(),
+            limits: wire.limits.process_limits(),
         })
     }
 
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -12,6 +12,7 @@
                 CandidateMachine, KeyedStore, LeaderElection, Ledger, Member, MemberRole,
                 StoreHealth, receive_end_hints, register, send_end_hints,
             },
+            limits::ProcessLimiter,
             membership::{DatagramLink, UdpLink},
             metrics::PlatformMetrics,
             relay::{RelayServer, RelayedStore},
@@ -30,6 +31,10 @@
 /// The part at the end of the grace period that is left unused.
 const GRACE_MARGIN: Duration = Duration::from_millis(1000);
 
+/// The time from the decision to start a subtask to its start at the worker: the interval of
+/// scheduling passes, the attempts of a guard and a call to the worker.
+const MAX_START_DURATION: Duration = Duration::from_millis(1500);
+
 /// A running entry.
 pub(super) struct PlatformEntry {
     job_service: Rc<JobService>,
@@ -71,10 +76,12 @@
         let readiness = required_address(settings.readiness, "ListenAddrs.Ready")?;
         let client = HttpClient::new(clock.clone());
         let metrics = Rc::new(PlatformMetrics::default());
+        let limiter = ProcessLimiter::new(&settings.limits, &clock, &metrics.limits);
         let direct: Rc<dyn KeyedStore> = Rc::new(LogStore::new(client, settings.store));
         let hints: Rc<dyn DatagramLink> =
             Rc::new(UdpLink::bind(settings.peers, clock.clone()).await?);
         let relay = RelayServer::bind(settings.peers, direct.clone(), clock.clone()).await?;
+        let relay = relay.with_limiter(limiter.peers);
         let health = Rc::new(StoreHealth::default());
         let relayed = Rc::new(RelayedStore::new(
             direct,
@@ -94,10 +101,11 @@
             is_stopping: Cell::new(false),
             metrics: metrics.clone(),
         });
-        let server =
-            HttpServer::bind(callers, Rc::new(CallerApi::new(job_service.clone()))).await?;
+        let caller_api = Rc::new(CallerApi::new(job_service.clone()));
+        let server = HttpServer::bind_limited(callers, caller_api, limiter.callers).await?;
+        let ready = Rc::new(Readiness(job_service.clone()));
         let ready_server =
-            HttpServer::bind(readiness, Rc::new(Readiness(job_service.clone()))).await?;
+            HttpServer::bind_limited(readiness, ready, limiter.operators.clone()).await?;
         let shutdown = Rc::new(Shutdown::default());
         let stop = shutdown.clone();
         let server = compio::runtime::spawn(server.run(async move { stop.wait().await }));
@@ -106,7 +114,8 @@
         tasks.spawn(relay.run());
         let status = StatusApi::new(metrics.clone(), Some(job_service.clone()))
             .with_evacuations(evacuations.clone());
-        let status = HttpServer::bind(settings.metrics, Rc::new(status)).await?;
+        let status =
+            HttpServer::bind_limited(settings.metrics, Rc::new(status), limiter.operators).await?;
         tasks.spawn(status.run(std::future::pending()));
         tasks.spawn(track_peers(
             relayed,
@@ -153,6 +162,9 @@
             clock: clock.clone(),
             queue_table: table,
             evacuations,
+            max_evacuation_age: settings
+                .evacuation_bound
+                .map(|bound| bound.saturating_sub(MAX_START_DURATION).into()),
             leases: settings.leases,
             remote_factor: settings.far_factor,
             retention: settings.retention,
--- a/src/process/evacuations.rs
+++ b/src/process/evacuations.rs
@@ -61,13 +61,14 @@
     }
 
     /// Returns the evacuated data centres, or `None` while they are not known: before the first
-    /// complete read, or if the last answered read was sent `max_age` ago or earlier.
+    /// complete read, or if the last answered read was sent `max_age` ago or earlier. Without
+    /// `max_age`, those that were read last count however old they are.
     pub fn known(
         &self,
         now: Millis,
-        max_age: Millis,
+        max_age: Option<Millis>,
     ) -> Option<Rc<BTreeSet<DataCentre>>> {
-        let is_current = self.read_at.is_some_and(|at| now < at + max_age);
+        let is_current = max_age.is_none_or(|max| self.read_at.is_some_and(|at| now < at + max));
         is_current.then(|| self.names.clone())
     }
 
--- a/src/process/metrics/platform_metrics.rs
+++ b/src/process/metrics/platform_metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ProcessUsage,
+        LimitMetrics, ProcessUsage,
         metrics::{gauge, register},
     },
     prometheus::{
@@ -43,6 +43,8 @@
     pub evacuated_runs: IntGaugeVec,
     /// The age of the local view of the ledger, in milliseconds.
     pub ledger_age_ms: IntGauge,
+    /// Metrics of the limits on clients.
+    pub limits: LimitMetrics,
     cpu_seconds: Gauge,
     resident_bytes: IntGauge,
 }
@@ -125,6 +127,7 @@
                 "limpetquay_ledger_age_milliseconds",
                 "Age of the view of the ledger.",
             ),
+            limits: LimitMetrics::new(&registry),
             cpu_seconds: register(
                 &registry,
                 expect_valid(Gauge::new(
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -46,6 +46,9 @@
     pub queue_table: Rc<RefCell<Option<Rc<QueueTable>>>>,
     /// The data centres in which nothing may be started.
     pub evacuations: Rc<RefCell<Evacuations>>,
+    /// The age from which the view of the evacuated data centres is too old to start anything;
+    /// `None` if the settings give no bound on evacuations.
+    pub max_evacuation_age: Option<Millis>,
     /// The durations of the guards' and workers' leases.
     pub leases: LeaseTerms,
     /// The factor by which work takes longer when it runs remote from its data.
@@ -383,15 +386,14 @@
     });
 }
 
-/// Passes the evacuated data centres on to the scheduler. A view of them that is older than the
-/// leader's lease does not count, because the store may accept the leader's appends while reads of
-/// the topic get no answer.
+/// Passes the evacuated data centres on to the scheduler. A view of them that is too old does not
+/// count, because the store may accept the leader's appends while reads of the topic get no answer.
 fn apply_evacuations(
     ctx: &SchedulerContext,
     shared: &SchedulerTerm,
 ) {
     let now = shared.clock.now();
-    let evacuated = ctx.evacuations.borrow().known(now, ctx.leases.leader);
+    let evacuated = ctx.evacuations.borrow().known(now, ctx.max_evacuation_age);
     shared.scheduler.borrow_mut().set_evacuated(evacuated);
 }
 
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -97,6 +97,7 @@
             clock: self.clock.clone(),
             queue_table: Rc::default(),
             evacuations: Rc::default(),
+            max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(6000)),
             remote_factor: 3,
             retention: Duration::from_secs(240),
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -93,6 +93,7 @@
             clock: clock.clone(),
             queue_table: Rc::default(),
             evacuations: Rc::default(),
+            max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(LEASES_MS)),
             remote_factor: 3,
             retention: Duration::from_secs(240),
