Submit jobs of all permitted IDs and bursts in the soak

The callers counted their IDs up from 1, so all were digits, and no more than one job per caller was on its way. Bursts of 30 jobs at one entry come before a fault. Both use streams of random numbers of their own, so the other faults of a seed stay the same. The payload contains the ID.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -2,7 +2,7 @@
 //! received.
 
 use {
-    super::{fleet::Fleet, node::Role, scenario::Workload},
+    super::{fleet::Fleet, job_ids::JobIds, node::Role, scenario::Workload},
     hyper::Method,
     limpetquay::{
         connection::{HttpClientError, HttpClientResponse},
@@ -32,6 +32,12 @@
 /// The delay before a caller retries a submission or a cancellation.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Separates the generation of IDs from that of the faults and the work, which use the same seed.
+const ID_STREAM: u64 = 0x1d_5eed;
+
+/// The number of jobs that are submitted at once in a burst.
+const BURST_JOBS: usize = 30;
+
 /// What the answers about a job say.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedAnswers {
@@ -43,10 +49,11 @@
 
 /// All callers of a scenario.
 pub struct Callers {
-    pub received: RefCell<BTreeMap<StepJobId, ReceivedAnswers>>,
+    /// The answers by ID, as it was sent.
+    pub received: RefCell<BTreeMap<Arc<str>, ReceivedAnswers>>,
     pub is_stopped: Cell<bool>,
     fleet: Rc<Fleet>,
-    next_job: Cell<u64>,
+    ids: RefCell<JobIds>,
 }
 
 impl Callers {
@@ -54,8 +61,8 @@
         Rc::new(Self {
             received: RefCell::default(),
             is_stopped: Cell::new(false),
+            ids: RefCell::new(JobIds::new(fleet.scenario.seed ^ ID_STREAM)),
             fleet,
-            next_job: Cell::new(1),
         })
     }
 
@@ -66,15 +73,15 @@
     ) {
         let mut rng = StdRng::seed_from_u64(seed);
         while !self.is_stopped.get() {
-            let id = StepJobId::from_number(self.next_job.replace(self.next_job.get() + 1));
-            let (job, body) = random_job(&mut rng, id, self.fleet.scenario.workload);
-            self.fleet.oracle.borrow_mut().jobs.insert(id, job);
-            self.submit(&mut rng, id, &body).await;
+            let id = self.ids.borrow_mut().generate();
+            let (job, body) = random_job(&mut rng, &id, self.fleet.scenario.workload);
+            self.fleet.record_sent_job(&id, job);
+            self.submit(&mut rng, &id, &body).await;
             let is_accepted = self.received.borrow()[&id].is_accepted;
             if is_accepted && rng.random_range(0..8) == 0 {
                 let pause = rng.random_range(0..1500);
                 compio::time::sleep(Duration::from_millis(pause)).await;
-                self.cancel(&mut rng, id).await;
+                self.cancel(&mut rng, &id).await;
             }
             let [shortest, longest] = self.fleet.scenario.workload.pause_ms;
             let pause = rng.random_range(shortest..longest);
@@ -87,9 +94,34 @@
         &self,
         count: u32,
         work_ms: u64,
-    ) -> StepJobId {
-        let number = self.next_job.replace(self.next_job.get() + 1);
-        let id = StepJobId::from_number(number);
+    ) -> Arc<str> {
+        let (id, body) = self.prepare_job(count, work_ms);
+        let mut rng = StdRng::seed_from_u64(work_ms);
+        self.submit(&mut rng, &id, &body).await;
+        id
+    }
+
+    /// Submits jobs of one short subtask at once to one entry, and waits for the answers.
+    pub async fn submit_burst(
+        &self,
+        rng: &mut StdRng,
+        entry: usize,
+    ) {
+        let jobs = (0..BURST_JOBS).map(|_| self.prepare_job(1, rng.random_range(100..800)));
+        let jobs: Vec<_> = jobs.collect();
+        let submissions = jobs
+            .iter()
+            .map(|(id, body)| self.submit_to(id, body, || entry));
+        futures_util::future::join_all(submissions).await;
+    }
+
+    /// Returns the ID of a job that is about to be sent, and the body that submits it.
+    fn prepare_job(
+        &self,
+        count: u32,
+        work_ms: u64,
+    ) -> (Arc<str>, String) {
+        let id = self.ids.borrow_mut().generate();
         let step = Step {
             count,
             demand: Resources {
@@ -100,17 +132,15 @@
             estimate_ms: work_ms,
             ..Step::default()
         };
-        let (job, body) = encode_job(id, vec![step], format!("work_ms={work_ms}"));
-        self.fleet.oracle.borrow_mut().jobs.insert(id, job);
-        let mut rng = StdRng::seed_from_u64(number);
-        self.submit(&mut rng, id, &body).await;
-        id
+        let (job, body) = encode_job(&id, vec![step], &format!("work_ms={work_ms}"));
+        self.fleet.record_sent_job(&id, job);
+        (id, body)
     }
 
     /// Returns a job's state from the first entry that knows it, or `None` if none does.
     pub async fn state(
         &self,
-        id: StepJobId,
+        id: &str,
     ) -> Option<String> {
         for entry in self.fleet.nodes_of_role(Role::Entry) {
             if let Ok(answer) = self.call(entry, Method::GET, id, "").await
@@ -126,15 +156,27 @@
     async fn submit(
         &self,
         rng: &mut StdRng,
-        id: StepJobId,
+        id: &str,
         body: &str,
     ) {
+        self.submit_to(id, body, || self.random_entry(rng)).await;
+    }
+
+    /// Submits a job until it is accepted, to the entry that `next_entry` returns for each attempt.
+    async fn submit_to<F>(
+        &self,
+        id: &str,
+        body: &str,
+        mut next_entry: F,
+    ) where
+        F: FnMut() -> usize,
+    {
         let mut answers = ReceivedAnswers {
             is_rejected: true,
             ..ReceivedAnswers::default()
         };
         for _ in 0..MAX_SUBMIT_ATTEMPTS {
-            let entry = self.random_entry(rng);
+            let entry = next_entry();
             let answer = self.call(entry, Method::POST, id, body).await;
             match answer.as_ref().map(|a| a.status) {
                 Ok(200) => {
@@ -150,20 +192,24 @@
             }
             compio::time::sleep(RETRY_DELAY).await;
         }
-        self.received.borrow_mut().insert(id, answers);
+        self.received.borrow_mut().insert(id.into(), answers);
     }
 
     async fn cancel(
         &self,
         rng: &mut StdRng,
-        id: StepJobId,
+        id: &str,
     ) {
-        self.fleet.oracle.borrow_mut().cancelled.insert(id);
+        self.fleet
+            .oracle
+            .borrow_mut()
+            .cancelled
+            .insert(parse_id(id));
         while !self.is_stopped.get() {
             let entry = self.random_entry(rng);
             let answer = self.call(entry, Method::DELETE, id, "").await;
             if answer.is_ok_and(|a| a.status == 200) {
-                if let Some(answers) = self.received.borrow_mut().get_mut(&id) {
+                if let Some(answers) = self.received.borrow_mut().get_mut(id) {
                     answers.is_cancelled = true;
                 }
                 return;
@@ -186,7 +232,7 @@
         &self,
         entry: usize,
         method: Method,
-        id: StepJobId,
+        id: &str,
         body: &str,
     ) -> Result<HttpClientResponse, HttpClientError> {
         let node = &self.fleet.nodes[entry];
@@ -205,13 +251,13 @@
         };
         let limit = Duration::from_millis(DEADLINE_MS + tolerance_ms);
         let client = &self.fleet.client;
-        let answered_before = node.answered_calls(&id.to_string());
+        let answered_before = node.answered_calls(id);
         let answer = client
             .call(method.clone(), &url, &headers, body, limit)
             .await;
         if node.is_stopping.get()
             && matches!(answer, Err(HttpClientError::AnswerLost(_)))
-            && node.answered_calls(&id.to_string()) > answered_before
+            && node.answered_calls(id) > answered_before
         {
             self.fleet.record_violation(format!(
                 "{}: the answer to {method} {id} was cut off during its shutdown",
@@ -229,10 +275,15 @@
     }
 }
 
+/// Returns the ID of a job as the oracle knows it.
+pub fn parse_id(id: &str) -> StepJobId {
+    id.parse().expect("callers send valid IDs")
+}
+
 /// Returns a random job for the oracle and the body that submits it.
 fn random_job(
     rng: &mut StdRng,
-    id: StepJobId,
+    id: &str,
     workload: Workload,
 ) -> (StepJob, String) {
     let (work_ms, max_count, gangs_of_four) = match workload.is_site {
@@ -262,15 +313,17 @@
         });
     }
     let payload = format!("work_ms={work_ms}{}", if is_failing { " fail" } else { "" });
-    encode_job(id, steps, payload)
+    encode_job(id, steps, &payload)
 }
 
 /// Returns a job of the given steps for the oracle and the body that submits it.
 fn encode_job(
-    id: StepJobId,
+    id: &str,
     steps: Vec<Step>,
-    payload: String,
+    payload: &str,
 ) -> (StepJob, String) {
+    // The ID in the payload shows which of two jobs a worker was told to run.
+    let payload = format!("{payload} id={id}");
     let encoded_steps = steps.iter().map(|s| {
         serde_json::json!({"Count": s.count, "Cpu": s.demand.cpu_milli, "MemMb": s.demand.memory_mb,
             "Gpu": s.demand.accelerators, "EstRuntimeMs": s.estimate_ms, "DependsOn": s.after,
@@ -279,7 +332,7 @@
     let encoded_steps: Vec<serde_json::Value> = encoded_steps.collect();
     let body = serde_json::json!({"Spec": payload, "Steps": encoded_steps}).to_string();
     let job = StepJob {
-        id,
+        id: parse_id(id),
         queue: QueueName::from("r"),
         account: AccountName::from("t"),
         service: "s".into(),
--- a/tests/soak/fault_injector.rs
+++ b/tests/soak/fault_injector.rs
@@ -1,7 +1,7 @@
 //! Injection of random faults from outside the processes, some of which overlap.
 
 use {
-    super::{fleet::Fleet, node::Role, proxy::LinkState},
+    super::{callers::Callers, fleet::Fleet, node::Role, proxy::LinkState},
     compio::runtime::{JoinHandle, spawn},
     limpetquay::{platform::stand_in::StoreFaults, prelude::*},
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -15,17 +15,25 @@
 /// How often the end of a stopping process is checked.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Separates the faults after bursts from the others, which use the same seed.
+const BURST_STREAM: u64 = 0xb057;
+
 /// Injects faults into a fleet, with at most one signal or restart of the same process at a time.
 pub struct FaultInjector {
     pub(super) fleet: Rc<Fleet>,
+    callers: Rc<Callers>,
     /// The indexes of the nodes whose process is being signalled or restarted.
     pub(super) busy_nodes: RefCell<BTreeSet<usize>>,
 }
 
 impl FaultInjector {
-    pub fn new(fleet: Rc<Fleet>) -> Rc<Self> {
+    pub fn new(
+        fleet: Rc<Fleet>,
+        callers: Rc<Callers>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             fleet,
+            callers,
             busy_nodes: RefCell::default(),
         })
     }
@@ -40,6 +48,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let end = self.fleet.clock.now() + duration.into();
         let mut active_faults: Vec<JoinHandle<()>> = Vec::new();
+        active_faults.push(spawn(self.clone().inject_after_bursts(seed, end)));
         while self.fleet.clock.now() < end {
             sleep_between(&mut rng, 100, 900).await;
             let fault_seed = rng.random_range(0..u64::MAX);
@@ -54,6 +63,27 @@
         }
     }
 
+    /// Submits bursts of jobs until `end`, each shortly before a fault.
+    async fn inject_after_bursts(
+        self: Rc<Self>,
+        seed: u64,
+        end: Millis,
+    ) {
+        let mut rng = StdRng::seed_from_u64(seed ^ BURST_STREAM);
+        loop {
+            sleep_between(&mut rng, 2000, 6000).await;
+            if self.fleet.clock.now() >= end {
+                return;
+            }
+            let entries = self.fleet.nodes_of_role(Role::Entry);
+            let entry = entries[rng.random_range(0..entries.len())];
+            self.fleet
+                .log_event(format!("a burst at {}", self.fleet.nodes[entry].name));
+            self.callers.submit_burst(&mut rng, entry).await;
+            self.clone().inject(rng.random_range(0..u64::MAX)).await;
+        }
+    }
+
     async fn inject(
         self: Rc<Self>,
         seed: u64,
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -14,9 +14,9 @@
         platform::stand_in::StandInStore,
         prelude::*,
         process::clock::SystemClock,
-        request::{Resources, RunRef, StepJobId},
+        request::{Resources, RunRef, StepJob, StepJobId},
     },
-    std::{fs, path::PathBuf},
+    std::{collections::BTreeMap, fs, path::PathBuf},
 };
 
 /// The capacity of each worker.
@@ -44,6 +44,8 @@
     /// The logged events, which are the injected faults and their end, for the report of a failed
     /// scenario.
     pub events: RefCell<Vec<String>>,
+    /// The payload of each job by its ID, both as they were sent.
+    sent_payloads: RefCell<BTreeMap<Arc<str>, Arc<str>>>,
     last_event_at: std::cell::Cell<Millis>,
     /// The running incarnation of each worker.
     workers: RefCell<Vec<Option<WorkerIncarnation>>>,
@@ -94,6 +96,7 @@
             scenario,
             oracle: RefCell::default(),
             events: RefCell::default(),
+            sent_payloads: RefCell::default(),
             last_event_at: std::cell::Cell::new(Millis(0)),
             workers: RefCell::new((0..guards).map(|_| None).collect()),
             replaced: RefCell::default(),
@@ -129,6 +132,17 @@
         self.oracle.borrow_mut().violations.push(line);
     }
 
+    /// Records a job that is about to be sent under an ID.
+    pub fn record_sent_job(
+        &self,
+        id: &str,
+        job: StepJob,
+    ) {
+        let payload = job.payload.clone();
+        self.sent_payloads.borrow_mut().insert(id.into(), payload);
+        self.oracle.borrow_mut().jobs.insert(job.id, job);
+    }
+
     /// Returns the next version of the configuration.
     pub fn next_config_version(&self) -> u64 {
         self.config_version.set(self.config_version.get() + 1);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod fault_injector;
 mod fleet;
+mod job_ids;
 mod node;
 #[path = "../platform/oracle.rs"]
 mod oracle;
@@ -19,11 +20,11 @@
 mod worker_incarnation;
 
 use {
-    callers::{Callers, ReceivedAnswers},
+    callers::{Callers, ReceivedAnswers, parse_id},
     compio::runtime::{Runtime, spawn},
     fault_injector::FaultInjector,
     fleet::Fleet,
-    limpetquay::{prelude::*, request::StepJobId},
+    limpetquay::prelude::*,
     scenario::{BusyThreads, Scenario},
     std::path::PathBuf,
 };
@@ -72,7 +73,7 @@
     // Fewer callers than workers, so that the workers can complete the submitted work.
     let caller_tasks = (1..u64::from(guards)).map(|i| spawn(callers.clone().run(seed * 100 + i)));
     let caller_tasks: Vec<_> = caller_tasks.collect();
-    FaultInjector::new(fleet.clone())
+    FaultInjector::new(fleet.clone(), callers.clone())
         .run(seed, scenario.fault_duration)
         .await;
     fleet.log_event("all faults are over".to_owned());
@@ -113,15 +114,15 @@
     fleet: &Rc<Fleet>,
     callers: &Callers,
 ) {
-    let received: Vec<(StepJobId, ReceivedAnswers)> =
+    let received: Vec<(Arc<str>, ReceivedAnswers)> =
         callers.received.borrow().clone().into_iter().collect();
     for (id, answers) in received {
-        if answers.is_rejected && fleet.has_started(id) {
+        if answers.is_rejected && fleet.has_started(parse_id(&id)) {
             fleet.record_violation(format!("{id} ran although every submission was rejected"));
         }
         if answers.is_accepted {
-            let state = wait_for_end(fleet, callers, id).await;
-            check_state(fleet, id, &answers, &state);
+            let state = wait_for_end(fleet, callers, &id).await;
+            check_state(fleet, &id, &answers, &state);
         }
     }
     while fleet.running_count() > 0 && !fleet.is_stalled() {
@@ -137,7 +138,7 @@
 async fn wait_for_end(
     fleet: &Fleet,
     callers: &Callers,
-    id: StepJobId,
+    id: &str,
 ) -> String {
     loop {
         let state = callers.state(id).await.unwrap_or("no answer".to_owned());
@@ -157,16 +158,17 @@
 /// caller.
 fn check_state(
     fleet: &Fleet,
-    id: StepJobId,
+    id: &str,
     answers: &ReceivedAnswers,
     state: &str,
 ) {
     // The observer may have run last before the job ended.
     fleet.observe_workers();
     let oracle = fleet.oracle.borrow();
-    let job = &oracle.jobs[&id];
+    let job_id = parse_id(id);
+    let job = &oracle.jobs[&job_id];
     let is_failing = job.payload.contains("fail");
-    let was_cancelled = oracle.cancelled.contains(&id);
+    let was_cancelled = oracle.cancelled.contains(&job_id);
     let is_expected = match state {
         r#"200 {"State":"completed"}"# => !is_failing && !answers.is_cancelled || was_cancelled,
         r#"200 {"State":"failed"}"# => is_failing,
@@ -179,7 +181,7 @@
                 let subtask = e.run.subtask;
                 let is_counted = s.gang || subtask.index == index;
                 e.kind == limpetquay::connection::EndKind::Done
-                    && (subtask.job, usize::from(subtask.step)) == (id, step)
+                    && (subtask.job, usize::from(subtask.step)) == (job_id, step)
                     && is_counted
             })
         })
@@ -253,7 +255,7 @@
         let job = callers.submit_one(8, 2500).await;
         compio::time::sleep(Duration::from_millis(300)).await;
         disturb(&fleet).await;
-        let state = wait_for_end(&fleet, &callers, job).await;
+        let state = wait_for_end(&fleet, &callers, &job).await;
         fleet.observe_workers();
         fleet.oracle.borrow_mut().check_history();
         fleet.stop();
--- a/tests/soak/takeovers.rs
+++ b/tests/soak/takeovers.rs
@@ -134,7 +134,7 @@
         fleet.log_event(format!("worker {worker} is reached again"));
     };
     futures_util::join!(disturb(&course), cut);
-    let state = wait_for_end(&fleet, &callers, job).await;
+    let state = wait_for_end(&fleet, &callers, &job).await;
     fleet.observe_workers();
     fleet.oracle.borrow_mut().check_history();
     fleet.stop();
@@ -297,7 +297,7 @@
         fleet.crash_worker(worker);
         fleet.log_event("the worker has ended".to_owned());
         let ended_at = fleet.clock.now();
-        let state = wait_for_end(&fleet, &callers, job).await;
+        let state = wait_for_end(&fleet, &callers, &job).await;
         fleet.observe_workers();
         fleet.oracle.borrow_mut().check_history();
         fleet.stop();
