Check orders to workers and pending jobs in the soak

The stand-in worker keeps the orders to start a run as received, and each is compared byte for byte with the ID and the payload that a caller sent. Each entry is asked for its pending jobs; it may not return less than half of the jobs that were accepted 5 s before and of which no worker has started a subtask. Entries are not asked while they or the store are disturbed and for 3.7 s after that, because the number may be 2 s old and a call that is cut off takes up to 1.7 s. A new fault after a burst loses what guards send to their workers for 6 to 9 s. has_started uses all starts at workers; a run that ended within 20 ms was not counted before. A start of a step that the job does not have is a violation in place of a panic of the observer.

--- a/src/platform/stand_in/mod.rs
+++ b/src/platform/stand_in/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     stand_in_store::StandInStore,
-    stand_in_worker::{LateCalls, StandInWorker},
+    stand_in_worker::{LateCalls, ReceivedStart, StandInWorker},
     store_model::{StoreFaults, StoreModel},
     worker_model::{ModelEnd, ModelRun, PlannedOutcome, StartObservation, WorkerModel},
 };
--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns the faults that the store shows.
+    pub fn faults(&self) -> StoreFaults {
+        self.faults.get()
+    }
+
     /// Sets the faults that the store shows.
     pub fn set_faults(
         &self,
--- a/src/platform/stand_in/stand_in_worker.rs
+++ b/src/platform/stand_in/stand_in_worker.rs
@@ -23,6 +23,15 @@
 /// The work of a run whose payload does not set it, in milliseconds.
 const DEFAULT_WORK_MS: u64 = 500;
 
+/// An order to start a run as the worker received it, which tests observe.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReceivedStart {
+    /// The subtask, `ID.OCCURRENCE.STEP.INDEX`.
+    pub task: Arc<str>,
+    /// The payload.
+    pub payload: Arc<str>,
+}
+
 /// Decides which calls to a worker get no answer and are carried out later.
 pub trait LateCalls {
     /// Returns after which time the next call of a path is carried out, or `None` if it is carried
@@ -40,6 +49,7 @@
     id: Arc<str>,
     model: RefCell<WorkerModel>,
     changed: Event,
+    received_starts: RefCell<Vec<ReceivedStart>>,
     answers_to_drop: RefCell<BTreeMap<String, u32>>,
     late_calls: RefCell<Option<Rc<dyn LateCalls>>>,
 }
@@ -56,6 +66,7 @@
             id: id.into(),
             model: RefCell::new(model),
             changed: Event::new(),
+            received_starts: RefCell::default(),
             answers_to_drop: RefCell::default(),
             late_calls: RefCell::default(),
         }
@@ -102,6 +113,11 @@
         &self.model
     }
 
+    /// Removes and returns the received orders to start a run, whether carried out or refused.
+    pub fn take_received_starts(&self) -> Vec<ReceivedStart> {
+        self.received_starts.take()
+    }
+
     async fn answer(
         &self,
         req: &HttpRequest,
@@ -129,6 +145,10 @@
         body: &Value,
     ) -> Option<HttpResponse> {
         let payload: Arc<str> = body["Spec"].as_str()?.into();
+        self.received_starts.borrow_mut().push(ReceivedStart {
+            task: body["Task"].as_str()?.into(),
+            payload: payload.clone(),
+        });
         let start = RunStart {
             run: decode_named_run(body)?,
             payload: payload.clone(),
--- a/tests/platform/oracle.rs
+++ b/tests/platform/oracle.rs
@@ -50,7 +50,12 @@
                 .push(format!("{now}: {run} was never accepted"));
             return;
         };
-        let step = &job.steps[usize::from(run.subtask.step)];
+        let Some(step) = job.steps.get(usize::from(run.subtask.step)) else {
+            self.violations.push(format!(
+                "{now}: {run} is of a step that its job does not have"
+            ));
+            return;
+        };
         let is_running = self
             .running
             .get(&run.subtask)
@@ -84,7 +89,7 @@
         }
         let demands = others.iter().chain([&run]).filter_map(|r| {
             let job = self.jobs.get(&r.subtask.job)?;
-            Some(job.steps[usize::from(r.subtask.step)].demand)
+            Some(job.steps.get(usize::from(r.subtask.step))?.demand)
         });
         let all = demands.fold(Resources::default(), |a, b| a + b);
         if !all.fits_in(&capacity) {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedAnswers {
     pub is_accepted: bool,
+    /// When the job was accepted.
+    pub accepted_at: Millis,
     /// Whether every submission failed in a way that guarantees that the job never runs.
     pub is_rejected: bool,
     pub is_cancelled: bool,
@@ -137,6 +139,22 @@
         (id, body)
     }
 
+    /// Returns the jobs that were accepted some time before `now` and that no caller has cancelled.
+    pub fn accepted_for(
+        &self,
+        age: Duration,
+        now: Millis,
+    ) -> Vec<Arc<str>> {
+        let received = self.received.borrow();
+        let oracle = self.fleet.oracle.borrow();
+        let accepted = received.iter().filter(|(id, answers)| {
+            answers.is_accepted
+                && now.since(answers.accepted_at) >= age
+                && !oracle.cancelled.contains(&parse_id(id))
+        });
+        accepted.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns a job's state from the first entry that knows it, or `None` if none does.
     pub async fn state(
         &self,
@@ -181,6 +199,7 @@
             match answer.as_ref().map(|a| a.status) {
                 Ok(200) => {
                     answers.is_accepted = true;
+                    answers.accepted_at = self.fleet.clock.now();
                     answers.is_rejected = false;
                     break;
                 }
--- a/tests/soak/fault_injector.rs
+++ b/tests/soak/fault_injector.rs
@@ -79,8 +79,36 @@
             let entry = entries[rng.random_range(0..entries.len())];
             self.fleet
                 .log_event(format!("a burst at {}", self.fleet.nodes[entry].name));
-            self.callers.submit_burst(&mut rng, entry).await;
-            self.clone().inject(rng.random_range(0..u64::MAX)).await;
+            if rng.random_range(0..3) == 0 {
+                let mut fault_rng = StdRng::seed_from_u64(rng.random_range(0..u64::MAX));
+                futures_util::join!(
+                    self.callers.submit_burst(&mut rng, entry),
+                    self.lose_orders_to_workers(&mut fault_rng)
+                );
+            } else {
+                self.callers.submit_burst(&mut rng, entry).await;
+                self.clone().inject(rng.random_range(0..u64::MAX)).await;
+            }
+        }
+    }
+
+    /// Blocks what the guards send to their workers for longer than a job may go uncounted. The
+    /// starts that are ordered meanwhile are lost or come late.
+    async fn lose_orders_to_workers(
+        &self,
+        rng: &mut StdRng,
+    ) {
+        sleep_between(rng, 0, 300).await;
+        self.fleet
+            .log_event("nothing that guards send reaches their workers".to_owned());
+        let workers = 0..self.fleet.nodes_of_role(Role::Guard).len();
+        for worker in workers.clone() {
+            self.fleet
+                .set_worker_link_state(worker, LinkState::BlockedToServer);
+        }
+        sleep_between(rng, 6000, 9000).await;
+        for worker in workers {
+            self.fleet.set_worker_link_state(worker, LinkState::Open);
         }
     }
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        callers::parse_id,
         node::{Node, Role, address, ip},
         oracle::{ObservedEnd, Oracle},
         proxy::LinkState,
@@ -11,12 +12,16 @@
     compio::runtime::spawn,
     limpetquay::{
         connection::{HttpClient, HttpServer},
-        platform::stand_in::StandInStore,
+        platform::stand_in::{ReceivedStart, StandInStore},
         prelude::*,
         process::clock::SystemClock,
         request::{Resources, RunRef, StepJob, StepJobId},
     },
-    std::{collections::BTreeMap, fs, path::PathBuf},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fs,
+        path::PathBuf,
+    },
 };
 
 /// The capacity of each worker.
@@ -46,6 +51,10 @@
     pub events: RefCell<Vec<String>>,
     /// The payload of each job by its ID, both as they were sent.
     sent_payloads: RefCell<BTreeMap<Arc<str>, Arc<str>>>,
+    /// The jobs of which a worker has started a subtask, even if the run has ended since.
+    started_jobs: RefCell<BTreeSet<StepJobId>>,
+    /// How often the number of pending jobs was compared while jobs were waiting.
+    pub pending_comparisons: std::cell::Cell<u64>,
     last_event_at: std::cell::Cell<Millis>,
     /// The running incarnation of each worker.
     workers: RefCell<Vec<Option<WorkerIncarnation>>>,
@@ -97,6 +106,8 @@
             oracle: RefCell::default(),
             events: RefCell::default(),
             sent_payloads: RefCell::default(),
+            started_jobs: RefCell::default(),
+            pending_comparisons: std::cell::Cell::new(0),
             last_event_at: std::cell::Cell::new(Millis(0)),
             workers: RefCell::new((0..guards).map(|_| None).collect()),
             replaced: RefCell::default(),
@@ -336,10 +347,25 @@
     /// Returns whether a subtask of a job was ever started.
     pub fn has_started(
         &self,
-        id: StepJobId,
+        id: &str,
     ) -> bool {
-        let oracle = self.oracle.borrow();
-        oracle.starts.iter().any(|(_, r)| r.subtask.job == id)
+        self.started_jobs.borrow().contains(&parse_id(id))
+    }
+
+    /// Checks an order to a worker against the jobs as they were sent, byte for byte.
+    fn check_received_start(
+        &self,
+        worker: u64,
+        order: &ReceivedStart,
+    ) {
+        let id = order.task.split('.').next().unwrap_or_default();
+        let sent = self.sent_payloads.borrow().get(id).cloned();
+        if sent.as_ref() != Some(&order.payload) {
+            let ReceivedStart { task, payload } = order;
+            self.record_violation(format!(
+                "w-{worker} was told to start {task} with payload {payload:?}, but {sent:?} was sent under its ID"
+            ));
+        }
     }
 
     /// Returns whether no run has ended and no event was logged for longer than the limit of the scenario, or it
@@ -358,6 +384,11 @@
         let now = self.clock.now().0;
         let workers = self.workers.borrow();
         let replaced = self.replaced.borrow();
+        for incarnation in workers.iter().flatten().chain(&*replaced) {
+            for order in incarnation.model.take_received_starts() {
+                self.check_received_start(incarnation.number, &order);
+            }
+        }
         let mut oracle = self.oracle.borrow_mut();
         for incarnation in workers.iter().flatten().chain(&*replaced) {
             let mut model = incarnation.model.model().borrow_mut();
@@ -388,6 +419,7 @@
         for incarnation in workers.iter().flatten().chain(&*replaced) {
             let mut model = incarnation.model.model().borrow_mut();
             for start in std::mem::take(&mut model.starts) {
+                self.started_jobs.borrow_mut().insert(start.run.subtask.job);
                 let others = model.runs.keys().filter(|r| **r != start.run);
                 let others: Vec<RunRef> = others.copied().collect();
                 if model.runs.contains_key(&start.run) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod node;
 #[path = "../platform/oracle.rs"]
 mod oracle;
+mod pending_check;
 mod proxy;
 mod scenario;
 mod site_faults;
@@ -70,6 +71,10 @@
         compio::time::sleep(Duration::from_millis(1500)).await;
     }
     let callers = Callers::new(fleet.clone());
+    let _pending_check = spawn(pending_check::check_pending_jobs(
+        fleet.clone(),
+        callers.clone(),
+    ));
     // Fewer callers than workers, so that the workers can complete the submitted work.
     let caller_tasks = (1..u64::from(guards)).map(|i| spawn(callers.clone().run(seed * 100 + i)));
     let caller_tasks: Vec<_> = caller_tasks.collect();
@@ -101,8 +106,9 @@
         fleet.oracle.borrow().starts.len(),
     );
     println!(
-        "seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} findings",
+        "seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} comparisons of pending jobs, {} findings",
         fleet.events.borrow().len(),
+        fleet.pending_comparisons.get(),
         violations.len()
     );
     violations
@@ -117,7 +123,7 @@
     let received: Vec<(Arc<str>, ReceivedAnswers)> =
         callers.received.borrow().clone().into_iter().collect();
     for (id, answers) in received {
-        if answers.is_rejected && fleet.has_started(parse_id(&id)) {
+        if answers.is_rejected && fleet.has_started(&id) {
             fleet.record_violation(format!("{id} ran although every submission was rejected"));
         }
         if answers.is_accepted {
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -80,6 +80,11 @@
         self.address
     }
 
+    /// Returns how bytes are forwarded.
+    pub fn state(&self) -> LinkState {
+        self.state.link.get()
+    }
+
     /// Sets how bytes are forwarded.
     pub fn set_state(
         &self,
