Stall open connections to the store after bursts in the soak

The proxy counts on how many stalled connections its client still sends something. After a burst at an entry, the open connections between entries and the store go silent while new ones work, and a second burst follows. An entry may use up to 12: the 8 idle ones that the client keeps, and a few calls about to be sent. The fault that loses orders to workers now begins before its burst, so that most of the starts are lost. tests/soak/bursts.rs applies each of the two faults alone, without other faults.

--- a/tests/soak/fault_injector.rs
+++ b/tests/soak/fault_injector.rs
@@ -15,6 +15,13 @@
 /// How often the end of a stopping process is checked.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The maximum number of stalled connections to the store that a process uses. It keeps up to 8 idle
+/// connections, and a few calls may be about to be sent when the connections stall.
+const MAX_STALLED_USES: usize = 12;
+
+/// How long the use of stalled connections is counted, which a second burst at once causes.
+const STALLED_USE_DURATION: Duration = Duration::from_millis(2500);
+
 /// Separates the faults after bursts from the others, which use the same seed.
 const BURST_STREAM: u64 = 0xb057;
 
@@ -79,26 +86,53 @@
             let entry = entries[rng.random_range(0..entries.len())];
             self.fleet
                 .log_event(format!("a burst at {}", self.fleet.nodes[entry].name));
-            if rng.random_range(0..3) == 0 {
-                let mut fault_rng = StdRng::seed_from_u64(rng.random_range(0..u64::MAX));
-                futures_util::join!(
-                    self.callers.submit_burst(&mut rng, entry),
-                    self.lose_orders_to_workers(&mut fault_rng)
-                );
-            } else {
-                self.callers.submit_burst(&mut rng, entry).await;
-                self.clone().inject(rng.random_range(0..u64::MAX)).await;
+            match rng.random_range(0..3) {
+                0 => self.burst_with_lost_orders(&mut rng, entry).await,
+                1 => self.burst_before_silence(&mut rng, entry).await,
+                _ => {
+                    self.callers.submit_burst(&mut rng, entry).await;
+                    self.clone().inject(rng.random_range(0..u64::MAX)).await;
+                }
+            }
+        }
+    }
+
+    /// Makes the open connections between all entries and the store silent after a burst, while new
+    /// ones work, and checks that the entry of a burst gives the others up after a bounded number of
+    /// calls. A count of calls does not depend on the speed of the machine.
+    pub async fn burst_before_silence(
+        &self,
+        rng: &mut StdRng,
+        entry: usize,
+    ) {
+        self.callers.submit_burst(rng, entry).await;
+        self.fleet
+            .log_event("the open connections between entries and the store stall".to_owned());
+        for entry in self.fleet.nodes_of_role(Role::Entry) {
+            self.fleet.nodes[entry].store_link.stall_connections();
+        }
+        let second_burst = self.callers.submit_burst(rng, entry);
+        futures_util::join!(second_burst, compio::time::sleep(STALLED_USE_DURATION));
+        for entry in self.fleet.nodes_of_role(Role::Entry) {
+            let node = &self.fleet.nodes[entry];
+            let uses = node.store_link.stalled_uses();
+            self.fleet.stalled_uses.borrow_mut().push(uses);
+            if uses > MAX_STALLED_USES {
+                self.fleet.record_violation(format!(
+                    "{} has used {uses} connections to the store that were stalled before",
+                    node.name
+                ));
             }
         }
     }
 
-    /// Blocks what the guards send to their workers for longer than a job may go uncounted. The
-    /// starts that are ordered meanwhile are lost or come late.
-    async fn lose_orders_to_workers(
+    /// Blocks what the guards send to their workers from just before a burst, for longer than a job
+    /// may go uncounted. The starts that are ordered meanwhile are lost or come late.
+    pub async fn burst_with_lost_orders(
         &self,
         rng: &mut StdRng,
+        entry: usize,
     ) {
-        sleep_between(rng, 0, 300).await;
         self.fleet
             .log_event("nothing that guards send reaches their workers".to_owned());
         let workers = 0..self.fleet.nodes_of_role(Role::Guard).len();
@@ -106,6 +140,7 @@
             self.fleet
                 .set_worker_link_state(worker, LinkState::BlockedToServer);
         }
+        self.callers.submit_burst(rng, entry).await;
         sleep_between(rng, 6000, 9000).await;
         for worker in workers {
             self.fleet.set_worker_link_state(worker, LinkState::Open);
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -55,6 +55,8 @@
     started_jobs: RefCell<BTreeSet<StepJobId>>,
     /// How often the number of pending jobs was compared while jobs were waiting.
     pub pending_comparisons: std::cell::Cell<u64>,
+    /// How many stalled connections to the store each entry has used after each such fault.
+    pub stalled_uses: RefCell<Vec<usize>>,
     last_event_at: std::cell::Cell<Millis>,
     /// The running incarnation of each worker.
     workers: RefCell<Vec<Option<WorkerIncarnation>>>,
@@ -108,6 +110,7 @@
             sent_payloads: RefCell::default(),
             started_jobs: RefCell::default(),
             pending_comparisons: std::cell::Cell::new(0),
+            stalled_uses: RefCell::default(),
             last_event_at: std::cell::Cell::new(Millis(0)),
             workers: RefCell::new((0..guards).map(|_| None).collect()),
             replaced: RefCell::default(),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,6 +5,7 @@
 //! `LIMPETQUAY_SOAK=FROM..TO` runs a range of seeds instead of the default ones. Seeds from 1000 on
 //! play the terms, the work and the faults of the users' deployments.
 
+mod bursts;
 mod callers;
 mod fault_injector;
 mod fleet;
@@ -106,9 +107,10 @@
         fleet.oracle.borrow().starts.len(),
     );
     println!(
-        "seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} comparisons of pending jobs, {} findings",
+        "seed {seed}: {entries} entries, {guards} guards, {jobs} jobs, {starts} starts, {} faults, {} comparisons of pending jobs, stalled connections used: {:?}, {} findings",
         fleet.events.borrow().len(),
         fleet.pending_comparisons.get(),
+        fleet.stalled_uses.borrow(),
         violations.len()
     );
     violations
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -41,6 +41,8 @@
     link: Cell<LinkState>,
     /// Connections of lower generations never forward anything again.
     stalled_below: Cell<u64>,
+    /// The number of connections that the client has used since they were stalled last.
+    stalled_uses: Cell<usize>,
     /// Connections of lower generations are closed.
     closed_below: Cell<u64>,
     /// The generation of new connections.
@@ -97,6 +99,12 @@
     pub fn stall_connections(&self) {
         self.state.generation.set(self.state.generation.get() + 1);
         self.state.stalled_below.set(self.state.generation.get());
+        self.state.stalled_uses.set(0);
+    }
+
+    /// Returns on how many connections the client has sent something since they were stalled last.
+    pub fn stalled_uses(&self) -> usize {
+        self.state.stalled_uses.get()
     }
 
     /// Closes the existing connections.
@@ -178,6 +186,10 @@
         if read == 0 {
             return;
         }
+        // A stalled connection is never read again, so that it counts once.
+        if is_to_server && generation < state.stalled_below.get() {
+            state.stalled_uses.set(state.stalled_uses.get() + 1);
+        }
         if let LinkState::Slow(ms) = state.link.get() {
             compio::time::sleep(Duration::from_millis(ms)).await;
         }
