--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        callers::parse_id,
         node::{Node, Role, address, ip},
         oracle::{ObservedEnd, Oracle},
         proxy::LinkState,
@@ -11,12 +12,16 @@
     compio::runtime::spawn,
     limpetquay::{
         connection::{HttpClient, HttpServer},
-        platform::stand_in::StandInStore,
+        platform::stand_in::{ReceivedStart, StandInStore},
         prelude::*,
         process::clock::SystemClock,
-        request::{Resources, RunRef, StepJobId},
+        request::{Resources, RunRef, StepJob, StepJobId},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fs,
+        path::PathBuf,
     },
-    std::{fs, path::PathBuf},
 };
 
 /// The capacity of each worker.
@@ -44,6 +49,14 @@
     /// The logged events, which are the injected faults and their end, for the report of a failed
     /// scenario.
     pub events: RefCell<Vec<String>>,
+    /// The payload of each job by its ID, both as they were sent.
+    sent_payloads: RefCell<BTreeMap<Arc<str>, Arc<str>>>,
+    /// The jobs of which a worker has started a subtask, even if the run has ended since.
+    started_jobs: RefCell<BTreeSet<StepJobId>>,
+    /// How often the number of pending jobs was compared while jobs were waiting.
+    pub pending_comparisons: std::cell::Cell<u64>,
+    /// How many stalled connections to the store each entry has used after each such fault.
+    pub stalled_uses: RefCell<Vec<usize>>,
     last_event_at: std::cell::Cell<Millis>,
     /// The running incarnation of each worker.
     workers: RefCell<Vec<Option<WorkerIncarnation>>>,
@@ -94,6 +107,10 @@
             scenario,
             oracle: RefCell::default(),
             events: RefCell::default(),
+            sent_payloads: RefCell::default(),
+            started_jobs: RefCell::default(),
+            pending_comparisons: std::cell::Cell::new(0),
+            stalled_uses: RefCell::default(),
             last_event_at: std::cell::Cell::new(Millis(0)),
             workers: RefCell::new((0..guards).map(|_| None).collect()),
             replaced: RefCell::default(),
@@ -129,6 +146,17 @@
         self.oracle.borrow_mut().violations.push(line);
     }
 
+    /// Records a job that is about to be sent under an ID.
+    pub fn record_sent_job(
+        &self,
+        id: &str,
+        job: StepJob,
+    ) {
+        let payload = job.payload.clone();
+        self.sent_payloads.borrow_mut().insert(id.into(), payload);
+        self.oracle.borrow_mut().jobs.insert(job.id, job);
+    }
+
     /// Returns the next version of the configuration.
     pub fn next_config_version(&self) -> u64 {
         self.config_version.set(self.config_version.get() + 1);
@@ -322,10 +350,25 @@
     /// Returns whether a subtask of a job was ever started.
     pub fn has_started(
         &self,
-        id: StepJobId,
+        id: &str,
     ) -> bool {
-        let oracle = self.oracle.borrow();
-        oracle.starts.iter().any(|(_, r)| r.subtask.job == id)
+        self.started_jobs.borrow().contains(&parse_id(id))
+    }
+
+    /// Checks an order to a worker against the jobs as they were sent, byte for byte.
+    fn check_received_start(
+        &self,
+        worker: u64,
+        order: &ReceivedStart,
+    ) {
+        let id = order.task.split('.').next().unwrap_or_default();
+        let sent = self.sent_payloads.borrow().get(id).cloned();
+        if sent.as_ref() != Some(&order.payload) {
+            let ReceivedStart { task, payload } = order;
+            self.record_violation(format!(
+                "w-{worker} was told to start {task} with payload {payload:?}, but {sent:?} was sent under its ID"
+            ));
+        }
     }
 
     /// Returns whether no run has ended and no event was logged for longer than the limit of the scenario, or it
@@ -344,6 +387,11 @@
         let now = self.clock.now().0;
         let workers = self.workers.borrow();
         let replaced = self.replaced.borrow();
+        for incarnation in workers.iter().flatten().chain(&*replaced) {
+            for order in incarnation.model.take_received_starts() {
+                self.check_received_start(incarnation.number, &order);
+            }
+        }
         let mut oracle = self.oracle.borrow_mut();
         for incarnation in workers.iter().flatten().chain(&*replaced) {
             let mut model = incarnation.model.model().borrow_mut();
@@ -374,6 +422,7 @@
         for incarnation in workers.iter().flatten().chain(&*replaced) {
             let mut model = incarnation.model.model().borrow_mut();
             for start in std::mem::take(&mut model.starts) {
+                self.started_jobs.borrow_mut().insert(start.run.subtask.job);
                 let others = model.runs.keys().filter(|r| **r != start.run);
                 let others: Vec<RunRef> = others.copied().collect();
                 if model.runs.contains_key(&start.run) {
