--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, LedgerFold, LedgerKey,
-        LedgerRecord, RecordLimits, StoreError,
+        LedgerRecord, RecordLimits, StoreError, known_end::KnownEnd,
     },
     crate::{prelude::*, request::StepJobId},
     event_listener::{Event, EventListener},
@@ -46,14 +46,9 @@
     /// `take_changed_jobs`; `None` while changes are not tracked.
     changed_jobs: RefCell<Option<BTreeSet<StepJobId>>>,
     read_at: Cell<Option<Millis>>,
-    /// The highest offset up to which the topic is known to hold records, from answers to appends
-    /// and from hints of other entries. A hint may be wrong.
-    known_end: Cell<u64>,
-    /// The highest offset up to which this process itself has stored records.
-    stored_end: Cell<u64>,
+    known_end: KnownEnd,
     changed: Event,
     leader_changed: Event,
-    end_noted: Event,
 }
 
 impl Ledger {
@@ -69,11 +64,9 @@
             fold: RefCell::default(),
             changed_jobs: RefCell::default(),
             read_at: Cell::default(),
-            known_end: Cell::default(),
-            stored_end: Cell::default(),
+            known_end: KnownEnd::new(),
             changed: Event::new(),
             leader_changed: Event::new(),
-            end_noted: Event::new(),
         }
     }
 
@@ -147,8 +140,7 @@
         self.limits.check(records)?;
         let offset = self.store.append(TOPIC, records, condition).await?;
         let end = offset + records.len() as u64;
-        self.stored_end.set(self.stored_end.get().max(end));
-        self.note_end(end);
+        self.known_end.note_stored(end);
         Ok(offset)
     }
 
@@ -158,10 +150,7 @@
         &self,
         end: u64,
     ) {
-        if end > self.known_end.get() {
-            self.known_end.set(end);
-            self.end_noted.notify(usize::MAX);
-        }
+        self.known_end.note(end);
     }
 
     /// Waits until this process has stored records beyond `end`, and returns the offset after them.
@@ -169,21 +158,7 @@
         &self,
         end: u64,
     ) -> u64 {
-        self.wait_for_end(&self.stored_end, end).await
-    }
-
-    async fn wait_for_end(
-        &self,
-        noted: &Cell<u64>,
-        end: u64,
-    ) -> u64 {
-        loop {
-            let listener = self.end_noted.listen();
-            if noted.get() > end {
-                return noted.get();
-            }
-            listener.await;
-        }
+        self.known_end.wait_for_stored(end).await
     }
 
     /// Appends one record and returns its offset.
@@ -353,7 +328,7 @@
         let mut waiting = self.store.read(TOPIC, from, READ_WAIT);
         loop {
             let behind = async {
-                self.wait_for_end(&self.known_end, from).await;
+                self.known_end.wait_for_noted(from).await;
                 self.clock.sleep(CATCH_UP_DELAY).await;
             };
             pin_mut!(behind);
@@ -361,7 +336,7 @@
                 Either::Left((result, _)) => return result,
                 Either::Right((_, waiting)) => waiting,
             };
-            let noted = self.known_end.get();
+            let noted = self.known_end.noted();
             let catching_up = self.store.read(TOPIC, from, Duration::ZERO);
             waiting = match select(waiting, catching_up).await {
                 Either::Left((Ok(page), _)) => return Ok(page),
@@ -379,9 +354,7 @@
                 }
                 Either::Right((Ok(_), waiting)) => {
                     // The topic ended here when it was read, so a hint was wrong.
-                    if self.known_end.get() == noted {
-                        self.known_end.set(from);
-                    }
+                    self.known_end.correct(noted, from);
                     waiting
                 }
                 Either::Right((Err(e), _)) => return Err(e),
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -5,6 +5,7 @@
 mod end_hints;
 mod fold;
 mod keyed_store;
+mod known_end;
 mod leader_election;
 #[expect(
     clippy::module_inception,
