Stop urgent work without accelerators for another account's guarantee

What callers saw: a job of priority 0 within its account's guarantee waits until another account's urgent jobs end by themselves, although no accelerator is in use: those jobs need none and take the processors or the memory of all workers.

Cause: a guarantee counts accelerators, so a unit without any counted as within every guarantee, and nothing of priority 0 within a guarantee is stopped.

Change: such units may be stopped for a unit of another account that is within its guarantee and needs accelerators. Where both wait, the latter comes first: otherwise the stopped unit takes the freed worker again.

--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -30,8 +30,8 @@
 
 impl Scheduler {
     /// Preempts other work so that an urgent unit can start: less urgent work, and if that does not
-    /// suffice for a unit within its account's guarantee, urgent work of other accounts beyond
-    /// their guarantees. Returns `false`, and stops nothing, when that would not free enough.
+    /// suffice for a unit within its account's guarantee, urgent work of other accounts that no
+    /// guarantee covers. Returns `false`, and stops nothing, when that would not free enough.
     pub(super) fn preempt_for(
         &mut self,
         pending: &PendingUnit,
@@ -59,7 +59,7 @@
                 *job.preemptions.entry(unit).or_default() += 1;
             }
             let why = if victim.is_urgent {
-                "beyond its account's guarantee, preempted for another account's guarantee"
+                "not covered by its account's guarantee, preempted for another account's guarantee"
             } else {
                 "preempted by more urgent work"
             };
@@ -87,7 +87,7 @@
 
     /// Returns the running units that may be stopped for a pending unit, with what stopping each
     /// would cost: those that are less urgent, and for a unit that is guaranteed its room also the
-    /// urgent ones of other accounts that are beyond their accounts' guarantees.
+    /// urgent ones of other accounts that no guarantee covers.
     ///
     /// Of equal losses, that of the less urgent work counts less, and that of a unit that was stopped
     /// before counts more; a gang that was stopped several times is left alone unless the room is
@@ -98,18 +98,17 @@
         pending: &PendingUnit,
     ) -> Vec<Victim> {
         let (priority, is_guaranteed) = (pending.priority, pending.is_guaranteed);
-        let beyond_guarantee = if is_guaranteed {
-            let account = self.jobs.get(&pending.job).map(|j| &j.job.account);
-            account.map_or_else(BTreeSet::new, |a| self.units_beyond_guarantee(a))
+        let preemptible_urgent = if is_guaranteed {
+            self.urgent_units_preemptible_for(pending)
         } else {
             BTreeSet::new()
         };
-        let beyond_guarantee = &beyond_guarantee;
+        let preemptible_urgent = &preemptible_urgent;
         let units = self.jobs.values().flat_map(|open| {
             let is_less_urgent = open.job.priority > priority;
             let active = open.active_units.iter().filter(move |(unit, a)| {
-                let may_stop = is_less_urgent || beyond_guarantee.contains(&(open.job.id, **unit));
-                may_stop && !a.is_stopping
+                let unit = (open.job.id, **unit);
+                (is_less_urgent || preemptible_urgent.contains(&unit)) && !a.is_stopping
             });
             active.filter_map(move |(unit, a)| {
                 let step = open.job.step_of(*unit)?;
@@ -133,23 +132,26 @@
         units.collect()
     }
 
-    /// Returns the running units of priority 0 that are beyond the guarantees of their accounts,
-    /// without those of the account `except`.
+    /// Returns the running units of priority 0 of other accounts that may be stopped for a unit that
+    /// is guaranteed its room: those that are beyond the guarantees of their accounts, and those
+    /// without accelerators if the pending unit needs some. A guarantee covers accelerators only, and
+    /// they cannot be used while such units take all processors or all memory beside them.
     ///
     /// The units of an account count in the order in which they became active, and a unit is within
     /// the guarantee if the total up to it is. A unit that started within the guarantee therefore
     /// stays within it: units that become active later do not count before it. The order of starts
     /// of an earlier term is unknown, and that of the jobs' acceptance stands for it. Units that are
     /// being stopped do not count.
-    fn units_beyond_guarantee(
+    fn urgent_units_preemptible_for(
         &self,
-        except: &AccountName,
+        pending: &PendingUnit,
     ) -> BTreeSet<(StepJobId, UnitId)> {
-        let Some(table) = &self.queue_table else {
+        let (Some(table), Some(claimant)) = (&self.queue_table, self.jobs.get(&pending.job)) else {
             return BTreeSet::new();
         };
+        let needs_accelerators = pending.total_demand.accelerators > 0;
         let urgent = self.jobs.values().filter(|j| j.job.priority == 0);
-        let others = urgent.filter(|j| j.job.account != *except);
+        let others = urgent.filter(|j| j.job.account != claimant.job.account);
         let units = others.flat_map(|open| {
             let active = open.active_units.iter().filter(|(_, a)| !a.is_stopping);
             active.filter_map(move |(unit, a)| {
@@ -161,21 +163,23 @@
                 Some((&open.job.account, order, open.job.id, accelerators))
             })
         });
-        let mut units: Vec<_> = units
-            .filter(|(.., accelerators)| *accelerators > 0)
-            .collect();
+        let mut units: Vec<_> = units.collect();
         units.sort_unstable();
         let mut totals: BTreeMap<&AccountName, u64> = BTreeMap::new();
-        let beyond = units
+        let preemptible = units
             .into_iter()
             .filter_map(|(account, order, id, accelerators)| {
                 let total = totals.entry(account).or_default();
                 *total += accelerators;
                 let guarantee = table.accounts.get(account);
                 let guaranteed = guarantee.map_or(0, |a| a.guaranteed_accelerators);
-                (*total > guaranteed).then_some((id, order.3))
+                let may_stop = match accelerators {
+                    0 => needs_accelerators,
+                    _ => *total > guaranteed,
+                };
+                may_stop.then_some((id, order.3))
             });
-        beyond.collect()
+        preemptible.collect()
     }
 
     /// Returns the running units with the remaining accelerator time of each as its cost.
--- a/src/process/scheduler/pending_unit.rs
+++ b/src/process/scheduler/pending_unit.rs
@@ -25,9 +25,18 @@
 }
 
 impl PendingUnit {
-    /// Returns the sort key: guaranteed units first, then by priority, then by due time.
-    pub fn order_key(&self) -> (bool, u32, Millis, StepJobId, UnitId) {
-        let key = (self.job, self.unit);
-        (!self.is_guaranteed, self.priority, self.due, key.0, key.1)
+    /// Returns the sort key: guaranteed units first, then by priority, then by due time. Of the
+    /// guaranteed ones, those without accelerators come last: they are stopped for the others, and
+    /// would otherwise take the room again that was freed.
+    pub fn order_key(&self) -> (bool, bool, u32, Millis, StepJobId, UnitId) {
+        let gives_way = self.is_guaranteed && self.total_demand.accelerators == 0;
+        (
+            !self.is_guaranteed,
+            gives_way,
+            self.priority,
+            self.due,
+            self.job,
+            self.unit,
+        )
     }
 }
--- a/tests/platform/guarantees.rs
+++ b/tests/platform/guarantees.rs
@@ -200,6 +200,57 @@
     assert_eq!((stops[0], stops.iter().sum::<usize>()), (0, 1));
 }
 
+/// Guards against a guarantee that waits for urgent work without accelerators, which fills the
+/// processors or the memory of all workers and is within the guarantee of its account, whatever
+/// that is. No more of it is stopped than one worker needs, and it completes later.
+#[test]
+fn urgent_work_without_accelerators_makes_room_for_a_guarantee() {
+    for (cpu_milli, memory_mb) in [(120_000, 1000), (1000, 250_000)] {
+        let mut world = world(4, &[("filler", 0), ("reclaimer", 8)]);
+        let demand = Resources {
+            cpu_milli,
+            memory_mb,
+            accelerators: 0,
+        };
+        let mut filling = gang(1);
+        filling[0].demand = demand;
+        let fillers = [(); 4].map(|()| world.submit_for("filler", filling.clone(), 0, 1));
+        world.run_for(1200);
+        let submitted = world.now;
+        let reclaimer = world.submit_for("reclaimer", gang(1), 0, 1);
+        world.run_for(3 * WORK_MS);
+        let waited = begun_after(&world, reclaimer, submitted);
+        assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+        let stopped: usize = fillers.iter().map(|id| stops(&world, *id)).sum();
+        assert_eq!(stopped, 1);
+        let jobs = fillers.iter().chain([&reclaimer]);
+        let phases: BTreeSet<JobPhase> = jobs.map(|id| world.progress(*id).phase()).collect();
+        assert_eq!(phases, BTreeSet::from([JobPhase::Completed]));
+    }
+}
+
+/// Guards against two accounts without accelerators in their urgent work that stop each other's
+/// work in turn: neither makes room for the other.
+#[test]
+fn urgent_work_without_accelerators_makes_no_room_for_its_like() {
+    let mut world = world(2, &[("a", 8), ("b", 8)]);
+    let mut filling = gang(1);
+    filling[0].demand = Resources {
+        accelerators: 0,
+        ..CAPACITY
+    };
+    let jobs = ["a", "b", "a", "b"].map(|account| {
+        let id = world.submit_for(account, filling.clone(), 0, 1);
+        world.run_for(200);
+        id
+    });
+    world.run_for(4 * WORK_MS);
+    let stopped: usize = jobs.iter().map(|id| stops(&world, *id)).sum();
+    assert_eq!(stopped, 0);
+    let phases = jobs.map(|id| world.progress(id).phase());
+    assert_eq!(phases, [JobPhase::Completed; 4]);
+}
+
 fn victim(
     number: u32,
     upstream: &str,
