Let guaranteed work wait for a rack for half of the reclaim time only

What callers saw: a job of priority 0 within its account's guarantee waits while workers are idle: its data is on a rack that another account's guaranteed work fills, or its gang runs slower on several racks and each rack holds such work.

Cause: placement waits for a rack as long as that is faster than running remote, (RemoteFactor - 1) times the declared run time, also for a unit that is guaranteed its room; and preemption considers those racks alone.

Change: such a unit waits for a rack for at most half of ReclaimMs (Bounds in the settings, 2,500 ms where it is missing). Then it is placed anywhere, and may stop work anywhere. The other half is for that stop, for reports and for the start.

The tests a_guaranteed_unit_does_not_wait_for_the_rack_of_its_data, a_guaranteed_gang_does_not_wait_for_one_rack and a_guaranteed_unit_makes_room_on_another_rack failed before with 7,000, 7,040 and 7,000 ms.

--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -6,7 +6,7 @@
         process::{
             ledger::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits},
             limits::ProcessLimits,
-            scheduler::LeaseTerms,
+            scheduler::{DEFAULT_RECLAIM_TIME, LeaseTerms},
         },
         version::{Fault, Faults},
     },
@@ -114,6 +114,8 @@
     pub leases: LeaseTerms,
     /// The factor by which work takes longer on a worker that is remote from its data.
     pub far_factor: u64,
+    /// The time within which work within its account's guarantee starts.
+    pub reclaim_time: Duration,
     /// The time that a process has to stop.
     pub grace: Duration,
     /// The interval of a worker's heartbeats.
@@ -168,6 +170,10 @@
     /// centre, in milliseconds; missing where no data centre is evacuated.
     #[serde(default)]
     evacuate_ms: Option<f64>,
+    /// The time after a job's confirmation within which it starts if it is within its account's
+    /// guarantee, in milliseconds; missing where the platform states none.
+    #[serde(default)]
+    reclaim_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -276,6 +282,13 @@
             "EvacuateMs",
             "a time of at least 3000 ms and at most ten years is expected",
         );
+        check(
+            self.bounds
+                .reclaim_ms
+                .is_none_or(|ms| ms > 0.0 && ms <= MAX_TIME_S * 1000.0),
+            "ReclaimMs",
+            "a time above 0 ms and at most ten years is expected",
+        );
         check(
             (1..=MAX_TIME_S as u64 * 1000).contains(&self.heartbeat_ms),
             "HeartbeatMs",
@@ -389,6 +402,10 @@
             ),
             leases: LeaseTerms::new(Millis(wire.bounds.max_hold_ms as u64)),
             far_factor: wire.bounds.remote_factor.ceil() as u64,
+            reclaim_time: wire
+                .bounds
+                .reclaim_ms
+                .map_or(DEFAULT_RECLAIM_TIME, |ms| Duration::from_millis(ms as u64)),
             grace: Duration::from_secs_f64(wire.bounds.grace_period_s),
             heartbeat: Duration::from_millis(wire.heartbeat_ms),
             retention: Duration::from_secs_f64(wire.bounds.status_s * RETENTION_FACTOR),
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -167,6 +167,7 @@
                 .map(|bound| bound.saturating_sub(MAX_START_DURATION).into()),
             leases: settings.leases,
             remote_factor: settings.far_factor,
+            reclaim_time: settings.reclaim_time,
             retention: settings.retention,
             metrics,
         };
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -40,7 +40,7 @@
     preemption::{Victim, choose_victims},
     progress_queue::{ProgressBatch, ProgressQueue},
     progress_records::ProgressRecords,
-    scheduler::Scheduler,
+    scheduler::{DEFAULT_RECLAIM_TIME, Scheduler},
     scheduler_counts::SchedulerCounts,
     scheduler_term::{SchedulerContext, run_scheduler},
     unit_placement_policy::{Host, PlacementRequest, RackFirstPlacement, UnitPlacementPolicy},
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -19,6 +19,9 @@
 /// within one term; the term is in the bits above.
 pub(super) const TERM_SHIFT_BITS: u32 = 16;
 
+/// The time within which work within its account's guarantee starts if the settings give none.
+pub const DEFAULT_RECLAIM_TIME: Duration = Duration::from_millis(2500);
+
 /// The scheduling state of one term: open jobs, workers, and the orders for each guard.
 pub struct Scheduler {
     /// The fencing term.
@@ -27,6 +30,9 @@
     pub leases: LeaseTerms,
     /// The factor by which work takes longer when it runs remote from its data.
     pub remote_factor: u64,
+    /// The time within which work within its account's guarantee starts. Half of it may pass while
+    /// the work waits for its rack; the rest is for stopping other work.
+    pub reclaim_time: Duration,
     /// The sizes that the store accepts.
     pub record_limits: RecordLimits,
     /// The queues and accounts of the configuration in force, once one is known.
@@ -75,6 +81,7 @@
             term,
             leases,
             remote_factor,
+            reclaim_time: DEFAULT_RECLAIM_TIME,
             record_limits: RecordLimits::default(),
             queue_table: None,
             jobs: BTreeMap::new(),
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -53,6 +53,8 @@
     pub leases: LeaseTerms,
     /// The factor by which work takes longer when it runs remote from its data.
     pub remote_factor: u64,
+    /// The time within which work within its account's guarantee starts.
+    pub reclaim_time: Duration,
     /// How long an ended job stays on the ledger for its caller.
     pub retention: Duration,
     /// The process's metrics.
@@ -264,6 +266,7 @@
     });
     let policy = Box::new(RackFirstPlacement);
     let mut scheduler = Scheduler::new(term, ctx.leases, ctx.remote_factor, policy, guards, now);
+    scheduler.reclaim_time = ctx.reclaim_time;
     scheduler.record_limits = ctx.election.ledger.limits();
     scheduler.confirm_leadership(confirmed_at);
     ctx.election.ledger.view(|fold| {
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -68,6 +68,7 @@
                 members: step.members_per_unit(),
                 waited: pending.waited,
                 remote_factor: self.remote_factor,
+                max_rack_wait: pending.is_guaranteed.then_some(self.reclaim_time / 2),
             };
             let free_hosts = self.eligible_hosts(&hosts, &job, step, pending.unit, false);
             if let Some(placed) = self.placement_policy.place(&req, &free_hosts) {
@@ -205,6 +206,7 @@
             members: step.members_per_unit(),
             waited: Duration::MAX,
             remote_factor: self.remote_factor,
+            max_rack_wait: None,
         };
         match self
             .placement_policy
--- a/src/process/scheduler/unit_placement_policy.rs
+++ b/src/process/scheduler/unit_placement_policy.rs
@@ -31,6 +31,9 @@
     pub waited: Duration,
     /// The factor by which work takes longer remote from its data or spread over several racks.
     pub remote_factor: u64,
+    /// How long the unit may wait for one rack or for that of its data; `None` if it may wait for as
+    /// long as that is faster than running remote.
+    pub max_rack_wait: Option<Duration>,
 }
 
 /// A policy that chooses the workers of a unit's members.
@@ -70,7 +73,7 @@
             if let Some(placed) = pack_members(req, local) {
                 return Some(placed);
             }
-            if !is_remote_faster(req) && fits_when_empty(req, &on_rack(hosts, rack)) {
+            if !accepts_remote(req) && fits_when_empty(req, &on_rack(hosts, rack)) {
                 return None;
             }
         }
@@ -80,7 +83,7 @@
             }
             let racks = racks(hosts);
             let mut racks = racks.iter();
-            if !is_remote_faster(req) && racks.any(|r| fits_when_empty(req, &on_rack(hosts, r))) {
+            if !accepts_remote(req) && racks.any(|r| fits_when_empty(req, &on_rack(hosts, r))) {
                 return None;
             }
         }
@@ -106,13 +109,26 @@
             .filter(|g| fits_when_empty(req, g))
             .collect();
         if local.is_empty() {
-            vec![hosts.to_vec()]
-        } else {
-            local
+            return vec![hosts.to_vec()];
         }
+        let mut groups = local;
+        if has_waited_for_rack(req) {
+            groups.push(hosts.to_vec());
+        }
+        groups
     }
 }
 
+/// Returns whether the unit may start remote from its data or on several racks.
+fn accepts_remote(req: &PlacementRequest<'_>) -> bool {
+    is_remote_faster(req) || has_waited_for_rack(req)
+}
+
+/// Returns whether the unit has waited for a rack for as long as it may.
+fn has_waited_for_rack(req: &PlacementRequest<'_>) -> bool {
+    req.max_rack_wait.is_some_and(|max| req.waited >= max)
+}
+
 /// Returns whether the unit has waited longer than remote execution would add to its run time.
 fn is_remote_faster(req: &PlacementRequest<'_>) -> bool {
     let extra_ms = req.step.estimate_ms * req.remote_factor.saturating_sub(1);
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -13,7 +13,7 @@
                 LedgerKey, LedgerRecord, Member, MemberRole,
             },
             metrics::PlatformMetrics,
-            scheduler::{LeaseTerms, SchedulerContext, run_scheduler},
+            scheduler::{DEFAULT_RECLAIM_TIME, LeaseTerms, SchedulerContext, run_scheduler},
         },
         request::StepJobId,
     },
@@ -100,6 +100,7 @@
             max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(6000)),
             remote_factor: 3,
+            reclaim_time: DEFAULT_RECLAIM_TIME,
             retention: Duration::from_secs(240),
             metrics: metrics.clone(),
         };
--- a/tests/platform/guarantees.rs
+++ b/tests/platform/guarantees.rs
@@ -200,6 +200,28 @@
     assert_eq!((stops[0], stops.iter().sum::<usize>()), (0, 1));
 }
 
+/// Returns a world whose first workers stand in racks of the given sizes.
+fn world_of_racks(
+    racks: &[usize],
+    guarantees: &[(&str, u64)],
+) -> World {
+    let mut world = world(racks.iter().sum(), guarantees);
+    let racks = racks.iter().enumerate();
+    let racks = racks.flat_map(|(rack, count)| std::iter::repeat_n(rack, *count));
+    for (guard, rack) in racks.enumerate() {
+        world.set_rack(guard, &format!("r{rack}"));
+    }
+    world.run_for(3000);
+    world
+}
+
+/// Returns a gang of one member that needs a whole worker and has its data on a rack.
+fn gang_with_data(rack: &str) -> Vec<Step> {
+    let mut steps = gang(1);
+    steps[0].data_rack = Some(rack.into());
+    steps
+}
+
 /// Guards against a guarantee that waits for urgent work without accelerators, which fills the
 /// processors or the memory of all workers and is within the guarantee of its account, whatever
 /// that is. No more of it is stopped than one worker needs, and it completes later.
@@ -251,6 +273,56 @@
     assert_eq!(phases, [JobPhase::Completed; 4]);
 }
 
+/// Guards against a guarantee that waits for the rack of its data while workers on other racks are
+/// idle: the rack is full of work within another account's guarantee, which is not stopped.
+#[test]
+fn a_guaranteed_unit_does_not_wait_for_the_rack_of_its_data() {
+    let mut world = world_of_racks(&[2, 2], &[("holder", 16), ("reclaimer", 8)]);
+    let holders = [(); 2].map(|()| world.submit_for("holder", gang_with_data("r0"), 0, 1));
+    world.run_for(1200);
+    let submitted = world.now;
+    let reclaimer = world.submit_for("reclaimer", gang_with_data("r0"), 0, 1);
+    world.run_for(3 * WORK_MS);
+    let waited = begun_after(&world, reclaimer, submitted);
+    assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+    assert_eq!(holders.map(|id| stops(&world, id)), [0, 0]);
+}
+
+/// Guards against a gang within its account's guarantee that waits for one rack while each rack
+/// holds work within another account's guarantee.
+#[test]
+fn a_guaranteed_gang_does_not_wait_for_one_rack() {
+    let mut world = world_of_racks(&[2, 2], &[("holder", 16), ("reclaimer", 16)]);
+    let holders = ["r0", "r1"].map(|rack| world.submit_for("holder", gang_with_data(rack), 0, 1));
+    world.run_for(1200);
+    let submitted = world.now;
+    let mut bound = gang(2);
+    bound[0].rack_bound = true;
+    let reclaimer = world.submit_for("reclaimer", bound, 0, 1);
+    world.run_for(4 * WORK_MS);
+    let waited = begun_after(&world, reclaimer, submitted);
+    assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+    assert_eq!(holders.map(|id| stops(&world, id)), [0, 0]);
+}
+
+/// Guards against a guaranteed unit that makes room on the rack of its data only: that rack is full
+/// of work within another account's guarantee, and the others of less urgent work.
+#[test]
+fn a_guaranteed_unit_makes_room_on_another_rack() {
+    let mut world = world_of_racks(&[2, 2], &[("holder", 16), ("reclaimer", 8)]);
+    let holders = [(); 2].map(|()| world.submit_for("holder", gang_with_data("r0"), 0, 1));
+    let others = [(); 2].map(|()| world.submit_for("holder", gang_with_data("r1"), 1, 1));
+    world.run_for(1200);
+    let submitted = world.now;
+    let reclaimer = world.submit_for("reclaimer", gang_with_data("r0"), 0, 1);
+    world.run_for(3 * WORK_MS);
+    let waited = begun_after(&world, reclaimer, submitted);
+    assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+    assert_eq!(holders.map(|id| stops(&world, id)), [0, 0]);
+    let stopped: usize = others.iter().map(|id| stops(&world, *id)).sum();
+    assert_eq!(stopped, 1);
+}
+
 fn victim(
     number: u32,
     upstream: &str,
@@ -302,6 +374,7 @@
             members: 1,
             waited: Duration::ZERO,
             remote_factor: 3,
+            max_rack_wait: None,
         };
         let hosts = [host("a"), host("b")];
         let choice = choose_victims(&RackFirstPlacement, &req, &hosts, victims);
--- a/tests/platform/large_progress.rs
+++ b/tests/platform/large_progress.rs
@@ -20,7 +20,8 @@
             metrics::PlatformMetrics,
             runs::PollResponse,
             scheduler::{
-                LeaseTerms, ProgressQueue, ProgressRecords, SchedulerContext, run_scheduler,
+                DEFAULT_RECLAIM_TIME, LeaseTerms, ProgressQueue, ProgressRecords, SchedulerContext,
+                run_scheduler,
             },
         },
         request::{
@@ -126,6 +127,7 @@
             max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(6000)),
             remote_factor: 3,
+            reclaim_time: DEFAULT_RECLAIM_TIME,
             retention: Duration::from_secs(240),
             metrics: Rc::new(PlatformMetrics::default()),
         };
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -310,6 +310,7 @@
         members: 2,
         waited: Duration::ZERO,
         remote_factor: 3,
+        max_rack_wait: None,
     };
     let hosts = [
         host("a1", "a", 0),
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -18,7 +18,8 @@
             },
             metrics::PlatformMetrics,
             scheduler::{
-                LeaseTerms, RackFirstPlacement, Scheduler, SchedulerContext, run_scheduler,
+                DEFAULT_RECLAIM_TIME, LeaseTerms, RackFirstPlacement, Scheduler, SchedulerContext,
+                run_scheduler,
             },
         },
     },
@@ -96,6 +97,7 @@
             max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(LEASES_MS)),
             remote_factor: 3,
+            reclaim_time: DEFAULT_RECLAIM_TIME,
             retention: Duration::from_secs(240),
             metrics: Rc::new(PlatformMetrics::default()),
         };
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -93,3 +93,18 @@
     });
     insta::assert_debug_snapshot!(parsed);
 }
+
+/// Guards against a bound on the start of guaranteed work that is not the platform's.
+#[test]
+fn bound_on_reclaims() {
+    let parsed = ["2900", "3400.5", "0", "-1", "\"soon\""].map(|bound| {
+        let text = SETTINGS.replace(
+            r#""Bounds":{"#,
+            &format!(r#""Bounds":{{"ReclaimMs":{bound},"#),
+        );
+        assert_ne!(text, SETTINGS);
+        let settings = BootSettings::parse("boot.json", &text);
+        settings.map(|s| s.reclaim_time).map_err(|e| e.to_string())
+    });
+    insta::assert_debug_snapshot!(parsed);
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -235,6 +235,15 @@
         self.guards[guard].rack = data_centre.into();
     }
 
+    /// Sets the rack of a guard's worker.
+    pub fn set_rack(
+        &mut self,
+        guard: usize,
+        rack: &str,
+    ) {
+        self.guards[guard].rack = rack.into();
+    }
+
     /// Sets the evacuated data centres.
     pub fn evacuate(
         &mut self,
