Relocate scattered urgent work for a guarantee of whole workers

What callers saw: a job of priority 0 within its account's guarantee needs a whole worker and waits, although most accelerators are idle: small jobs within another account's guarantee run one on each worker.

Cause: work that a guarantee covers was never stopped, also where it would fit on another worker at once.

Change: when half of the reclaim time has passed and no other victims suffice, urgent units are relocated: stopped, and started on other workers on which they are known to fit. Each is relocated once at most, and waits behind guaranteed units that were not stopped. The kind of a victim is a type of its own, which orders the costs.

--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod outcome;
 mod pass_pending_units;
 mod pass_preemption;
+mod pass_relocation;
 mod pending_orders;
 mod pending_unit;
 mod preemption;
@@ -37,7 +38,7 @@
     open_job::OpenJob,
     pending_orders::{MessageOrders, PendingOrders},
     pending_unit::PendingUnit,
-    preemption::{Victim, choose_victims},
+    preemption::{Victim, VictimKind, choose_victims},
     progress_queue::{ProgressBatch, ProgressQueue},
     progress_records::ProgressRecords,
     scheduler::{DEFAULT_RECLAIM_TIME, Scheduler},
--- a/src/process/scheduler/pass_pending_units.rs
+++ b/src/process/scheduler/pass_pending_units.rs
@@ -36,6 +36,7 @@
                     unit,
                     priority: open.job.priority,
                     is_guaranteed: false,
+                    was_preempted: open.preemptions.contains_key(&unit),
                     due: open.job.window(unit.occurrence).1,
                     waited: now.since(since),
                     total_demand: step.demand.times(u64::from(step.members_per_unit())),
--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
-        Host, PendingUnit, PlacementRequest, Scheduler, Victim, choose_victims,
+        ActiveUnit, Host, PendingUnit, PlacementRequest, Scheduler, Victim, VictimKind,
+        choose_victims,
         scheduler::TERM_SHIFT_BITS,
         scheduling_pass::{PassHost, claim_capacity},
     },
     crate::{
         prelude::*,
-        request::{Resources, StepJobId, UnitId},
+        request::{Resources, Step, StepJobId, UnitId},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -31,7 +32,8 @@
 impl Scheduler {
     /// Preempts other work so that an urgent unit can start: less urgent work, and if that does not
     /// suffice for a unit within its account's guarantee, urgent work of other accounts that no
-    /// guarantee covers. Returns `false`, and stops nothing, when that would not free enough.
+    /// guarantee covers, and after some time urgent work that fits elsewhere. Returns `false`, and
+    /// stops nothing, when that would not free enough.
     pub(super) fn preempt_for(
         &mut self,
         pending: &PendingUnit,
@@ -41,27 +43,27 @@
         now: Millis,
     ) -> bool {
         let candidates = self.preemptible_units(now, pending);
-        let choice = choose_victims(&*self.placement_policy, req, hosts_after_stops, &candidates);
+        let choice = choose_victims(&*self.placement_policy, req, hosts_after_stops, &candidates)
+            .or_else(|| self.choose_relocations(pending, req, hosts, candidates, now));
         let Some((victims, placed)) = choice else {
             return false;
         };
-        let urgent = victims.iter().filter(|v| v.is_urgent).count();
-        tracing::info!(job = %pending.job, unit = %pending.unit, victims = victims.len(), beyond_guarantee = urgent, guaranteed = pending.is_guaranteed, "preempting other work");
+        let count = |kind| victims.iter().filter(|v| v.kind == kind).count();
+        let (uncovered, relocated) = (count(VictimKind::Uncovered), count(VictimKind::Relocated));
+        tracing::info!(job = %pending.job, unit = %pending.unit, victims = victims.len(), uncovered, relocated, guaranteed = pending.is_guaranteed, "preempting other work");
         for victim in &victims {
             self.counts.count("preempted");
-            for host in hosts.iter_mut() {
-                if let Some(freed) = victim.freed_by_worker.get(&host.host.upstream) {
-                    host.free_after_stops += *freed;
-                }
-            }
+            release_after_stop(hosts, victim);
             let (id, unit) = victim.unit;
             if let Some(job) = self.jobs.get_mut(&id) {
                 *job.preemptions.entry(unit).or_default() += 1;
             }
-            let why = if victim.is_urgent {
-                "not covered by its account's guarantee, preempted for another account's guarantee"
-            } else {
-                "preempted by more urgent work"
+            let why = match victim.kind {
+                VictimKind::LessUrgent => "preempted by more urgent work",
+                VictimKind::Uncovered => {
+                    "not covered by its account's guarantee, preempted for another account's guarantee"
+                }
+                VictimKind::Relocated => "relocated, because its worker is needed for a guarantee",
             };
             self.stop_unit(id, unit, why);
         }
@@ -112,21 +114,18 @@
             });
             active.filter_map(move |(unit, a)| {
                 let step = open.job.step_of(*unit)?;
-                let age_ms = Millis::from(now.since(a.active_since)).0;
-                let unsaved_ms = if step.checkpoints { 0 } else { age_ms };
-                let gang_ms = if step.gang { GANG_RESTART_COST_MS } else { 0 };
-                let lost_ms = unsaved_ms + RESTART_COST_MS + gang_ms;
-                let weight =
-                    step.demand.cpu_equivalent_milli() * u64::from(step.members_per_unit());
                 let preemptions = open.preemptions.get(unit).copied().unwrap_or_default();
                 if step.gang && preemptions >= MAX_GANG_PREEMPTIONS && !is_guaranteed {
                     return None;
                 }
                 let urgency = u64::from(open.job.priority.saturating_sub(priority)).max(1);
-                let cost = weight * lost_ms / 1000 * (1 + preemptions) / urgency;
-                let mut victim = self.victim(open.job.id, *unit, cost);
-                victim.is_urgent = !is_less_urgent;
-                Some(victim)
+                let cost = lost_work(step, a, now) * (1 + preemptions) / urgency;
+                let kind = if is_less_urgent {
+                    VictimKind::LessUrgent
+                } else {
+                    VictimKind::Uncovered
+                };
+                Some(self.victim(open.job.id, *unit, cost, kind))
             })
         });
         units.collect()
@@ -196,17 +195,19 @@
                     .saturating_sub(age_ms)
                     .max(MIN_REMAINING_MS);
                 let accelerators = step.demand.accelerators * u64::from(step.members_per_unit());
-                Some(self.victim(open.job.id, *unit, remaining_ms * accelerators.max(1)))
+                let cost = remaining_ms * accelerators.max(1);
+                Some(self.victim(open.job.id, *unit, cost, VictimKind::LessUrgent))
             })
         });
         units.collect()
     }
 
-    fn victim(
+    pub(super) fn victim(
         &self,
         id: StepJobId,
         unit: UnitId,
         cost: u64,
+        kind: VictimKind,
     ) -> Victim {
         let mut freed_by_worker: BTreeMap<UpstreamName, Resources> = BTreeMap::new();
         let active = self.jobs.get(&id).and_then(|j| j.active_units.get(&unit));
@@ -217,8 +218,34 @@
         Victim {
             unit: (id, unit),
             cost,
-            is_urgent: false,
+            kind,
             freed_by_worker,
         }
     }
 }
+
+/// Returns the work that stopping a unit loses, in thousandths of a core times seconds.
+pub(super) fn lost_work(
+    step: &Step,
+    active: &ActiveUnit,
+    now: Millis,
+) -> u64 {
+    let age_ms = Millis::from(now.since(active.active_since)).0;
+    let unsaved_ms = if step.checkpoints { 0 } else { age_ms };
+    let gang_ms = if step.gang { GANG_RESTART_COST_MS } else { 0 };
+    let lost_ms = unsaved_ms + RESTART_COST_MS + gang_ms;
+    let weight = step.demand.cpu_equivalent_milli() * u64::from(step.members_per_unit());
+    weight * lost_ms / 1000
+}
+
+/// Adds what a victim frees to the capacity that is free once the stops have ended.
+pub(super) fn release_after_stop(
+    hosts: &mut [PassHost],
+    victim: &Victim,
+) {
+    for host in hosts {
+        if let Some(freed) = victim.freed_by_worker.get(&host.host.upstream) {
+            host.free_after_stops += *freed;
+        }
+    }
+}
--- a/src/process/scheduler/pending_unit.rs
+++ b/src/process/scheduler/pending_unit.rs
@@ -16,6 +16,8 @@
     pub priority: u32,
     /// Whether it is urgent and fits into the unused part of its account's guarantee.
     pub is_guaranteed: bool,
+    /// Whether it was stopped for other work before.
+    pub was_preempted: bool,
     /// The time by which its occurrence should be done, in milliseconds since the Unix epoch.
     pub due: Millis,
     /// How long it has been waiting.
@@ -26,10 +28,11 @@
 
 impl PendingUnit {
     /// Returns the sort key: guaranteed units first, then by priority, then by due time. Of the
-    /// guaranteed ones, those without accelerators come last: they are stopped for the others, and
-    /// would otherwise take the room again that was freed.
+    /// guaranteed ones, those that were stopped for others and those without accelerators come last:
+    /// they would otherwise take the room again that they have freed.
     pub fn order_key(&self) -> (bool, bool, u32, Millis, StepJobId, UnitId) {
-        let gives_way = self.is_guaranteed && self.total_demand.accelerators == 0;
+        let may_yield = self.was_preempted || self.total_demand.accelerators == 0;
+        let gives_way = self.is_guaranteed && may_yield;
         (
             !self.is_guaranteed,
             gives_way,
--- a/src/process/scheduler/preemption.rs
+++ b/src/process/scheduler/preemption.rs
@@ -9,6 +9,17 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// Why a running unit may be stopped for another one. A plan spares the later kinds first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum VictimKind {
+    /// It is less urgent than the unit that is to be placed.
+    LessUrgent,
+    /// It is as urgent, but no guarantee covers it.
+    Uncovered,
+    /// It is as urgent and covered by a guarantee, and starts again on another worker at once.
+    Relocated,
+}
+
 /// A running unit that may be stopped.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Victim {
@@ -17,16 +28,15 @@
     /// What stopping it costs. For preemption this is the lost work in thousandths of a core times
     /// seconds, for a reservation the remaining time in milliseconds times accelerators.
     pub cost: u64,
-    /// Whether it is as urgent as the unit that is to be placed. Such work is stopped only where
-    /// less urgent work does not suffice, whatever that costs.
-    pub is_urgent: bool,
+    /// Why it may be stopped. Work of a later kind is stopped only where that of the earlier ones does
+    /// not suffice, whatever that costs.
+    pub kind: VictimKind,
     /// The resources that it frees on each worker.
     pub freed_by_worker: BTreeMap<UpstreamName, Resources>,
 }
 
-/// The cost of stopping several victims: that of the urgent ones, which is compared first, and that
-/// of the others.
-type TotalCost = (u64, u64);
+/// The cost of stopping several victims by their kind. The last kind is compared first.
+type TotalCost = (u64, u64, u64);
 
 /// Returns the units to stop so that a unit can be placed, and the worker of each of its members
 /// then. Plans each group of workers that could hold the whole unit by itself and chooses the group
@@ -47,26 +57,24 @@
     plans.into_iter().find_map(|(_, chosen)| {
         let chosen: Vec<Victim> = chosen.into_iter().map(|i| victims[i].clone()).collect();
         let placed = policy.place(req, &hosts_without(hosts, &chosen))?;
-        Some(without_needless_urgent_victims(
-            policy, req, hosts, chosen, placed,
-        ))
+        Some(without_needless_victims(policy, req, hosts, chosen, placed))
     })
 }
 
-/// Drops the urgent victims without which the unit can be placed as well, the highest cost first. A
-/// plan chooses member by member, so a gang that is chosen for a later member may free what an
-/// earlier victim was chosen for.
-fn without_needless_urgent_victims(
+/// Drops the urgent victims without which the unit can be placed as well, the last kind and the
+/// highest cost first. A plan chooses member by member, so a gang that is chosen for a later member
+/// may free what an earlier victim was chosen for.
+fn without_needless_victims(
     policy: &dyn UnitPlacementPolicy,
     req: &PlacementRequest<'_>,
     hosts: &[Host],
     mut chosen: Vec<Victim>,
     mut placed: Vec<UpstreamName>,
 ) -> (Vec<Victim>, Vec<UpstreamName>) {
-    let urgent = chosen.iter().filter(|v| v.is_urgent);
-    let mut urgent: Vec<_> = urgent.map(|v| (v.cost, v.unit)).collect();
+    let urgent = chosen.iter().filter(|v| v.kind > VictimKind::LessUrgent);
+    let mut urgent: Vec<_> = urgent.map(|v| (v.kind, v.cost, v.unit)).collect();
     urgent.sort_unstable();
-    for (_, unit) in urgent.into_iter().rev() {
+    for (_, _, unit) in urgent.into_iter().rev() {
         let others = chosen.iter().filter(|v| v.unit != unit).cloned();
         let others: Vec<Victim> = others.collect();
         if let Some(with_others) = policy.place(req, &hosts_without(hosts, &others)) {
@@ -81,7 +89,7 @@
 struct ClearingPlan<'a> {
     hosts: Vec<Host>,
     victims: &'a [Victim],
-    /// The indices of the victims on each worker: the less urgent ones first, then the lowest cost.
+    /// The indices of the victims on each worker by kind, then the lowest cost first.
     victims_by_host: BTreeMap<&'a UpstreamName, Vec<usize>>,
     chosen: BTreeSet<usize>,
 }
@@ -100,7 +108,7 @@
         for indices in victims_by_host.values_mut() {
             indices.sort_by_key(|i| {
                 let victim = &victims[*i];
-                (victim.is_urgent, victim.cost, victim.unit)
+                (victim.kind, victim.cost, victim.unit)
             });
         }
         Self {
@@ -145,7 +153,7 @@
             free += self.freed_on(*next, h);
             added.push(*next);
         }
-        // Removes victims that turn out not to be needed, the urgent ones and the highest cost first.
+        // Removes victims that turn out not to be needed, the last kind and the highest cost first.
         for i in (0..added.len()).rev() {
             let without = free.saturating_sub(&self.freed_on(added[i], h));
             if req.step.demand.fits_in(&without) {
@@ -164,14 +172,17 @@
     where
         I: IntoIterator<Item = &'i usize>,
     {
-        indices.into_iter().fold((0, 0), |(urgent, other), i| {
-            let victim = &self.victims[*i];
-            if victim.is_urgent {
-                (urgent + victim.cost, other)
-            } else {
-                (urgent, other + victim.cost)
-            }
-        })
+        indices
+            .into_iter()
+            .fold(TotalCost::default(), |mut total, i| {
+                let victim = &self.victims[*i];
+                *match victim.kind {
+                    VictimKind::Relocated => &mut total.0,
+                    VictimKind::Uncovered => &mut total.1,
+                    VictimKind::LessUrgent => &mut total.2,
+                } += victim.cost;
+                total
+            })
     }
 
     fn freed_on(
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -155,7 +155,7 @@
 
     /// Returns the hosts that may run a unit, with the capacity that is free now, or that is free
     /// after pending stops if `after_stops` is set.
-    fn eligible_hosts(
+    pub(super) fn eligible_hosts(
         &self,
         hosts: &[PassHost],
         job: &StepJob,
--- a/tests/platform/guarantees.rs
+++ b/tests/platform/guarantees.rs
@@ -6,7 +6,9 @@
         connection::EndKind,
         platform::decode_config,
         prelude::*,
-        process::scheduler::{Host, PlacementRequest, RackFirstPlacement, Victim, choose_victims},
+        process::scheduler::{
+            Host, PlacementRequest, RackFirstPlacement, Victim, VictimKind, choose_victims,
+        },
         request::{JobPhase, Resources, Step, StepJobId, UnitId},
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -323,11 +325,53 @@
     assert_eq!(stopped, 1);
 }
 
+/// Guards against a guarantee whose accelerators are free in sum but not on any one worker: small
+/// units within another account's guarantee are scattered over all workers. One of them is relocated
+/// to another worker, and completes.
+#[test]
+fn scattered_work_is_relocated_for_a_guarantee() {
+    let mut world = world(4, &[("holder", 4), ("reclaimer", 8)]);
+    let mut filling = gang(1);
+    filling[0].demand.accelerators = CAPACITY.accelerators - 1;
+    let fillers = [(); 4].map(|()| world.submit_for("filler", filling.clone(), 2, 1));
+    world.run_for(WORK_MS - 2000);
+    let mut small = gang(1);
+    small[0].demand.accelerators = 1;
+    let holders = [(); 4].map(|()| world.submit_for("holder", small.clone(), 0, 1));
+    world.run_for(4000);
+    assert_eq!(world.running(), 4, "a small unit on each worker");
+    let submitted = world.now;
+    let reclaimer = world.submit_for("reclaimer", gang(1), 0, 1);
+    world.run_for(3 * WORK_MS);
+    let waited = begun_after(&world, reclaimer, submitted);
+    assert!(waited.is_some_and(|ms| ms <= RECLAIM_MS), "{waited:?}");
+    let stopped: usize = holders.iter().map(|id| stops(&world, *id)).sum();
+    assert_eq!(stopped, 1);
+    let jobs = fillers.iter().chain(&holders).chain([&reclaimer]);
+    let phases: BTreeSet<JobPhase> = jobs.map(|id| world.progress(*id).phase()).collect();
+    assert_eq!(phases, BTreeSet::from([JobPhase::Completed]));
+}
+
+/// Guards against the relocation of guaranteed work that fits nowhere else: it runs to its end.
+#[test]
+fn guaranteed_work_that_fits_nowhere_else_is_not_relocated() {
+    let mut world = world(2, &[("holder", 8), ("reclaimer", 8)]);
+    let mut half = gang(1);
+    half[0].demand.accelerators = 4;
+    half[0].demand.cpu_milli = 100_000;
+    let holders = [(); 2].map(|()| world.submit_for("holder", half.clone(), 0, 1));
+    world.run_for(1200);
+    let reclaimer = world.submit_for("reclaimer", gang(1), 0, 1);
+    world.run_for(3 * WORK_MS);
+    assert_eq!(holders.map(|id| stops(&world, id)), [0, 0]);
+    assert_eq!(world.progress(reclaimer).phase(), JobPhase::Completed);
+}
+
 fn victim(
     number: u32,
     upstream: &str,
     cost: u64,
-    is_urgent: bool,
+    kind: VictimKind,
 ) -> Victim {
     let unit = UnitId {
         occurrence: 0,
@@ -341,7 +385,7 @@
     Victim {
         unit: (StepJobId::from_number(1), unit),
         cost,
-        is_urgent,
+        kind,
         freed_by_worker: BTreeMap::from([(UpstreamName::from(upstream), freed)]),
     }
 }
@@ -382,10 +426,10 @@
         chosen.iter().map(|v| v.unit.1.index).collect::<Vec<u32>>()
     };
     let victims = [
-        victim(0, "a", 1, true),
-        victim(1, "a", 2, true),
-        victim(2, "b", 1000, false),
-        victim(3, "b", 5, true),
+        victim(0, "a", 1, VictimKind::Uncovered),
+        victim(1, "a", 2, VictimKind::Uncovered),
+        victim(2, "b", 1000, VictimKind::LessUrgent),
+        victim(3, "b", 5, VictimKind::Uncovered),
     ];
     assert_eq!(choice(4, &victims), [2]);
     assert_eq!(choice(8, &victims), [0, 1]);
--- a/tests/platform/scheduler.rs
+++ b/tests/platform/scheduler.rs
@@ -5,7 +5,9 @@
     limpetquay::{
         connection::EndKind,
         prelude::*,
-        process::scheduler::{Host, PlacementRequest, RackFirstPlacement, Victim, choose_victims},
+        process::scheduler::{
+            Host, PlacementRequest, RackFirstPlacement, Victim, VictimKind, choose_victims,
+        },
         request::{JobPhase, Resources, Step, StepJobId, UnitId},
     },
     std::collections::BTreeMap,
@@ -285,7 +287,7 @@
             },
         ),
         cost,
-        is_urgent: false,
+        kind: VictimKind::LessUrgent,
         freed_by_worker: BTreeMap::from([(UpstreamName::from(upstream), freed)]),
     }
 }
