Give no number of pending jobs from an old view of the ledger

What callers saw: an entry whose reads of the ledger go unanswered, or that has not read it yet, answers GET PREFIX with the number of its last view, or 0. The protocol allows the number to be 2 s old.

Cause: single unknown jobs and readiness are checked for the age of the view, the number was not.

Change: 503 where the view is older than 2.5 s, as for an unknown job.

Evidence: the test pending_jobs_are_not_counted_in_an_old_view failed before with 200 in all four answers, where the last two have to be 503.

--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -99,8 +99,10 @@
         };
         let name = &req.path[queue.prefix.len()..];
         if name.is_empty() && req.method == Method::GET {
-            let pending = self.job_service.pending_jobs(&queue.name);
-            return HttpResponse::json(200, &WirePending { pending });
+            return match self.job_service.pending_jobs(&queue.name) {
+                Ok(pending) => HttpResponse::json(200, &WirePending { pending }),
+                Err(e) => into_response(Err(e)),
+            };
         }
         let Ok(id) = name.parse() else {
             return HttpResponse::text(404, "there is no such job");
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -19,8 +19,8 @@
     std::cell::Cell,
 };
 
-/// The maximum age of the ledger's state at which an unknown job is reported not to exist, and at
-/// which the entry is ready.
+/// The maximum age of the ledger's state at which an unknown job is reported not to exist, pending
+/// jobs are counted, and the entry is ready.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(2500);
 
 /// The age of the ledger's state from which submissions are rejected without a call to the store:
@@ -83,8 +83,7 @@
     /// Returns whether the entry can serve callers: it has a configuration and a recent view of the
     /// ledger, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        let is_fresh = self.ledger.age().is_some_and(|age| age < MAX_VIEW_AGE);
-        !self.is_stopping.get() && is_fresh && self.queue_table.borrow().is_some()
+        !self.is_stopping.get() && self.has_recent_view() && self.queue_table.borrow().is_some()
     }
 
     /// Stores a job within `time`. A job that was accepted before is accepted again and runs once.
@@ -209,19 +208,32 @@
         if let Some(phase) = self.ledger.view(|f| f.jobs.get(&id).map(|v| v.phase())) {
             return Ok(phase);
         }
-        match self.ledger.age() {
-            Some(age) if age < MAX_VIEW_AGE => Err(DeskError::Gone),
-            _ => Err(DeskError::Stale),
-        }
+        Err(if self.has_recent_view() {
+            DeskError::Gone
+        } else {
+            DeskError::Stale
+        })
     }
 
     /// Returns the number of jobs of a queue that wait for their first start, without recurring
     /// jobs.
+    ///
+    /// # Errors
+    /// Returns [`DeskError::Stale`] if the view of the ledger is too old, because jobs may have been
+    /// accepted since.
     pub fn pending_jobs(
         &self,
         queue: &QueueName,
-    ) -> usize {
-        self.ledger.view(|f| f.pending_jobs(queue))
+    ) -> Result<usize, DeskError> {
+        if !self.has_recent_view() {
+            return Err(DeskError::Stale);
+        }
+        Ok(self.ledger.view(|f| f.pending_jobs(queue)))
+    }
+
+    /// Returns whether the view of the ledger is recent enough to say what it does not hold.
+    fn has_recent_view(&self) -> bool {
+        self.ledger.age().is_some_and(|age| age < MAX_VIEW_AGE)
     }
 
     /// Returns whether the store has not answered for so long that another call would be futile.
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -3,7 +3,10 @@
 use {
     super::fake_store::{FakeStore, SharedStore},
     futures_util::{future::select, pin_mut},
+    hyper::{HeaderMap, Method, header::HeaderValue},
     limpetquay::{
+        connection::{HttpHandler, HttpRequest},
+        platform::{CallerApi, decode_config},
         prelude::*,
         process::{
             clock::VirtualClock,
@@ -156,3 +159,37 @@
     });
     insta::assert_debug_snapshot!(outcomes);
 }
+
+/// Guards against a wrong number of pending jobs: an entry that has not read the ledger for longer than
+/// the age that a number may have does not know which jobs were accepted since, and says so.
+#[test]
+fn pending_jobs_are_not_counted_in_an_old_view() {
+    let statuses = decide_on_unread(|clock, ledger, _| async move {
+        let config = r#"{"Version":1,"Routes":[{"Name":"queue","Host":"a","PathPrefix":"/queue/","Service":"s",
+            "Priority":0,"Attempts":1,"Stretch":1,"TargetLatencyMs":0,"Public":true}]}"#;
+        let table = decode_config(config.as_bytes()).expect("a configuration");
+        let service = JobService {
+            clock: clock.clone(),
+            ledger,
+            queue_table: Rc::new(RefCell::new(Some(Rc::new(table)))),
+            is_stopping: Cell::default(),
+            metrics: Rc::new(PlatformMetrics::default()),
+        };
+        let api = Rc::new(CallerApi::new(Rc::new(service)));
+        let mut statuses = Vec::new();
+        for pause_ms in [0, 1900, 700, 60_000] {
+            clock.sleep(Duration::from_millis(pause_ms)).await;
+            let mut req = HttpRequest {
+                method: Method::GET,
+                path: "/queue/".to_owned(),
+                query: String::new(),
+                headers: HeaderMap::new(),
+                body: Bytes::new(),
+            };
+            req.headers.insert("host", HeaderValue::from_static("a"));
+            statuses.push(api.clone().handle(req).await.status);
+        }
+        statuses
+    });
+    assert_eq!(statuses, [200, 200, 503, 503]);
+}
