Play random claims of guarantees beside work that holds the workers

Change: a property test in virtual time. Each seed plays four claims of random gangs, after urgent gangs beyond a guarantee, work that holds one rack, scattered small work, or work without accelerators; each claim within a guarantee has to begin within 2,700 ms. The order of guaranteed units is found by its own test only.

--- a/tests/platform/guarantees.rs
+++ b/tests/platform/guarantees.rs
@@ -15,12 +15,12 @@
 };
 
 /// The time in which a job within its account's guarantee has to begin, in milliseconds.
-const RECLAIM_MS: u64 = 2700;
+pub const RECLAIM_MS: u64 = 2700;
 
-const WORK_MS: u64 = 8000;
+pub const WORK_MS: u64 = 8000;
 
 /// Returns a world whose gangs work for [`WORK_MS`], with the guarantees of some accounts.
-fn world(
+pub fn world(
     guards: usize,
     guarantees: &[(&str, u64)],
 ) -> World {
@@ -54,7 +54,7 @@
 }
 
 /// Returns how long after `submitted` all members of a job had begun.
-fn begun_after(
+pub fn begun_after(
     world: &World,
     id: StepJobId,
     submitted: u64,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod fake_store;
 mod fuzz;
 mod guarantees;
+mod guarantees_fuzz;
 mod http_client;
 mod idle_connections;
 mod job_ids;
