Check guarantees between accounts and oversized progress in the soak

Change: the terms of a scenario hold the size limits of the store, for the stand-in and the settings alike; the stand-in worker saves checkpoints on request.

--- a/src/platform/stand_in/stand_in_worker.rs
+++ b/src/platform/stand_in/stand_in_worker.rs
@@ -43,7 +43,8 @@
 }
 
 /// An in-memory worker with the HTTP interface of a real one. The word `work_ms=N` in a payload
-/// sets the work of the run in milliseconds, and the word `fail` makes the run fail.
+/// sets the work of the run in milliseconds, the word `save_ms=N` the interval of its checkpoints, and
+/// the word `fail` makes the run fail.
 pub struct StandInWorker {
     clock: Rc<dyn Clock>,
     id: Arc<str>,
@@ -260,18 +261,18 @@
 }
 
 fn parse_outcome(payload: &str) -> PlannedOutcome {
-    let words = payload.split_whitespace();
-    let work_ms = words
-        .clone()
-        .find_map(|w| w.strip_prefix("work_ms=")?.parse().ok());
+    let number = |prefix| {
+        let mut words = payload.split_whitespace();
+        words.find_map(|w| w.strip_prefix(prefix)?.parse().ok())
+    };
     PlannedOutcome {
         kind: if payload.split_whitespace().any(|w| w == "fail") {
             EndKind::Failed
         } else {
             EndKind::Done
         },
-        work_ms: work_ms.unwrap_or(DEFAULT_WORK_MS),
-        save_interval_ms: 0,
+        work_ms: number("work_ms=").unwrap_or(DEFAULT_WORK_MS),
+        save_interval_ms: number("save_ms=").unwrap_or(0),
     }
 }
 
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -54,16 +54,28 @@
     /// The answers by ID, as it was sent.
     pub received: RefCell<BTreeMap<Arc<str>, ReceivedAnswers>>,
     pub is_stopped: Cell<bool>,
+    /// The key of the callers' account.
+    key: &'static str,
     fleet: Rc<Fleet>,
     ids: RefCell<JobIds>,
 }
 
 impl Callers {
     pub fn new(fleet: Rc<Fleet>) -> Rc<Self> {
+        Self::with_key(fleet, "key", ID_STREAM)
+    }
+
+    /// Creates the callers of another account, with a stream of IDs of their own.
+    pub fn with_key(
+        fleet: Rc<Fleet>,
+        key: &'static str,
+        id_stream: u64,
+    ) -> Rc<Self> {
         Rc::new(Self {
             received: RefCell::default(),
             is_stopped: Cell::new(false),
-            ids: RefCell::new(JobIds::new(fleet.scenario.seed ^ ID_STREAM)),
+            key,
+            ids: RefCell::new(JobIds::new(fleet.scenario.seed ^ id_stream)),
             fleet,
         })
     }
@@ -103,6 +115,20 @@
         id
     }
 
+    /// Submits a job of one step to a random entry.
+    pub async fn submit_step(
+        &self,
+        rng: &mut StdRng,
+        step: Step,
+        payload: &str,
+    ) -> Arc<str> {
+        let id = self.ids.borrow_mut().generate();
+        let (job, body) = encode_job(&id, vec![step], payload);
+        self.fleet.record_sent_job(&id, job);
+        self.submit(rng, &id, &body).await;
+        id
+    }
+
     /// Submits jobs of one short subtask at once to one entry, and waits for the answers.
     pub async fn submit_burst(
         &self,
@@ -259,7 +285,7 @@
         let deadline = DEADLINE_MS.to_string();
         let headers = [
             ("host", "a.example"),
-            ("credential", "key"),
+            ("credential", self.key),
             ("deadline-ms", &*deadline),
         ];
         let body = Bytes::copy_from_slice(body.as_bytes());
@@ -346,7 +372,7 @@
     let encoded_steps = steps.iter().map(|s| {
         serde_json::json!({"Count": s.count, "Cpu": s.demand.cpu_milli, "MemMb": s.demand.memory_mb,
             "Gpu": s.demand.accelerators, "EstRuntimeMs": s.estimate_ms, "DependsOn": s.after,
-            "GangScheduled": s.gang})
+            "GangScheduled": s.gang, "Checkpointing": s.checkpoints})
     });
     let encoded_steps: Vec<serde_json::Value> = encoded_steps.collect();
     let body = serde_json::json!({"Spec": payload, "Steps": encoded_steps}).to_string();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -12,7 +12,7 @@
     compio::runtime::spawn,
     limpetquay::{
         connection::{HttpClient, HttpServer},
-        platform::stand_in::{ReceivedStart, StandInStore},
+        platform::stand_in::{ReceivedStart, StandInStore, StoreLimits},
         prelude::*,
         process::clock::SystemClock,
         request::{Resources, RunRef, StepJob, StepJobId},
@@ -81,6 +81,11 @@
         store
             .put("keyed.op", "config", config.as_bytes())
             .expect("the configuration is stored");
+        store.model().borrow_mut().limits = StoreLimits {
+            record_bytes: scenario.terms.record_bytes,
+            request_bytes: scenario.terms.request_bytes,
+            ..StoreLimits::default()
+        };
         let store_address = address(ip(subnet, 250), 9000);
         let server = HttpServer::bind(store_address, store.clone()).await;
         spawn(server.expect("the store").run(std::future::pending())).detach();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,7 +9,9 @@
 mod callers;
 mod fault_injector;
 mod fleet;
+mod guarantees;
 mod job_ids;
+mod large_progress;
 mod node;
 #[path = "../platform/oracle.rs"]
 mod oracle;
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -12,7 +12,7 @@
     },
 };
 
-/// The durations on which the processes and the workers of a scenario agree.
+/// The durations and sizes on which the processes and the stand-ins of a scenario agree.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
     /// The longest lease of a worker, in milliseconds.
@@ -21,16 +21,21 @@
     pub stop_ms: u64,
     /// The interval of a worker's heartbeats.
     pub heartbeat_interval: Duration,
+    /// The size limit of a record of the store, in bytes.
+    pub record_bytes: usize,
+    /// The size limit of an append to the store, in bytes.
+    pub request_bytes: usize,
 }
 
-impl Default for Terms {
-    fn default() -> Self {
-        Self {
-            max_lease_ms: 3000,
-            stop_ms: 100,
-            heartbeat_interval: Duration::from_millis(300),
-        }
-    }
+impl Terms {
+    /// The terms of a small deployment.
+    pub const SMALL: Self = Self {
+        max_lease_ms: 3000,
+        stop_ms: 100,
+        heartbeat_interval: Duration::from_millis(300),
+        record_bytes: 262_144,
+        request_bytes: 2_097_152,
+    };
 }
 
 /// The memory limit of an entry and of a guard, in MB, as on the smallest instances of the users.
@@ -78,10 +83,12 @@
             r#"{{"NodeName":"{name}","Ip":"{ip}","InternalPortRange":[7000,7015],"HeartbeatMs":{},
             "ListenAddrs":{{"Frontend":"{ip}:8521","Ready":"{ip}:8523","ControlPlane":"{ip}:8526"}},
             "Bounds":{{"MaxHoldMs":{},"RemoteFactor":3,"GracePeriodS":6,"status_s":120}},
-            "platform":{{"Address":"{}"}}}}"#,
+            "platform":{{"Address":"{}","RecordBytes":{},"RequestBytes":{}}}}}"#,
             terms.heartbeat_interval.as_millis(),
             terms.max_lease_ms,
             store_link.address(),
+            terms.record_bytes,
+            terms.request_bytes,
         );
         fs::write(&settings_path, text).expect("the settings file can be written");
         Self {
--- a/tests/soak/scenario.rs
+++ b/tests/soak/scenario.rs
@@ -61,7 +61,7 @@
             let mut rng = StdRng::seed_from_u64(seed);
             return Self {
                 seed,
-                terms: Terms::default(),
+                terms: Terms::SMALL,
                 entries: rng.random_range(2..5),
                 guards: rng.random_range(3..7),
                 workload: Workload {
@@ -91,6 +91,7 @@
                 max_lease_ms,
                 stop_ms,
                 heartbeat_interval: Duration::from_millis(heartbeat_ms),
+                ..Terms::SMALL
             },
             entries,
             guards,
--- a/tests/soak/takeovers.rs
+++ b/tests/soak/takeovers.rs
@@ -23,6 +23,7 @@
     max_lease_ms: 10_000,
     stop_ms: 900,
     heartbeat_interval: Duration::from_millis(300),
+    ..Terms::SMALL
 };
 
 /// The leases, stops and heartbeats of a deployment with leases of medium length.
@@ -30,6 +31,7 @@
     max_lease_ms: 6000,
     stop_ms: 200,
     heartbeat_interval: Duration::from_millis(300),
+    ..Terms::SMALL
 };
 
 /// The work of each subtask, in milliseconds: longer than a worker is cut off.
