--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -44,7 +44,9 @@
     ) -> bool {
         let candidates = self.preemptible_units(now, pending);
         let choice = choose_victims(&*self.placement_policy, req, hosts_after_stops, &candidates)
-            .or_else(|| self.choose_relocations(pending, req, hosts, candidates, now));
+            .or_else(|| {
+                self.choose_relocations(pending, req, hosts_after_stops, hosts, candidates, now)
+            });
         let Some((victims, placed)) = choice else {
             return false;
         };
--- a/src/process/scheduler/pass_relocation.rs
+++ b/src/process/scheduler/pass_relocation.rs
@@ -3,11 +3,12 @@
 
 use {
     super::{
-        PendingUnit, PlacementRequest, Scheduler, Victim, VictimKind, choose_victims,
+        Host, PendingUnit, PlacementRequest, Scheduler, Victim, VictimKind, choose_victims,
         pass_preemption::{lost_work, release_after_stop},
         scheduling_pass::{PassHost, claim_capacity},
     },
     crate::prelude::*,
+    std::collections::BTreeSet,
 };
 
 /// The maximum number of plans that are made for one pending unit in one pass.
@@ -16,14 +17,16 @@
 impl Scheduler {
     /// Chooses running urgent units to relocate, besides other victims, so that a unit within its
     /// account's guarantee can be placed. Each one fits on other workers once the pending unit is
-    /// placed. Returns the victims and the worker of each member of the pending unit; `None` while
-    /// running work may still end by itself in time, or if there is no such plan.
+    /// placed. `candidates` are the other possible victims. Returns the victims and the worker of each
+    /// member of the pending unit; `None` if there is no such plan, or while running work may still end
+    /// by itself in time.
     ///
     /// This serves guarantees whose accelerators are free in sum but not on any one worker.
     pub(super) fn choose_relocations(
         &self,
         pending: &PendingUnit,
         req: &PlacementRequest<'_>,
+        hosts_after_stops: &[Host],
         hosts: &[PassHost],
         mut candidates: Vec<Victim>,
         now: Millis,
@@ -33,30 +36,22 @@
         if !pending.is_guaranteed || !needs_accelerators || !is_due {
             return None;
         }
-        let job = &self.jobs.get(&pending.job)?.job;
-        let hosts_after_stops = self.eligible_hosts(hosts, job, req.step, pending.unit, true);
-        for victim in self.relocatable_units(now) {
-            if !candidates.iter().any(|c| c.unit == victim.unit) {
-                candidates.push(victim);
-            }
-        }
+        let known: BTreeSet<_> = candidates.iter().map(|c| c.unit).collect();
+        let relocatable = self.relocatable_units(now).into_iter();
+        candidates.extend(relocatable.filter(|v| !known.contains(&v.unit)));
         for _ in 0..MAX_PLANS {
-            let choice = choose_victims(
-                &*self.placement_policy,
-                req,
-                &hosts_after_stops,
-                &candidates,
-            );
+            let choice =
+                choose_victims(&*self.placement_policy, req, hosts_after_stops, &candidates);
             let (victims, placed) = choice?;
             let mut hosts = hosts.to_vec();
             for victim in &victims {
                 release_after_stop(&mut hosts, victim);
             }
             claim_capacity(&mut hosts, &placed, req.step);
-            let Some(unplaced) = self.first_unplaced(&victims, &mut hosts) else {
-                return Some((victims, placed));
-            };
-            candidates.retain(|c| c.unit != unplaced.unit);
+            match self.first_unplaced(&victims, &mut hosts) {
+                None => return Some((victims, placed)),
+                Some(unplaced) => candidates.retain(|c| c.unit != unplaced.unit),
+            }
         }
         None
     }
