Keep the wait for a rack where an account has no guarantee

Cause: a unit without accelerators counts as guaranteed whatever its account's guarantee is, so the shorter wait for a rack also held for accounts and deployments without any guarantee. They are to be served as before. Change: the shorter wait holds only for accounts with a guarantee. Measured: a_unit_without_a_guarantee_waits_for_the_rack_of_its_data fails without the change, because the unit starts remote after half of the reclaim time.

--- a/src/process/scheduler/pass_relocation.rs
+++ b/src/process/scheduler/pass_relocation.rs
@@ -87,6 +87,7 @@
         relocated.find(|victim| self.place_relocated(victim, hosts).is_none())
     }
 
+    /// Claims the capacity for the next start of a relocated victim; `None` if it does not fit.
     fn place_relocated(
         &self,
         victim: &Victim,
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -68,7 +68,7 @@
                 members: step.members_per_unit(),
                 waited: pending.waited,
                 remote_factor: self.remote_factor,
-                max_rack_wait: pending.is_guaranteed.then_some(self.reclaim_time / 2),
+                max_rack_wait: self.max_rack_wait(&pending),
             };
             let free_hosts = self.eligible_hosts(&hosts, &job, step, pending.unit, false);
             if let Some(placed) = self.placement_policy.place(&req, &free_hosts) {
@@ -99,6 +99,19 @@
         }
     }
 
+    /// Returns how long a unit may wait for a rack: for a part of the time within which its start is
+    /// promised if its account's guarantee covers it. An account without a guarantee has no such promise,
+    /// also for units without accelerators.
+    fn max_rack_wait(
+        &self,
+        pending: &PendingUnit,
+    ) -> Option<Duration> {
+        let account = &self.jobs.get(&pending.job)?.job.account;
+        let account = self.queue_table.as_ref()?.accounts.get(account)?;
+        let is_promised = pending.is_guaranteed && account.guaranteed_accelerators > 0;
+        is_promised.then_some(self.reclaim_time / 2)
+    }
+
     fn log_placement(
         &self,
         pending: &PendingUnit,
--- a/tests/platform/guarantees.rs
+++ b/tests/platform/guarantees.rs
@@ -290,6 +290,25 @@
     assert_eq!(holders.map(|id| stops(&world, id)), [0, 0]);
 }
 
+/// Guards against a shorter wait for a rack where no start is promised: an account without a guarantee
+/// runs its work on the rack of its data.
+#[test]
+fn a_unit_without_a_guarantee_waits_for_the_rack_of_its_data() {
+    let mut world = world_of_racks(&[2, 2], &[("holder", 16), ("other", 0)]);
+    let mut whole_worker = gang_with_data("r0");
+    whole_worker[0].demand.cpu_milli = CAPACITY.cpu_milli;
+    let holders = [(); 2].map(|()| world.submit_for("holder", whole_worker.clone(), 0, 1));
+    world.run_for(1200);
+    let submitted = world.now;
+    let mut small = gang_with_data("r0");
+    small[0].demand.accelerators = 0;
+    let id = world.submit_for("other", small, 0, 1);
+    world.run_for(3 * WORK_MS);
+    let waited = begun_after(&world, id, submitted);
+    assert!(waited.is_some_and(|ms| ms > WORK_MS / 2), "{waited:?}");
+    assert_eq!(holders.map(|id| stops(&world, id)), [0, 0]);
+}
+
 /// Guards against a gang within its account's guarantee that waits for one rack while each rack
 /// holds work within another account's guarantee.
 #[test]
