Ask for the states of jobs in the soak once every entry has to know them

Cause: the new tests submit jobs and check them at once. Change: the check of a job waits until 3 s have passed since its acceptance. What is checked stays.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -36,6 +36,9 @@
 /// The seeds that CI runs.
 const SEEDS: std::ops::Range<u64> = 1..3;
 
+/// The time after a job's acceptance from which every entry knows it.
+const VISIBILITY_TIME: Duration = Duration::from_millis(3000);
+
 /// Seeds that have failed before. 28: SIGTERM just after the start of a guard killed it, because no
 /// signal handler was installed yet.
 const REGRESSION_SEEDS: [u64; 1] = [28];
@@ -135,6 +138,8 @@
             fleet.record_violation(format!("{id} ran although every submission was rejected"));
         }
         if answers.is_accepted {
+            let age = fleet.clock.now().since(answers.accepted_at);
+            compio::time::sleep(VISIBILITY_TIME.saturating_sub(age)).await;
             let state = wait_for_end(fleet, callers, &id).await;
             check_state(fleet, &id, &answers, &state);
         }
