Log the age of the configuration, the bytes of a failed read and the relayed attempts

Change: the configuration in force and the time of its last complete read live in ConfigView, whose age goes into the lines of failed reads and of callers' answers; a timed out call says how many bytes of the answer it had received; a call that no other entry has answered says what each attempt met. No decision changes.

--- a/src/connection/http/client.rs
+++ b/src/connection/http/client.rs
@@ -43,10 +43,10 @@
     /// The body of the response exceeds this limit, in bytes.
     #[display("the answer is larger than {_0} bytes")]
     TooLarge(#[error(not(source))] u64),
-    /// The request was sent and no complete response arrived before the timeout; the call may have
-    /// taken effect.
-    #[display("timed out")]
-    TimedOut,
+    /// The request was sent and no complete response arrived before the timeout, only this number of
+    /// bytes of its body; the call may have taken effect.
+    #[display("timed out after {_0} bytes")]
+    TimedOut(#[error(not(source))] u64),
 }
 
 impl HttpClientError {
@@ -54,7 +54,7 @@
     pub fn to_log_error(&self) -> LogError {
         match self {
             Self::NotConnected(_) | Self::NotListening(_) => LogError::Unavailable,
-            Self::AnswerLost(_) | Self::TooLarge(_) | Self::TimedOut => LogError::AnswerLost,
+            Self::AnswerLost(_) | Self::TooLarge(_) | Self::TimedOut(_) => LogError::AnswerLost,
         }
     }
 
@@ -63,7 +63,7 @@
         match self {
             Self::NotConnected(_) | Self::NotListening(_) => WorkerError::NotReached,
             Self::TooLarge(_) => WorkerError::AnswerTooLarge,
-            Self::AnswerLost(_) | Self::TimedOut => WorkerError::AnswerLost(self.to_string()),
+            Self::AnswerLost(_) | Self::TimedOut(_) => WorkerError::AnswerLost(self.to_string()),
         }
     }
 }
@@ -153,7 +153,8 @@
         let (target, request) = build_request(method, url, headers, body)?;
         let mut silence = SilenceWatch::new(self, target.authority.clone());
         let is_sent = Cell::new(false);
-        let exchange = self.exchange(&target, request, &is_sent);
+        let received = Cell::new(0);
+        let exchange = self.exchange(&target, request, &is_sent, &received);
         let result = with_timeout(&*self.clock, timeout, exchange).await;
         silence.is_finished = true;
         if result.is_none() {
@@ -161,7 +162,7 @@
         }
         match result {
             Some(result) => result,
-            None if is_sent.get() => Err(HttpClientError::TimedOut),
+            None if is_sent.get() => Err(HttpClientError::TimedOut(received.get())),
             None => {
                 let why = format!("no connection to {} in time", target.authority);
                 Err(HttpClientError::NotConnected(why))
@@ -170,12 +171,14 @@
     }
 
     /// Sends a request on an idle connection or a new one, and returns the connection to the idle
-    /// ones after the complete response. `is_sent` shows whether the peer may have received it.
+    /// ones after the complete response. `is_sent` shows whether the peer may have received it, and
+    /// `received` how many bytes of the body have arrived.
     async fn exchange(
         &self,
         target: &Target,
         mut request: Request<Full<Bytes>>,
         is_sent: &Cell<bool>,
+        received: &Cell<u64>,
     ) -> Result<HttpClientResponse, HttpClientError> {
         loop {
             let idle = self.take_idle(&target.authority);
@@ -196,7 +199,7 @@
                 Err(SendError::Unsent(_, why)) => return Err(HttpClientError::NotConnected(why)),
                 Err(SendError::Lost(why)) => return Err(HttpClientError::AnswerLost(why)),
             };
-            let response = self.read_response(response).await?;
+            let response = self.read_response(response, received).await?;
             let now = self.clock.now();
             self.idle
                 .borrow_mut()
@@ -234,13 +237,16 @@
     async fn read_response(
         &self,
         response: Response<Incoming>,
+        received: &Cell<u64>,
     ) -> Result<HttpClientResponse, HttpClientError> {
         let (head, mut incoming) = response.into_parts();
         let request_id = head.headers.get("x-request-id");
         let request_id = request_id.and_then(|v| v.to_str().ok()).map(str::to_owned);
         let mut body = BytesMut::new();
         while let Some(frame) = incoming.frame().await {
-            let frame = frame.map_err(|e| HttpClientError::AnswerLost(e.to_string()))?;
+            let frame = frame.map_err(|e| {
+                HttpClientError::AnswerLost(format!("{e} after {} bytes", received.get()))
+            })?;
             let Ok(part) = frame.into_data() else {
                 continue;
             };
@@ -248,6 +254,7 @@
                 return Err(HttpClientError::TooLarge(self.max_answer_bytes));
             }
             body.extend_from_slice(&part);
+            received.set(body.len() as u64);
         }
         Ok(HttpClientResponse {
             status: head.status.as_u16(),
--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -115,6 +115,13 @@
         }
     }
 
+    /// Returns the version of the configuration in force and the age of the view that has it.
+    fn config_version_and_age(&self) -> (Option<u64>, Option<Duration>) {
+        let config = &self.job_service.config;
+        let version = config.table().map(|t| t.version);
+        (version, config.age(self.job_service.clock.now()))
+    }
+
     async fn submit(
         &self,
         id: StepJobId,
@@ -181,8 +188,8 @@
         Box::pin(async move {
             let response = self.answer(&req).await;
             if req.method != Method::GET || response.status != 200 {
-                let version = self.job_service.queue_table().map(|t| t.version);
-                tracing::info!(method = %req.method, path = req.path, status = response.status, version, "caller answered");
+                let (version, config_age) = self.config_version_and_age();
+                tracing::info!(method = %req.method, path = req.path, status = response.status, version, ?config_age, "caller answered");
             }
             response
         })
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -5,6 +5,7 @@
     crate::{
         prelude::*,
         process::{
+            config_view::ConfigView,
             evacuations::Evacuations,
             ledger::{KeyedPage, KeyedRecord, KeyedStore, StoreError},
         },
@@ -155,12 +156,12 @@
     }
 }
 
-/// Follows the operator's topic: stores each newer version of the configuration in `table`, and
+/// Follows the operator's topic: puts each newer version of the configuration in force, and
 /// keeps `evacuations` up to date. A malformed record leaves both as they are. Never returns.
 pub async fn follow_config(
     store: Rc<dyn KeyedStore>,
     clock: Rc<dyn Clock>,
-    table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    config: Rc<ConfigView>,
     evacuations: Rc<RefCell<Evacuations>>,
 ) {
     let mut next_offset = None;
@@ -183,17 +184,19 @@
                 } else {
                     Duration::ZERO
                 };
-                apply_page(&page, &table);
+                apply_page(&page, &config);
                 let mut evacuations = evacuations.borrow_mut();
                 apply_evacuations(&page, is_complete, &mut evacuations);
                 if is_current {
                     evacuations.confirm_read(sent_at);
+                    config.confirm_read(sent_at);
                 }
             }
             Err(StoreError::Trimmed) => next_offset = None,
             Err(e) => {
-                let version = table.borrow().as_ref().map(|t| t.version);
-                tracing::warn!(error = %e, version, "failed to read the configuration");
+                let version = config.table().map(|t| t.version);
+                let age = config.age(clock.now());
+                tracing::warn!(error = %e, version, ?age, "failed to read the configuration");
                 clock.sleep(READ_RETRY_DELAY).await;
                 // The age of the view counts from the time at which an answered read was sent, so
                 // the read after a failed one does not wait for a record.
@@ -207,7 +210,7 @@
 /// configuration, so older ones are decoded only if the newer ones are malformed.
 fn apply_page(
     page: &KeyedPage,
-    table: &RefCell<Option<Rc<QueueTable>>>,
+    config: &ConfigView,
 ) {
     let records = page.records.iter().rev().filter(|r| &*r.key == CONFIG_KEY);
     let mut valid = records.filter_map(|r| match decode_config(r.value.as_ref()?) {
@@ -220,7 +223,7 @@
     let Some(new) = valid.next() else {
         return;
     };
-    let previous = table.borrow().as_ref().map(|t| t.version);
+    let previous = config.table().map(|t| t.version);
     if previous.is_none_or(|v| v < new.version) {
         tracing::info!(
             version = new.version,
@@ -228,7 +231,7 @@
             queues = new.queues.len(),
             "configuration in force"
         );
-        *table.borrow_mut() = Some(Rc::new(new));
+        config.replace(new);
     }
 }
 
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -6,6 +6,7 @@
         connection::{HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer},
         prelude::*,
         process::{
+            config_view::ConfigView,
             evacuations::Evacuations,
             job_service::JobService,
             ledger::{
@@ -92,12 +93,12 @@
         let store: Rc<dyn KeyedStore> = relayed.clone();
         let ledger = Ledger::new(store.clone(), clock.clone()).with_limits(settings.record_limits);
         let ledger = Rc::new(ledger);
-        let table = Rc::new(RefCell::new(None));
+        let config = Rc::<ConfigView>::default();
         let evacuations: Rc<RefCell<Evacuations>> = Rc::default();
         let job_service = Rc::new(JobService {
             clock: clock.clone(),
             ledger: ledger.clone(),
-            queue_table: table.clone(),
+            config: config.clone(),
             is_stopping: Cell::new(false),
             metrics: metrics.clone(),
         });
@@ -125,7 +126,7 @@
         tasks.spawn(follow_config(
             store,
             clock.clone(),
-            table.clone(),
+            config.clone(),
             evacuations.clone(),
         ));
         tasks.spawn(send_end_hints(
@@ -160,7 +161,7 @@
         let cx = SchedulerContext {
             election: election.clone(),
             clock: clock.clone(),
-            queue_table: table,
+            config,
             evacuations,
             max_evacuation_age: settings
                 .evacuation_bound
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -5,6 +5,7 @@
         prelude::*,
         process::{
             clock::with_timeout,
+            config_view::ConfigView,
             ledger::{Condition, Ledger, LedgerFold, LedgerKey, LedgerRecord, StoreError},
             metrics::PlatformMetrics,
         },
@@ -66,8 +67,8 @@
     pub clock: Rc<dyn Clock>,
     /// The ledger.
     pub ledger: Rc<Ledger>,
-    /// The queues and accounts of the configuration in force, once one is known.
-    pub queue_table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    /// The configuration in force.
+    pub config: Rc<ConfigView>,
     /// Whether the process is stopping.
     pub is_stopping: Cell<bool>,
     /// The metrics.
@@ -77,13 +78,13 @@
 impl JobService {
     /// Returns the queues and accounts of the configuration in force, once one is known.
     pub fn queue_table(&self) -> Option<Rc<QueueTable>> {
-        self.queue_table.borrow().clone()
+        self.config.table()
     }
 
     /// Returns whether the entry can serve callers: it has a configuration and a recent view of the
     /// ledger, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.has_recent_view() && self.queue_table.borrow().is_some()
+        !self.is_stopping.get() && self.has_recent_view() && self.config.table().is_some()
     }
 
     /// Stores a job within `time`. A job that was accepted before is accepted again and runs once.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod cli;
 pub mod clock;
+pub mod config_view;
 pub mod decision_report;
 pub mod entry;
 pub mod evacuations;
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -238,13 +238,14 @@
     ) -> RelayOutcome {
         let peers = self.peers.borrow().clone();
         let call = &call.without_wait();
+        let mut attempts: Vec<(SocketAddr, &str)> = Vec::new();
         for _ in 0..peers.len().min(MAX_RELAY_ATTEMPTS) {
             let position = self.next_peer.get();
             let peer = peers[position % peers.len()];
             let connecting = TcpStream::connect(peer);
             let connected = with_timeout(&*self.clock, CONNECT_TIMEOUT, connecting).await;
             let Some(Ok(stream)) = connected else {
-                tracing::debug!(%peer, "cannot connect to the other entry");
+                attempts.push((peer, "not connected"));
                 self.next_peer.set(position.wrapping_add(1));
                 continue;
             };
@@ -255,13 +256,17 @@
                     self.pause_after_empty_read(&reply).await;
                     return RelayOutcome::Answered(reply);
                 }
-                Some(Ok(reply)) => Some(reply),
+                Some(Ok(reply)) => {
+                    attempts.push((peer, "the store did not answer it"));
+                    Some(reply)
+                }
                 Some(Err(e)) => {
+                    attempts.push((peer, "connection failed"));
                     tracing::debug!(%peer, error = %e, "the connection to the other entry failed");
                     None
                 }
                 None => {
-                    tracing::debug!(%peer, "the other entry did not answer in time");
+                    attempts.push((peer, "no answer in time"));
                     None
                 }
             };
@@ -275,6 +280,9 @@
                 return RelayOutcome::Unknown;
             }
         }
+        if !attempts.is_empty() {
+            tracing::info!(?attempts, "no other entry has answered for the store");
+        }
         RelayOutcome::Failed
     }
 
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -11,12 +11,12 @@
         prelude::*,
         process::{
             clock::{sleep_logging_delay, with_timeout},
+            config_view::ConfigView,
             evacuations::Evacuations,
             ledger::{LeaderElection, Ledger, LedgerFold, LedgerKey, Member, MemberRole},
             metrics::PlatformMetrics,
             task_group::TaskGroup,
         },
-        version::QueueTable,
     },
     event_listener::Event,
     std::{
@@ -43,7 +43,7 @@
     /// The process's clock.
     pub clock: Rc<dyn Clock>,
     /// The queues and accounts of the configuration in force, once one is known.
-    pub queue_table: Rc<RefCell<Option<Rc<QueueTable>>>>,
+    pub config: Rc<ConfigView>,
     /// The data centres in which nothing may be started.
     pub evacuations: Rc<RefCell<Evacuations>>,
     /// The age from which the view of the evacuated data centres is too old to start anything;
@@ -380,7 +380,7 @@
     shared: &SchedulerTerm,
 ) {
     let mut scheduler = shared.scheduler.borrow_mut();
-    scheduler.queue_table.clone_from(&ctx.queue_table.borrow());
+    scheduler.queue_table = ctx.config.table();
     let changed = ctx.election.ledger.take_changed_jobs();
     ctx.election.ledger.view(|fold| {
         for view in changed.iter().filter_map(|id| fold.jobs.get(id)) {
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -95,7 +95,7 @@
         let cx = SchedulerContext {
             election: election.clone(),
             clock: self.clock.clone(),
-            queue_table: Rc::default(),
+            config: Rc::default(),
             evacuations: Rc::default(),
             max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(6000)),
--- a/tests/platform/large_progress.rs
+++ b/tests/platform/large_progress.rs
@@ -122,7 +122,7 @@
         let cx = SchedulerContext {
             election,
             clock: clock.clone(),
-            queue_table: Rc::default(),
+            config: Rc::default(),
             evacuations: Rc::default(),
             max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(6000)),
@@ -569,7 +569,7 @@
         let service = JobService {
             clock,
             ledger,
-            queue_table: Rc::default(),
+            config: Rc::default(),
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
         };
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -17,6 +17,7 @@
         prelude::*,
         process::{
             clock::{SystemClock, VirtualClock, with_timeout},
+            config_view::ConfigView,
             ledger::{Condition, KeyedRecord, LedgerFold},
             relay::StoreCall,
             runs::{
@@ -24,7 +25,6 @@
             },
         },
         request::{Resources, RunRef, StepJobId, SubtaskId},
-        version::QueueTable,
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::cell::Cell,
@@ -166,13 +166,8 @@
         };
         put(vec![config(1)]);
         let store = FakeStore::new(shared.clone(), shared_clock.clone(), Duration::ZERO);
-        let table: Rc<RefCell<Option<Rc<QueueTable>>>> = Rc::default();
-        let following = follow_config(
-            store,
-            shared_clock.clone(),
-            Rc::clone(&table),
-            Rc::default(),
-        );
+        let view = Rc::<ConfigView>::default();
+        let following = follow_config(store, shared_clock.clone(), view.clone(), Rc::default());
         let writing = async {
             shared_clock.sleep(Duration::from_millis(500)).await;
             put(vec![config(3), Bytes::from_static(b"{\"Version\":")]);
@@ -180,8 +175,7 @@
         };
         pin_mut!(following, writing);
         select(following, writing).await;
-        let table = table.borrow();
-        table.as_ref().map(|t| t.version)
+        view.table().map(|t| t.version)
     });
     assert_eq!(version, Some(3));
 }
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -71,7 +71,7 @@
     JobService {
         ledger: Rc::new(Ledger::new(store, clock.clone())),
         clock,
-        queue_table: Rc::default(),
+        config: Rc::default(),
         is_stopping: Cell::default(),
         metrics: Rc::new(PlatformMetrics::default()),
     }
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -92,7 +92,7 @@
         let cx = SchedulerContext {
             election,
             clock: clock.clone(),
-            queue_table: Rc::default(),
+            config: Rc::default(),
             evacuations: Rc::default(),
             max_evacuation_age: None,
             leases: LeaseTerms::new(Millis(LEASES_MS)),
--- a/tests/platform/silent_connections.rs
+++ b/tests/platform/silent_connections.rs
@@ -98,7 +98,7 @@
         for timeouts in 0..2 * BURST {
             match self.call().await {
                 Ok(_) => return timeouts,
-                Err(e) => assert_eq!(e, HttpClientError::TimedOut),
+                Err(e) => assert_eq!(e, HttpClientError::TimedOut(0)),
             }
         }
         2 * BURST
@@ -167,7 +167,7 @@
             testbed.call().await
         };
         let results = join(slow, quick).await;
-        assert_eq!(results, (Err(HttpClientError::TimedOut), Ok(200)));
+        assert_eq!(results, (Err(HttpClientError::TimedOut(0)), Ok(200)));
         assert_eq!(testbed.link.open_after_closing(1).await, 1);
         assert_eq!(testbed.call().await, Ok(200));
         assert_eq!(testbed.link.accepted(), 3);
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -143,7 +143,7 @@
         let service = JobService {
             clock,
             ledger,
-            queue_table: Rc::default(),
+            config: Rc::default(),
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
         };
@@ -171,7 +171,7 @@
         let service = JobService {
             clock: clock.clone(),
             ledger,
-            queue_table: Rc::new(RefCell::new(Some(Rc::new(table)))),
+            config: Rc::new(table.into()),
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
         };
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -310,7 +310,7 @@
             ));
         }
         let is_undisturbed = node.undisturbed_since.get() < start;
-        if is_undisturbed && matches!(answer, Err(HttpClientError::TimedOut)) {
+        if is_undisturbed && matches!(answer, Err(HttpClientError::TimedOut(_))) {
             self.fleet.record_violation(format!(
                 "{}: {method} {id} sent at {start:?} got no answer in time",
                 node.name
