--- a/tests/platform/silent_link.rs
+++ b/tests/platform/faulty_link.rs
@@ -1,4 +1,5 @@
-//! A loopback link to a server, whose connections can go silent without a reset.
+//! A loopback link to a server, which can be slow, and whose connections can break or go silent without
+//! a reset.
 
 use {
     compio::{
@@ -10,7 +11,7 @@
     },
     futures_util::future::select,
     limpetquay::prelude::*,
-    std::cell::Cell,
+    std::{cell::Cell, time::Instant},
 };
 
 /// The largest chunk that is forwarded at once, in bytes.
@@ -27,6 +28,32 @@
     open: Cell<usize>,
     /// Connections with lower numbers forward nothing any more and stay open.
     silent_below: Cell<usize>,
+    /// The bytes that the server's answers took on the link.
+    answer_bytes: Cell<usize>,
+    /// The speed of the server's answers, which all connections share, in bytes per second.
+    bytes_per_s: Cell<Option<usize>>,
+    /// Until when the link is occupied by the chunks that were admitted.
+    occupied_until: Cell<Option<Instant>>,
+    /// The bytes of answers after which a connection breaks.
+    cut_after: Cell<Option<usize>>,
+}
+
+impl LinkState {
+    /// Waits until a chunk of an answer has passed the link.
+    async fn pass(
+        &self,
+        bytes: usize,
+    ) {
+        self.answer_bytes.set(self.answer_bytes.get() + bytes);
+        let Some(speed) = self.bytes_per_s.get() else {
+            return;
+        };
+        let now = Instant::now();
+        let from = self.occupied_until.get().map_or(now, |at| at.max(now));
+        let until = from + Duration::from_secs_f64(bytes as f64 / speed as f64);
+        self.occupied_until.set(Some(until));
+        compio::time::sleep_until(until).await;
+    }
 }
 
 /// Counts a connection until it is dropped.
@@ -39,13 +66,13 @@
 }
 
 /// A link that forwards connections to one server.
-pub struct SilentLink {
+pub struct FaultyLink {
     state: Rc<LinkState>,
     address: SocketAddr,
     _task: JoinHandle<()>,
 }
 
-impl SilentLink {
+impl FaultyLink {
     /// Starts a link to `server`.
     pub async fn start(server: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
@@ -74,6 +101,27 @@
         self.state.silent_below.set(usize::MAX);
     }
 
+    /// Limits the speed of the server's answers.
+    pub fn set_speed(
+        &self,
+        bytes_per_s: usize,
+    ) {
+        self.state.bytes_per_s.set(Some(bytes_per_s));
+    }
+
+    /// Makes each connection break after this many bytes of answers.
+    pub fn cut_connections_after(
+        &self,
+        bytes: usize,
+    ) {
+        self.state.cut_after.set(Some(bytes));
+    }
+
+    /// Returns how many bytes of answers the link has carried.
+    pub fn answer_bytes(&self) -> usize {
+        self.state.answer_bytes.get()
+    }
+
     /// Returns how many connections have been accepted.
     pub fn accepted(&self) -> usize {
         self.state.accepted.get()
@@ -110,9 +158,9 @@
             let server = TcpStream::connect(server).await.expect("the server");
             let (client_read, client_write) = client.into_split();
             let (server_read, server_write) = server.into_split();
-            let to_server = forward(client_read, server_write, &open.0, number);
+            let to_server = forward(client_read, server_write, &open.0, number, false);
             let to_client = async {
-                forward(server_read, client_write, &open.0, number).await;
+                forward(server_read, client_write, &open.0, number, true).await;
                 if number < open.0.silent_below.get() {
                     // A silent connection does not show that the server has closed it.
                     std::future::pending::<()>().await;
@@ -129,10 +177,12 @@
     mut writer: W,
     state: &LinkState,
     number: usize,
+    is_answer: bool,
 ) where
     R: AsyncRead,
     W: AsyncWriteExt,
 {
+    let mut forwarded = 0;
     loop {
         let BufResult(read, buf) = reader.read(Vec::with_capacity(MAX_CHUNK_BYTES)).await;
         let Ok(read @ 1..) = read else {
@@ -141,8 +191,15 @@
         if number < state.silent_below.get() {
             continue;
         }
+        if is_answer {
+            state.pass(read).await;
+        }
         if writer.write_all(buf.slice(..read)).await.0.is_err() {
             return;
         }
+        forwarded += read;
+        if is_answer && state.cut_after.get().is_some_and(|cut| forwarded >= cut) {
+            return;
+        }
     }
 }
--- a/tests/platform/silent_connections.rs
+++ b/tests/platform/silent_connections.rs
@@ -2,7 +2,7 @@
 //! and connections, not times.
 
 use {
-    super::{one_guard::worker, silent_link::SilentLink},
+    super::{faulty_link::FaultyLink, one_guard::worker},
     compio::runtime::{Runtime, spawn},
     futures_util::future::{join, join_all},
     limpetquay::{
@@ -39,7 +39,7 @@
 struct Testbed {
     clock: Rc<dyn Clock>,
     store: Rc<StandInStore>,
-    link: SilentLink,
+    link: FaultyLink,
     client: HttpClient,
 }
 
@@ -47,7 +47,7 @@
     async fn start() -> Self {
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
         let store = Rc::new(StandInStore::new(clock.clone()));
-        let link = SilentLink::start(serve(store.clone()).await).await;
+        let link = FaultyLink::start(serve(store.clone()).await).await;
         let client = HttpClient::new(clock.clone());
         Self {
             clock,
@@ -250,7 +250,7 @@
         let direct = LogStore::new(testbed.client.clone(), testbed.link.address());
         let relay = RelayServer::bind(any, Rc::new(direct), testbed.clock.clone()).await;
         let relay = relay.expect("the relay is bound");
-        let between = SilentLink::start(relay.local_addr().expect("an address")).await;
+        let between = FaultyLink::start(relay.local_addr().expect("an address")).await;
         spawn(relay.run()).detach();
         let nowhere = "127.0.0.1:1".parse().expect("an address");
         let refused = LogStore::new(testbed.client.clone(), nowhere);
@@ -282,7 +282,7 @@
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
         let model = WorkerModel::new(20_000, 100);
         let stand_in = StandInWorker::new(clock.clone(), &worker().life.id, model);
-        let link = SilentLink::start(serve(Rc::new(stand_in)).await).await;
+        let link = FaultyLink::start(serve(Rc::new(stand_in)).await).await;
         let guard = HttpRunWorker::new(HttpClient::new(clock));
         let address = WorkerAddress {
             address: link.address().to_string().into(),
