Go on with the missing page of a list after a failed read

Callers saw: an entry whose path to the store breaks now and then has no view of the ledger or the configuration at all. Cause: the list of the newest records was one call of the store's interface. Its pages of up to 1 MB were kept only inside that call, so one failed page threw away those before it; relayed, the whole list crossed one connection. A path that breaks more often than the whole list takes never carries it. Each page takes the direct or the relayed path on its own. A relayed call names the key after which its page begins in a new last field: entries of the version before reply with the whole list, and get it. The three decoders of missing last fields are in one file. What stays: one page that its path never carries without a break.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod peer;
 mod socket;
 
+pub(crate) use peer::{false_if_missing, none_if_missing};
 pub use {
     http::{
         HttpClient, HttpClientError, HttpClientResponse, HttpHandler, HttpRequest, HttpResponse,
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -3,11 +3,13 @@
 mod frame;
 mod gang_message;
 mod guard_peer;
+mod last_field;
 mod message;
 mod peer_link;
 mod peer_server;
 mod run_message;
 
+pub(crate) use last_field::{false_if_missing, none_if_missing};
 pub use {
     frame::{FrameError, MAX_FRAME_BYTES, read_frame, read_limited_frame, write_frame},
     gang_message::{
--- a/src/connection/peer/run_message.rs
+++ b/src/connection/peer/run_message.rs
@@ -1,11 +1,12 @@
 //! The messages between the leading entry and a guard about the runs on its worker.
 
 use {
+    super::last_field::{none_if_missing, true_if_missing},
     crate::{
         prelude::*,
         request::{Resources, RunRef},
     },
-    serde::{Deserialize, Deserializer, Serialize},
+    serde::{Deserialize, Serialize},
 };
 
 /// One incarnation of a worker: the time from one start to its end.
@@ -87,22 +88,6 @@
     pub data_centre: Option<DataCentre>,
 }
 
-/// Decodes the last field of a message, which is true if the message ends before it.
-fn true_if_missing<'de, D>(deserializer: D) -> Result<bool, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    Ok(bool::deserialize(deserializer).unwrap_or(true))
-}
-
-/// Decodes the last field of a message, which is `None` if the message ends before it.
-fn none_if_missing<'de, D>(deserializer: D) -> Result<Option<DataCentre>, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    Ok(Option::deserialize(deserializer).unwrap_or(None))
-}
-
 /// What a guard has observed of the worker on its machine.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum WorkerView {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -7,7 +7,7 @@
         process::{
             config_view::ConfigView,
             evacuations::Evacuations,
-            ledger::{KeyedPage, KeyedRecord, KeyedStore, StoreError},
+            ledger::{KeyedPage, KeyedRecord, KeyedStore, NewestList, StoreError},
         },
         version::{ApiAccount, CallerLimits, Queue, QueueName, QueueTable},
     },
@@ -165,11 +165,16 @@
     evacuations: Rc<RefCell<Evacuations>>,
 ) {
     let mut next_offset = None;
+    let mut newest = NewestList::default();
     let mut wait = LONG_POLL_WAIT;
+    let mut sent_at = clock.now();
     loop {
-        let sent_at = clock.now();
+        // The records of the first page are as old as that page.
+        if next_offset.is_some() || !newest.is_begun() {
+            sent_at = clock.now();
+        }
         let result = match next_offset {
-            None => store.newest(CONFIG_TOPIC).await,
+            None => newest.read_on(&*store, CONFIG_TOPIC).await,
             Some(from) => store.read(CONFIG_TOPIC, from, wait).await,
         };
         match result {
--- a/src/platform/log_store.rs
+++ b/src/platform/log_store.rs
@@ -86,24 +86,6 @@
         result.map_err(call_error)
     }
 
-    async fn newest_page(
-        &self,
-        topic: &str,
-        after: Option<&str>,
-    ) -> Result<WireNewest, StoreError> {
-        // The store takes the key after which the page begins in the parameter `DependsOn`.
-        let after = after.map(|key| format!("&DependsOn={}", escape(key)));
-        let path = format!(
-            "/log-newest?Topic={topic}&part=0{}",
-            after.unwrap_or_default()
-        );
-        let answer = self.get(&path, Duration::ZERO).await?;
-        match answer.status {
-            200 => serde_json::from_slice(&answer.body).map_err(malformed),
-            status => Err(status_error(status, &answer)),
-        }
-    }
-
     async fn post(
         &self,
         path: &str,
@@ -120,32 +102,21 @@
 }
 
 impl KeyedStore for LogStore {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
-            let mut page = self.newest_page(topic, None).await?;
-            // Records may be appended between two pages, so reading continues at the end that the
-            // first page had.
-            let end = page.end_offset;
-            let mut records = Vec::new();
-            loop {
-                let last = page.records.last().map(|i| i.key.clone());
-                for item in page.records {
-                    records.push(decode_item(item)?);
-                }
-                if !page.has_more {
-                    break;
-                }
-                let Some(last) = last else {
-                    let why = "a page without records has more records after it";
-                    return Err(StoreError::Malformed(why.to_owned()));
-                };
-                page = self.newest_page(topic, Some(&last)).await?;
+            // The store takes the key after which the page begins in the parameter `DependsOn`.
+            let after = after.map(|key| format!("&DependsOn={}", escape(key)));
+            let after = after.unwrap_or_default();
+            let path = format!("/log-newest?Topic={topic}&part=0{after}");
+            let answer = self.get(&path, Duration::ZERO).await?;
+            match answer.status {
+                200 => decode_newest(&answer.body),
+                status => Err(status_error(status, &answer)),
             }
-            records.sort_by_key(|r| r.offset);
-            Ok(KeyedPage { records, end })
         })
     }
 
@@ -248,6 +219,17 @@
         .replace(' ', "%20")
 }
 
+fn decode_newest(body: &[u8]) -> Result<KeyedPage, StoreError> {
+    let page: WireNewest = serde_json::from_slice(body).map_err(malformed)?;
+    let records: Result<Vec<KeyedRecord>, StoreError> =
+        page.records.into_iter().map(decode_item).collect();
+    Ok(KeyedPage {
+        records: records?,
+        end: page.end_offset,
+        has_more: page.has_more,
+    })
+}
+
 fn decode_item(item: WireItem) -> Result<KeyedRecord, StoreError> {
     let value = STANDARD.decode(item.value);
     let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
@@ -306,6 +288,7 @@
     Ok(KeyedPage {
         records,
         end: offset,
+        has_more: false,
     })
 }
 
--- a/src/platform/stand_in/store_model.rs
+++ b/src/platform/stand_in/store_model.rs
@@ -157,7 +157,11 @@
         let skipped = (from - topic.first_offset) as usize;
         let records: Vec<KeyedRecord> = topic.records.iter().skip(skipped).cloned().collect();
         let end = from + records.len() as u64;
-        Ok(KeyedPage { records, end })
+        Ok(KeyedPage {
+            records,
+            end,
+            has_more: false,
+        })
     }
 
     /// Returns the newest record of each key that is not removed.
@@ -172,6 +176,7 @@
         KeyedPage {
             records,
             end: topic.end(),
+            has_more: false,
         }
     }
 
--- a/src/process/ledger/keyed_store.rs
+++ b/src/process/ledger/keyed_store.rs
@@ -1,7 +1,8 @@
 //! The interface of a store that keeps the newest record of each key.
 
 use {
-    crate::prelude::*,
+    super::NewestList,
+    crate::{connection::false_if_missing, prelude::*},
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
 };
@@ -24,6 +25,10 @@
     pub records: Vec<KeyedRecord>,
     /// The offset at which to continue reading.
     pub end: u64,
+    /// Whether the list goes on after the last record of this page. Entries of earlier versions do not
+    /// send this field.
+    #[serde(deserialize_with = "false_if_missing")]
+    pub has_more: bool,
 }
 
 /// The epoch and sequence number of an append, by which the store rejects writers with lower epochs
@@ -80,6 +85,17 @@
 /// A store of topics with keyed records. Acknowledged records are durable, and responses are
 /// linearizable.
 pub trait KeyedStore {
+    /// Returns a page of the newest records in the order of their keys, from the first key after
+    /// `after` on. Records may be stored between two pages.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if the store gives no result in time.
+    fn newest_page<'a>(
+        &'a self,
+        topic: &'a str,
+        after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>>;
+
     /// Returns the newest record of each key and the offset at which to continue reading.
     ///
     /// # Errors
@@ -87,7 +103,9 @@
     fn newest<'a>(
         &'a self,
         topic: &'a str,
-    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>>;
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        Box::pin(async move { NewestList::default().read_on(self, topic).await })
+    }
 
     /// Returns the records from an offset on. Waits up to `wait` for one if there is none.
     ///
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, LedgerFold, LedgerKey,
-        LedgerRecord, RecordLimits, StoreError, known_end::KnownEnd,
+        LedgerRecord, NewestList, RecordLimits, StoreError, known_end::KnownEnd,
     },
     crate::{prelude::*, request::StepJobId},
     event_listener::{Event, EventListener},
@@ -283,10 +283,11 @@
 
     /// Reads and applies the store's records forever.
     pub async fn follow(&self) {
+        let mut newest = NewestList::default();
         let mut next = None;
         loop {
             let result = match next {
-                None => self.store.newest(TOPIC).await,
+                None => newest.read_on(&*self.store, TOPIC).await,
                 Some(from) => self.read_next(from).await,
             };
             match result {
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -12,6 +12,7 @@
     reason = "a file bears the name of its main type"
 )]
 mod ledger;
+mod newest_list;
 mod record;
 mod record_limits;
 mod registration;
@@ -24,6 +25,7 @@
     keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, StoreError},
     leader_election::{LEADER_RENEWAL_INTERVAL, LEADER_TIMEOUT, LeaderElection},
     ledger::Ledger,
+    newest_list::NewestList,
     record::{Deregistration, LeaderRecord, LedgerKey, LedgerRecord, Member, MemberRole},
     record_limits::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits, append_size},
     registration::{deregister, register},
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -322,19 +322,17 @@
 }
 
 impl KeyedStore for RelayedStore {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        Box::pin(async move {
-            into_page(
-                self.call(StoreCall::Newest {
-                    topic: topic.to_owned(),
-                    accepts_parts: true,
-                })
-                .await,
-            )
-        })
+        let call = StoreCall::Newest {
+            topic: topic.to_owned(),
+            accepts_parts: true,
+            page_after: Some(after.unwrap_or_default().to_owned()),
+        };
+        Box::pin(async move { into_page(self.call(call).await) })
     }
 
     fn read<'a>(
--- a/src/process/relay/store_call.rs
+++ b/src/process/relay/store_call.rs
@@ -1,8 +1,11 @@
 //! The messages by which entries relay calls to the store.
 
 use {
-    crate::process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
-    serde::{Deserialize, Deserializer, Serialize},
+    crate::{
+        connection::{false_if_missing, none_if_missing},
+        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+    },
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
@@ -16,7 +19,7 @@
 /// A call to the store on behalf of another entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum StoreCall {
-    /// Reads the newest record of each key.
+    /// Reads the newest record of each key, or of the keys of one page.
     Newest {
         /// The topic.
         topic: String,
@@ -24,6 +27,10 @@
         /// send this field.
         #[serde(deserialize_with = "false_if_missing")]
         accepts_parts: bool,
+        /// The key after which the page begins, empty for the first page; `None` for the whole list.
+        /// Entries of earlier versions do not send this field, and reply with the whole list.
+        #[serde(deserialize_with = "none_if_missing")]
+        page_after: Option<String>,
     },
     /// Reads the records from an offset on.
     Read {
@@ -49,14 +56,6 @@
     },
 }
 
-/// Decodes the last field of a message, which is false if the message ends before it.
-fn false_if_missing<'de, D>(deserializer: D) -> Result<bool, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    Ok(bool::deserialize(deserializer).unwrap_or(false))
-}
-
 /// The store's reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum StoreReply {
@@ -108,7 +107,13 @@
         store: &dyn KeyedStore,
     ) -> StoreReply {
         match self {
-            Self::Newest { topic, .. } => StoreReply::Page(store.newest(topic).await),
+            Self::Newest {
+                topic, page_after, ..
+            } => StoreReply::Page(match page_after.as_deref() {
+                None => store.newest(topic).await,
+                Some("") => store.newest_page(topic, None).await,
+                Some(after) => store.newest_page(topic, Some(after)).await,
+            }),
             Self::Read { topic, from, .. } => {
                 StoreReply::Page(store.read(topic, *from, self.wait()).await)
             }
@@ -166,24 +171,24 @@
 }
 
 /// Divides the records of a page over several frames, of which the last one is a page.
-fn page_frames(page: KeyedPage) -> Vec<StoreReply> {
+fn page_frames(mut page: KeyedPage) -> Vec<StoreReply> {
     let mut frames = Vec::new();
     let mut records = Vec::new();
     let mut bytes = 0;
-    for record in page.records {
+    for record in std::mem::take(&mut page.records) {
         let record_bytes = record.size() + RECORD_ENVELOPE_BYTES;
         if !records.is_empty() && bytes + record_bytes > MAX_REPLY_BYTES {
             frames.push(StoreReply::Part(KeyedPage {
                 records: std::mem::take(&mut records),
                 end: page.end,
+                has_more: true,
             }));
             bytes = 0;
         }
         bytes += record_bytes;
         records.push(record);
     }
-    let end = page.end;
-    frames.push(StoreReply::Page(Ok(KeyedPage { records, end })));
+    frames.push(StoreReply::Page(Ok(KeyedPage { records, ..page })));
     frames
 }
 
--- a/tests/platform/end_hints.rs
+++ b/tests/platform/end_hints.rs
@@ -33,11 +33,12 @@
 }
 
 impl KeyedStore for DeafStore {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.newest(topic)
+        self.inner.newest_page(topic, after)
     }
 
     fn read<'a>(
--- a/tests/platform/fake_store.rs
+++ b/tests/platform/fake_store.rs
@@ -115,9 +115,10 @@
 }
 
 impl KeyedStore for FakeStore {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        _after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
             let started_at = self.clock.now();
--- a/tests/platform/ledger.rs
+++ b/tests/platform/ledger.rs
@@ -119,6 +119,7 @@
     let page = KeyedPage {
         records: vec![before[1].clone(), before[3].clone()],
         end: 4,
+        has_more: false,
     };
     fold.retain_newest(&page);
     let jobs: Vec<StepJobId> = fold.jobs.keys().copied().collect();
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -35,11 +35,12 @@
 }
 
 impl KeyedStore for RefusingStore {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.newest(topic)
+        self.inner.newest_page(topic, after)
     }
 
     fn read<'a>(
--- a/tests/platform/registration.rs
+++ b/tests/platform/registration.rs
@@ -66,11 +66,12 @@
 }
 
 impl KeyedStore for LateStore {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.newest(topic)
+        self.inner.newest_page(topic, after)
     }
 
     fn read<'a>(
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -418,6 +418,7 @@
     let page = KeyedPage {
         records: records.collect(),
         end: 8,
+        has_more: false,
     };
     let call = StoreCall::Read {
         topic: "keyed.test".to_owned(),
@@ -448,17 +449,28 @@
 }
 
 /// Guards against a reply that an entry of the previous version cannot decode: it gets a whole list,
-/// and a refusal in place of a rejection.
+/// and a refusal in place of a rejection. Its own page is the last one.
 #[test]
 fn entries_of_the_previous_version_get_replies_that_they_know() {
     let call = |call: &PreviousCall| {
         let encoded = postcard::to_stdvec(call).expect("an encodable call");
         postcard::from_bytes::<StoreCall>(&encoded).expect("a call of the previous version")
     };
+    let previous_page = postcard::to_stdvec(&(Vec::<KeyedRecord>::new(), 7_u64));
+    let page: KeyedPage = postcard::from_bytes(&previous_page.expect("an encodable page"))
+        .expect("a page of the previous version");
+    assert!(page.end == 7 && !page.has_more);
     let topic = "keyed.test".to_owned();
     let newest = call(&PreviousCall::Newest {
         topic: topic.clone(),
     });
+    assert!(matches!(
+        newest,
+        StoreCall::Newest {
+            page_after: None,
+            ..
+        }
+    ));
     let append = call(&PreviousCall::Append {
         topic,
         records: vec![],
@@ -466,7 +478,11 @@
     });
     let value = "x".repeat(2_000_000);
     let records = vec![record("a", Some(&value)), record("b", Some(&value))];
-    let page = StoreReply::Page(Ok(KeyedPage { records, end: 2 }));
+    let page = StoreReply::Page(Ok(KeyedPage {
+        records,
+        end: 2,
+        has_more: false,
+    }));
     let frames = newest.reply_frames(page);
     let rejected = StoreReply::Appended(Err(StoreError::Rejected("too large".to_owned())));
     let refused = append.reply_frames(rejected);
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -29,11 +29,12 @@
 struct ShortReads(Rc<FakeStore>);
 
 impl KeyedStore for ShortReads {
-    fn newest<'a>(
+    fn newest_page<'a>(
         &'a self,
         topic: &'a str,
+        after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.0.newest(topic)
+        self.0.newest_page(topic, after)
     }
 
     fn read<'a>(
