Limit the silence of a direct read, not its duration

Cause: a read had 700 ms for its whole answer beyond its wait, asked for as much as there was, and started from the first byte after each failure. Once what waited took longer than that on the entry's link, no read ended, and each new version made the next answer larger. The log shows it: failed reads had received 688,044 to 769,964 bytes of an answer of up to 1 MB. Three more limits on a whole answer made it worse: the call to another entry after 450 ms, the probe of the direct path after 150 ms, and the second read of the ledger after a hint each put a second copy of the same answer on the same link. Change: the bytes of an answer count in a Transfer, which whoever waits looks at: the limits above hold for the time without a byte. A read whose answer breaks off yields its complete records, so that the next one goes on after them. The values of the limits stay. What stays possible: a link that carries nothing for 0.7 s in each attempt at one record; a list page that breaks off is read again.

--- a/src/connection/http/client.rs
+++ b/src/connection/http/client.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        IdleConnections,
+        IdleConnections, Transfer,
         http_connection::{HttpConnection, SendError, Target, build_request},
     },
     crate::{
@@ -79,6 +79,41 @@
     pub body: Bytes,
 }
 
+/// A response that may have been cut off.
+#[derive(Clone, Debug)]
+pub struct PartialResponse {
+    /// The HTTP status code.
+    pub status: u16,
+    /// What has been received of the body.
+    pub body: Bytes,
+    /// Why the body is incomplete; `None` if it is complete.
+    pub cut_by: Option<HttpClientError>,
+}
+
+/// What a call has received so far.
+struct Answer<'a> {
+    /// Whether the peer may have received the request.
+    is_sent: Cell<bool>,
+    status: Cell<Option<u16>>,
+    body: RefCell<BytesMut>,
+    transfer: &'a Transfer<'a>,
+}
+
+impl<'a> Answer<'a> {
+    fn new(transfer: &'a Transfer<'a>) -> Self {
+        Self {
+            is_sent: Cell::default(),
+            status: Cell::default(),
+            body: RefCell::default(),
+            transfer,
+        }
+    }
+
+    fn received(&self) -> u64 {
+        self.body.borrow().len() as u64
+    }
+}
+
 /// An HTTP client that keeps connections open for reuse. A call without an answer retires the idle
 /// connections to its peer that have not answered since the call was sent, because connections may go
 /// silent all at once, without a reset, while new ones work.
@@ -151,18 +186,71 @@
         timeout: Duration,
     ) -> Result<HttpClientResponse, HttpClientError> {
         let (target, request) = build_request(method, url, headers, body)?;
+        let transfer = Transfer::default();
+        let answer = Answer::new(&transfer);
+        let exchange = self.exchange(&target, request, &answer);
+        let limited = with_timeout(&*self.clock, timeout, exchange);
+        self.finish(&target, &answer, limited).await
+    }
+
+    /// Sends a GET request and waits for the response as long as parts of it arrive. Returns what has
+    /// been received if it ends early.
+    ///
+    /// # Errors
+    /// Returns [`HttpClientError`] when nothing of the response's body arrives within `first`, and after
+    /// that within `between`.
+    pub async fn get_partial(
+        &self,
+        url: &str,
+        first: Duration,
+        between: Duration,
+        transfer: &Transfer<'_>,
+    ) -> Result<PartialResponse, HttpClientError> {
+        let (target, request) = build_request(Method::GET, url, &[], Bytes::new())?;
+        let transfer = Transfer::attempt_of(transfer);
+        let answer = Answer::new(&transfer);
+        let exchange = self.exchange(&target, request, &answer);
+        let limited = transfer.with_silence_limit(&*self.clock, first, between, exchange);
+        let error = match self.finish(&target, &answer, limited).await {
+            Ok(response) => {
+                return Ok(PartialResponse {
+                    status: response.status,
+                    body: response.body,
+                    cut_by: None,
+                });
+            }
+            Err(e) => e,
+        };
+        match answer.status.get() {
+            Some(status) if answer.received() > 0 => Ok(PartialResponse {
+                status,
+                body: answer.body.take().freeze(),
+                cut_by: Some(error),
+            }),
+            _ => Err(error),
+        }
+    }
+
+    /// Waits for the outcome of an exchange, which is `None` when a limit has ended it. The idle
+    /// connections to the peer that have not answered since are retired then.
+    async fn finish<F>(
+        &self,
+        target: &Target,
+        answer: &Answer<'_>,
+        exchange: F,
+    ) -> Result<HttpClientResponse, HttpClientError>
+    where
+        F: Future<Output = Option<Result<HttpClientResponse, HttpClientError>>>,
+    {
         let mut silence = SilenceWatch::new(self, target.authority.clone());
-        let is_sent = Cell::new(false);
-        let received = Cell::new(0);
-        let exchange = self.exchange(&target, request, &is_sent, &received);
-        let result = with_timeout(&*self.clock, timeout, exchange).await;
+        let result = exchange.await;
         silence.is_finished = true;
         if result.is_none() {
             self.retire(&target.authority, silence.sent_at);
         }
         match result {
             Some(result) => result,
-            None if is_sent.get() => Err(HttpClientError::TimedOut(received.get())),
+            None if answer.is_sent.get() => Err(HttpClientError::TimedOut(answer.received())),
             None => {
                 let why = format!("no connection to {} in time", target.authority);
                 Err(HttpClientError::NotConnected(why))
@@ -171,14 +259,13 @@
     }
 
     /// Sends a request on an idle connection or a new one, and returns the connection to the idle
-    /// ones after the complete response. `is_sent` shows whether the peer may have received it, and
-    /// `received` how many bytes of the body have arrived.
+    /// ones after the complete response. `answer` holds what has been received if the exchange is
+    /// dropped before.
     async fn exchange(
         &self,
         target: &Target,
         mut request: Request<Full<Bytes>>,
-        is_sent: &Cell<bool>,
-        received: &Cell<u64>,
+        answer: &Answer<'_>,
     ) -> Result<HttpClientResponse, HttpClientError> {
         loop {
             let idle = self.take_idle(&target.authority);
@@ -187,19 +274,19 @@
                 Some(connection) => connection,
                 None => HttpConnection::open(target).await?,
             };
-            is_sent.set(true);
+            answer.is_sent.set(true);
             let response = match connection.send(request).await {
                 Ok(response) => response,
                 // An idle connection was closed by the peer before the request was written to it.
                 Err(SendError::Unsent(unsent, _)) if is_reused => {
-                    is_sent.set(false);
+                    answer.is_sent.set(false);
                     request = *unsent;
                     continue;
                 }
                 Err(SendError::Unsent(_, why)) => return Err(HttpClientError::NotConnected(why)),
                 Err(SendError::Lost(why)) => return Err(HttpClientError::AnswerLost(why)),
             };
-            let response = self.read_response(response, received).await?;
+            let response = self.read_response(response, answer).await?;
             let now = self.clock.now();
             self.idle
                 .borrow_mut()
@@ -237,29 +324,29 @@
     async fn read_response(
         &self,
         response: Response<Incoming>,
-        received: &Cell<u64>,
+        answer: &Answer<'_>,
     ) -> Result<HttpClientResponse, HttpClientError> {
         let (head, mut incoming) = response.into_parts();
         let request_id = head.headers.get("x-request-id");
         let request_id = request_id.and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let mut body = BytesMut::new();
+        answer.status.set(Some(head.status.as_u16()));
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|e| {
-                HttpClientError::AnswerLost(format!("{e} after {} bytes", received.get()))
+                HttpClientError::AnswerLost(format!("{e} after {} bytes", answer.received()))
             })?;
             let Ok(part) = frame.into_data() else {
                 continue;
             };
-            if (body.len() + part.len()) as u64 > self.max_answer_bytes {
+            if answer.received() + part.len() as u64 > self.max_answer_bytes {
                 return Err(HttpClientError::TooLarge(self.max_answer_bytes));
             }
-            body.extend_from_slice(&part);
-            received.set(body.len() as u64);
+            answer.body.borrow_mut().extend_from_slice(&part);
+            answer.transfer.add(part.len());
         }
         Ok(HttpClientResponse {
             status: head.status.as_u16(),
             request_id,
-            body: body.freeze(),
+            body: answer.body.take().freeze(),
         })
     }
 }
--- a/src/connection/http/mod.rs
+++ b/src/connection/http/mod.rs
@@ -6,11 +6,13 @@
 mod idle_connections;
 mod problem;
 mod server;
+mod transfer;
 
 pub use {
-    client::{HttpClient, HttpClientError, HttpClientResponse},
+    client::{HttpClient, HttpClientError, HttpClientResponse, PartialResponse},
     handler::{HttpHandler, HttpRequest, HttpResponse, query_value},
     idle_connections::{IdleConnections, MAX_IDLE_PER_PEER, MAX_IDLE_TIME},
     problem::Problem,
     server::HttpServer,
+    transfer::Transfer,
 };
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -8,7 +8,8 @@
 pub use {
     http::{
         HttpClient, HttpClientError, HttpClientResponse, HttpHandler, HttpRequest, HttpResponse,
-        HttpServer, IdleConnections, MAX_IDLE_PER_PEER, MAX_IDLE_TIME, Problem, query_value,
+        HttpServer, IdleConnections, MAX_IDLE_PER_PEER, MAX_IDLE_TIME, PartialResponse, Problem,
+        Transfer, query_value,
     },
     peer::{
         CommitCall, EndKind, EvictionMode, FrameError, GangEnd, GangId, GangPhase, GangReply,
--- a/src/platform/log_store.rs
+++ b/src/platform/log_store.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        connection::{HttpClient, HttpClientError, HttpClientResponse},
+        connection::{HttpClient, HttpClientError, HttpClientResponse, PartialResponse, Transfer},
         prelude::*,
-        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, ReadRange, StoreError},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     serde::Deserialize,
@@ -14,9 +14,9 @@
 /// because an append that times out and is repeated may store its records twice.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// The time limit of a read, beyond the wait that it requests. It is shorter than that of an append
-/// because reads are cheap to repeat.
-const READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a read may receive nothing, besides the wait that it requests. It is shorter than the
+/// time limit of an append because reads are cheap to repeat.
+const READ_SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
 /// The producer ID with which the leader appends.
 const PRODUCER: &str = "lead";
@@ -80,9 +80,14 @@
         &self,
         path: &str,
         wait: Duration,
-    ) -> Result<HttpClientResponse, StoreError> {
+        transfer: &Transfer<'_>,
+    ) -> Result<PartialResponse, StoreError> {
         let url = format!("{}{path}", self.base_url);
-        let result = self.client.get(&url, READ_TIMEOUT + wait).await;
+        let (first, between) = (READ_SILENCE_LIMIT + wait, READ_SILENCE_LIMIT);
+        let result = self
+            .client
+            .get_partial(&url, first, between, transfer)
+            .await;
         result.map_err(call_error)
     }
 
@@ -106,34 +111,36 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
             // The store takes the key after which the page begins in the parameter `DependsOn`.
             let after = after.map(|key| format!("&DependsOn={}", escape(key)));
             let after = after.unwrap_or_default();
             let path = format!("/log-newest?Topic={topic}&part=0{after}");
-            let answer = self.get(&path, Duration::ZERO).await?;
-            match answer.status {
-                200 => decode_newest(&answer.body),
-                status => Err(status_error(status, &answer)),
+            let answer = self.get(&path, Duration::ZERO, transfer).await?;
+            match (answer.status, answer.cut_by) {
+                (200, None) => decode_newest(&answer.body),
+                (200, Some(e)) => Err(call_error(e)),
+                (status, _) => Err(status_error(status, &answer.body)),
             }
         })
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
+            let ReadRange { topic, from, wait } = range;
             let wait_ms = wait.as_millis();
             let path = format!("/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
-            let answer = self.get(&path, wait).await?;
+            let answer = self.get(&path, wait, transfer).await?;
             match answer.status {
-                200 => decode_read(&answer.body, from),
+                200 => decode_read(&answer.body, from, answer.cut_by),
                 410 => Err(StoreError::Trimmed),
-                status => Err(status_error(status, &answer)),
+                status => Err(status_error(status, &answer.body)),
             }
         })
     }
@@ -163,7 +170,7 @@
                 }
                 409 => Err(conflict_error(&answer)),
                 412 => Err(StoreError::EndMoved),
-                status => Err(status_error(status, &answer)),
+                status => Err(status_error(status, &answer.body)),
             }
         })
     }
@@ -186,9 +193,9 @@
 /// never will have; after any other status the effect is unknown.
 fn status_error(
     status: u16,
-    answer: &HttpClientResponse,
+    body: &[u8],
 ) -> StoreError {
-    let detail = String::from_utf8_lossy(&answer.body);
+    let detail = String::from_utf8_lossy(body);
     let detail: String = detail.chars().take(200).collect();
     match status {
         400 | 413 | 422 => StoreError::Rejected(format!("status {status} {detail}")),
@@ -259,22 +266,27 @@
 
 /// Decodes a read. The topic's end offset and first retained offset come first and are not used;
 /// the records from offset `from` on follow. A record whose key cannot be decoded applies to no key
-/// and is skipped; a truncated record makes the whole read fail.
+/// and is skipped. An answer that was cut off counts up to its last complete record, so that a
+/// repetition reads on there; a truncated record in a complete answer makes the whole read fail.
 fn decode_read(
     body: &Bytes,
     from: u64,
+    cut_by: Option<HttpClientError>,
 ) -> Result<KeyedPage, StoreError> {
-    if body.len() < READ_HEADER_BYTES {
+    if body.len() < READ_HEADER_BYTES && cut_by.is_none() {
         return Err(StoreError::Malformed(
             "the response is truncated".to_owned(),
         ));
     }
-    let mut rest = body.slice(READ_HEADER_BYTES..);
+    let mut rest = body.slice(READ_HEADER_BYTES.min(body.len())..);
     let mut offset = from;
     let mut records = Vec::new();
     while rest.len() >= 4 {
         let len = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
         if rest.len() < 4 + len {
+            if cut_by.is_some() {
+                break;
+            }
             return Err(StoreError::Malformed("a record is truncated".to_owned()));
         }
         let content = rest.slice(4..4 + len);
@@ -285,6 +297,12 @@
         }
         offset += 1;
     }
+    if let Some(e) = cut_by {
+        if offset == from {
+            return Err(call_error(e));
+        }
+        tracing::info!(from, end = offset, error = %e, "an answer was cut off; its complete records are used");
+    }
     Ok(KeyedPage {
         records,
         end: offset,
--- a/src/process/ledger/keyed_store.rs
+++ b/src/process/ledger/keyed_store.rs
@@ -2,7 +2,10 @@
 
 use {
     super::NewestList,
-    crate::{connection::false_if_missing, prelude::*},
+    crate::{
+        connection::{Transfer, false_if_missing},
+        prelude::*,
+    },
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
 };
@@ -31,6 +34,17 @@
     pub has_more: bool,
 }
 
+/// The records that a read asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadRange<'a> {
+    /// The topic.
+    pub topic: &'a str,
+    /// The offset of the first record.
+    pub from: u64,
+    /// How long the store waits for a record if there is none.
+    pub wait: Duration,
+}
+
 /// The epoch and sequence number of an append, by which the store rejects writers with lower epochs
 /// and detects lost or repeated appends of one writer.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -83,7 +97,7 @@
 }
 
 /// A store of topics with keyed records. Acknowledged records are durable, and responses are
-/// linearizable.
+/// linearizable. What a read has received counts in its [`Transfer`].
 pub trait KeyedStore {
     /// Returns a page of the newest records in the order of their keys, from the first key after
     /// `after` on. Records may be stored between two pages.
@@ -94,6 +108,7 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>>;
 
     /// Returns the newest record of each key and the offset at which to continue reading.
@@ -107,7 +122,17 @@
         Box::pin(async move { NewestList::default().read_on(self, topic).await })
     }
 
-    /// Returns the records from an offset on. Waits up to `wait` for one if there is none.
+    /// Returns the first records of a range.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if the store gives no result in time.
+    fn read_page<'a>(
+        &'a self,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>>;
+
+    /// Returns records from an offset on. Waits up to `wait` for one if there is none.
     ///
     /// # Errors
     /// Returns a [`StoreError`] if the store gives no result in time.
@@ -116,7 +141,10 @@
         topic: &'a str,
         from: u64,
         wait: Duration,
-    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>>;
+    ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
+        let range = ReadRange { topic, from, wait };
+        Box::pin(async move { self.read_page(range, &Transfer::default()).await })
+    }
 
     /// Appends all records or none, and returns the offset of the first one.
     ///
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -3,9 +3,9 @@
 use {
     super::{
         Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, LedgerFold, LedgerKey,
-        LedgerRecord, NewestList, RecordLimits, StoreError, known_end::KnownEnd,
+        LedgerRecord, NewestList, ReadRange, RecordLimits, StoreError, known_end::KnownEnd,
     },
-    crate::{prelude::*, request::StepJobId},
+    crate::{connection::Transfer, prelude::*, request::StepJobId},
     event_listener::{Event, EventListener},
     futures_util::{
         future::{Either, select},
@@ -320,17 +320,25 @@
     }
 
     /// Waits for the records from an offset on. Once the topic is known to hold some and the waiting
-    /// read has not returned them, reads them by another call, because a waiting read may hear nothing
+    /// read receives nothing, reads them by another call, because a waiting read may hear nothing
     /// while the store serves other calls.
     async fn read_next(
         &self,
         from: u64,
     ) -> Result<KeyedPage, StoreError> {
-        let mut waiting = self.store.read(TOPIC, from, READ_WAIT);
+        let range = ReadRange {
+            topic: TOPIC,
+            from,
+            wait: READ_WAIT,
+        };
+        let transfer = Transfer::default();
+        let mut waiting = self.store.read_page(range, &transfer);
         loop {
             let behind = async {
                 self.known_end.wait_for_noted(from).await;
-                self.clock.sleep(CATCH_UP_DELAY).await;
+                transfer
+                    .wait_for_silence(&*self.clock, CATCH_UP_DELAY)
+                    .await;
             };
             pin_mut!(behind);
             waiting = match select(waiting, behind).await {
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -22,7 +22,7 @@
     candidacy::{Candidacy, CandidateMachine, LeadershipView},
     end_hints::{EndHint, receive_end_hints, send_end_hints},
     fold::{JobView, LeadView, LedgerFold},
-    keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+    keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, ReadRange, StoreError},
     leader_election::{LEADER_RENEWAL_INTERVAL, LEADER_TIMEOUT, LeaderElection},
     ledger::Ledger,
     newest_list::NewestList,
--- a/src/process/ledger/newest_list.rs
+++ b/src/process/ledger/newest_list.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{KeyedPage, KeyedRecord, KeyedStore, StoreError},
-    crate::prelude::*,
+    crate::{connection::Transfer, prelude::*},
 };
 
 /// The part of a list that has been read. It outlives a failed read, so that the next one goes on
@@ -39,7 +39,9 @@
     {
         loop {
             let after = self.after.clone();
-            let page = store.newest_page(topic, after.as_deref()).await?;
+            let page = store
+                .newest_page(topic, after.as_deref(), &Transfer::default())
+                .await?;
             let end = *self.end.get_or_insert(page.end);
             let last = page.records.last().map(|r| r.key.clone());
             self.records.extend(page.records);
--- a/src/process/relay/relay_server.rs
+++ b/src/process/relay/relay_server.rs
@@ -3,7 +3,7 @@
 use {
     super::{StoreCall, StoreReply},
     crate::{
-        connection::{FrameError, read_limited_frame, set_nodelay, write_frame},
+        connection::{FrameError, Transfer, read_limited_frame, set_nodelay, write_frame},
         prelude::*,
         process::{
             clock::with_timeout,
@@ -120,7 +120,8 @@
     };
     let _busy = open.begin_request();
     let reply = {
-        let running = call.run(store);
+        let transfer = Transfer::default();
+        let running = call.run(store, &transfer);
         pin_mut!(running);
         loop {
             match select(running.as_mut(), clock.sleep(PROGRESS_INTERVAL)).await {
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -3,11 +3,13 @@
 use {
     super::{StoreCall, StoreReply},
     crate::{
-        connection::{FrameError, read_frame, set_nodelay, write_frame},
+        connection::{FrameError, Transfer, read_frame, set_nodelay, write_frame},
         prelude::*,
         process::{
             clock::with_timeout,
-            ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError, StoreHealth},
+            ledger::{
+                Condition, KeyedPage, KeyedRecord, KeyedStore, ReadRange, StoreError, StoreHealth,
+            },
             metrics::PlatformMetrics,
         },
     },
@@ -24,8 +26,8 @@
 /// store is available again; a shorter one costs more failed calls.
 const RELAY_FIRST_DURATION: Millis = Millis(2000);
 
-/// How long the store may take for a call, besides the wait that is part of the call, before the
-/// call is also sent to another entry. A slow store answers in about 300 ms.
+/// How long a call may receive nothing, besides the wait that is part of the call, before it is also
+/// sent to another entry. A slow store answers in about 300 ms.
 const HEDGE_DELAY: Duration = Duration::from_millis(450);
 
 /// The timeout of a relayed call, which never waits for records, and of each further frame of its
@@ -44,7 +46,7 @@
 /// The interval at which one read tries the direct path while calls go to other entries first.
 const DIRECT_PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
-/// How long such a read may take before it goes to another entry as well.
+/// How long such a read may receive nothing at first before it goes to another entry as well.
 const DIRECT_PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A store that is called directly, or through other entries while it refuses or does not answer
@@ -106,33 +108,39 @@
     async fn call(
         &self,
         call: StoreCall,
+        transfer: &Transfer<'_>,
     ) -> StoreReply {
         if self.clock.now() >= self.relay_first_until.get() {
-            return self.call_directly_first(&call).await;
+            return self.call_directly_first(&call, transfer).await;
         }
-        if let Some(reply) = self.probe_direct_path(&call).await {
+        if let Some(reply) = self.probe_direct_path(&call, transfer).await {
             return reply;
         }
         match self.call_relay(&call).await {
             RelayOutcome::Answered(reply) => reply,
             RelayOutcome::Unknown => unknown_append("no other entry has answered"),
-            RelayOutcome::Failed => self.call_direct(&call).await,
+            RelayOutcome::Failed => self.call_direct(&call, transfer).await,
         }
     }
 
     /// Calls the store directly, and through another entry if it refuses the call or, where a call
-    /// may be made twice, does not answer it for some time.
+    /// may be made twice, sends nothing for some time. While an answer arrives slowly, a second copy of
+    /// it would only share the link with the first one.
     async fn call_directly_first(
         &self,
         call: &StoreCall,
+        transfer: &Transfer<'_>,
     ) -> StoreReply {
-        let direct = self.call_direct(call);
+        let transfer = &Transfer::attempt_of(transfer);
+        let direct = self.call_direct(call, transfer);
         pin_mut!(direct);
-        let hedge_timer = self.clock.sleep(call.wait() + HEDGE_DELAY);
-        let reply = match select(&mut direct, hedge_timer).await {
-            Either::Left((reply, _)) => reply,
-            Either::Right(_) if call.is_idempotent() => return self.hedge(call, direct).await,
-            Either::Right(_) => direct.await,
+        let first = call.wait() + HEDGE_DELAY;
+        let answered =
+            transfer.with_silence_limit(&*self.clock, first, HEDGE_DELAY, direct.as_mut());
+        let reply = match answered.await {
+            Some(reply) => reply,
+            None if call.is_idempotent() => return self.hedge(call, direct).await,
+            None => direct.await,
         };
         let Some(error) = outage_error(&reply) else {
             return reply;
@@ -180,6 +188,7 @@
     async fn probe_direct_path(
         &self,
         call: &StoreCall,
+        transfer: &Transfer<'_>,
     ) -> Option<StoreReply> {
         let now = self.clock.now();
         if matches!(call, StoreCall::Append { .. }) || now < self.probe_due_at.get() {
@@ -187,8 +196,11 @@
         }
         self.probe_due_at.set(now + DIRECT_PROBE_INTERVAL.into());
         let call = call.without_wait();
-        let direct = self.call_direct(&call);
-        let reply = with_timeout(&*self.clock, DIRECT_PROBE_TIMEOUT, direct).await;
+        let transfer = Transfer::attempt_of(transfer);
+        let direct = self.call_direct(&call, &transfer);
+        let reply =
+            transfer.with_silence_limit(&*self.clock, DIRECT_PROBE_TIMEOUT, HEDGE_DELAY, direct);
+        let reply = reply.await;
         if reply.is_none() {
             self.health.record_direct_failure();
         }
@@ -201,9 +213,10 @@
     async fn call_direct(
         &self,
         call: &StoreCall,
+        transfer: &Transfer<'_>,
     ) -> StoreReply {
         let called_at = self.clock.now();
-        let reply = call.run(&*self.direct).await;
+        let reply = call.run(&*self.direct, transfer).await;
         self.count_call(call, &reply, "direct");
         let now = self.clock.now();
         if reply.error().is_none() && call.wait().is_zero() {
@@ -326,27 +339,27 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         let call = StoreCall::Newest {
             topic: topic.to_owned(),
             accepts_parts: true,
             page_after: Some(after.unwrap_or_default().to_owned()),
         };
-        Box::pin(async move { into_page(self.call(call).await) })
+        Box::pin(async move { into_page(self.call(call, transfer).await) })
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         let call = StoreCall::Read {
-            topic: topic.to_owned(),
-            from,
-            wait_ms: Millis::from(wait).0,
+            topic: range.topic.to_owned(),
+            from: range.from,
+            wait_ms: Millis::from(range.wait).0,
         };
-        Box::pin(async move { into_page(self.call(call).await) })
+        Box::pin(async move { into_page(self.call(call, transfer).await) })
     }
 
     fn append<'a>(
@@ -362,7 +375,7 @@
             accepts_rejection: true,
         };
         Box::pin(async move {
-            match self.call(call).await {
+            match self.call(call, &Transfer::default()).await {
                 StoreReply::Appended(result) => result,
                 StoreReply::Page(_) | StoreReply::Part(_) => Err(StoreError::Unknown(
                     "the reply is for another kind of call".to_owned(),
--- a/src/process/relay/store_call.rs
+++ b/src/process/relay/store_call.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        connection::{false_if_missing, none_if_missing},
-        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError},
+        connection::{Transfer, false_if_missing, none_if_missing},
+        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, ReadRange, StoreError},
     },
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -105,17 +105,23 @@
     pub async fn run(
         &self,
         store: &dyn KeyedStore,
+        transfer: &Transfer<'_>,
     ) -> StoreReply {
         match self {
             Self::Newest {
                 topic, page_after, ..
             } => StoreReply::Page(match page_after.as_deref() {
                 None => store.newest(topic).await,
-                Some("") => store.newest_page(topic, None).await,
-                Some(after) => store.newest_page(topic, Some(after)).await,
+                Some("") => store.newest_page(topic, None, transfer).await,
+                Some(after) => store.newest_page(topic, Some(after), transfer).await,
             }),
             Self::Read { topic, from, .. } => {
-                StoreReply::Page(store.read(topic, *from, self.wait()).await)
+                let range = ReadRange {
+                    topic,
+                    from: *from,
+                    wait: self.wait(),
+                };
+                StoreReply::Page(store.read_page(range, transfer).await)
             }
             Self::Append {
                 topic,
--- a/tests/platform/end_hints.rs
+++ b/tests/platform/end_hints.rs
@@ -5,13 +5,14 @@
     compio::runtime::spawn,
     futures_util::future::{pending, ready},
     limpetquay::{
+        connection::Transfer,
         prelude::*,
         process::{
             clock::VirtualClock,
             ledger::{
                 Condition, EndHint, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, Ledger,
-                LedgerKey, LedgerRecord, Member, MemberRole, StoreError, receive_end_hints,
-                send_end_hints,
+                LedgerKey, LedgerRecord, Member, MemberRole, ReadRange, StoreError,
+                receive_end_hints, send_end_hints,
             },
             membership::{DatagramLink, ReceivedDatagram},
         },
@@ -37,19 +38,23 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.newest_page(topic, after)
+        self.inner.newest_page(topic, after, transfer)
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
-            if !wait.is_zero() {
-                let page = self.inner.read(topic, from, Duration::ZERO).await?;
+            if !range.wait.is_zero() {
+                let now = ReadRange {
+                    wait: Duration::ZERO,
+                    ..range
+                };
+                let page = self.inner.read_page(now, transfer).await?;
                 if !page.records.is_empty() {
                     return Ok(page);
                 }
@@ -57,7 +62,7 @@
                 return Err(StoreError::Unknown("no answer".to_owned()));
             }
             self.plain_reads.set(self.plain_reads.get() + 1);
-            self.inner.read(topic, from, wait).await
+            self.inner.read_page(range, transfer).await
         })
     }
 
--- a/tests/platform/fake_store.rs
+++ b/tests/platform/fake_store.rs
@@ -2,9 +2,12 @@
 
 use {
     limpetquay::{
+        connection::Transfer,
         platform::stand_in::StoreModel,
         prelude::*,
-        process::ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, StoreError, StoreHealth},
+        process::ledger::{
+            Condition, KeyedPage, KeyedRecord, KeyedStore, ReadRange, StoreError, StoreHealth,
+        },
     },
     std::cell::Cell,
 };
@@ -119,6 +122,7 @@
         &'a self,
         topic: &'a str,
         _after: Option<&'a str>,
+        _transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
             let started_at = self.clock.now();
@@ -129,14 +133,14 @@
         })
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        _transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
             self.travel().await?;
+            let ReadRange { topic, from, wait } = range;
             let deadline = self.clock.now() + wait.into();
             loop {
                 let page = self.shared.model.borrow_mut().read(topic, from);
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -9,13 +9,15 @@
     futures_util::{future::select, pin_mut},
     hyper::{HeaderMap, Method},
     limpetquay::{
-        connection::{HttpClient, HttpClientError, HttpHandler, HttpRequest},
+        connection::{HttpClient, HttpClientError, HttpHandler, HttpRequest, Transfer},
         platform::{CallerApi, retry_after_seconds},
         prelude::*,
         process::{
             clock::{SystemClock, VirtualClock},
             job_service::{DeskError, JobService},
-            ledger::{Condition, KeyedPage, KeyedRecord, KeyedStore, Ledger, StoreError},
+            ledger::{
+                Condition, KeyedPage, KeyedRecord, KeyedStore, Ledger, ReadRange, StoreError,
+            },
             metrics::PlatformMetrics,
         },
         request::StepJobId,
@@ -39,17 +41,17 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.newest_page(topic, after)
+        self.inner.newest_page(topic, after, transfer)
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.read(topic, from, wait)
+        self.inner.read_page(range, transfer)
     }
 
     fn append<'a>(
--- a/tests/platform/registration.rs
+++ b/tests/platform/registration.rs
@@ -4,13 +4,13 @@
     super::fake_store::{FakeStore, SharedStore},
     compio::runtime::spawn,
     limpetquay::{
-        connection::{RunStart, WorkerIncarnation},
+        connection::{RunStart, Transfer, WorkerIncarnation},
         prelude::*,
         process::{
             clock::VirtualClock,
             ledger::{
                 Condition, KeyedPage, KeyedRecord, KeyedStore, Ledger, LedgerFold, Member,
-                MemberRole, StoreError,
+                MemberRole, ReadRange, StoreError,
             },
             runs::{
                 PollRequest, PollResponse, RunGuard, RunWorker, RunWorkerError, WorkerAddress,
@@ -70,17 +70,17 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.newest_page(topic, after)
+        self.inner.newest_page(topic, after, transfer)
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.inner.read(topic, from, wait)
+        self.inner.read_page(range, transfer)
     }
 
     fn append<'a>(
--- a/tests/platform/slow_reads.rs
+++ b/tests/platform/slow_reads.rs
@@ -200,6 +200,34 @@
     assert_eq!((result, asked), (Ok(vec![RECORD_BYTES]), 0));
 }
 
+/// Guards against a second copy of an answer on the same link when another entry has announced the end
+/// of the topic, while the waiting read receives the records before it.
+#[test]
+fn a_hint_starts_no_second_read_while_an_answer_arrives() {
+    let answer_bytes = run(async {
+        let testbed = Testbed::start().await;
+        let link = FaultyLink::start(testbed.store_address).await;
+        link.set_speed(SLOW);
+        let ledger = Rc::new(Ledger::new(
+            testbed.client(link.address()),
+            testbed.clock.clone(),
+        ));
+        let follower = ledger.clone();
+        let _following = spawn(async move { follower.follow().await });
+        ledger.wait_until_read().await;
+        testbed.put_records(0..1, RECORD_BYTES);
+        ledger.note_end(1);
+        let caught_up = ledger.wait_for_offset(1);
+        with_timeout(&*testbed.clock, PATIENCE, caught_up).await;
+        link.answer_bytes()
+    });
+    let most = RECORD_BYTES * 3 / 2;
+    assert!(
+        (RECORD_BYTES..most).contains(&answer_bytes),
+        "{answer_bytes}"
+    );
+}
+
 /// Guards against losing the records that arrived before a connection broke.
 #[test]
 fn a_broken_connection_keeps_the_records_before() {
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -6,7 +6,9 @@
         runtime::{Runtime, spawn},
     },
     limpetquay::{
-        connection::{HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, read_frame},
+        connection::{
+            HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, Transfer, read_frame,
+        },
         platform::{
             LogStore,
             stand_in::{StandInStore, StoreFaults},
@@ -221,7 +223,7 @@
         loop {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             let call: StoreCall = read_frame(&mut stream).await.expect("a call");
-            let _ = call.run(&*store).await;
+            let _ = call.run(&*store, &Transfer::default()).await;
             if !breaks_connection {
                 open.push(stream);
             }
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -5,7 +5,7 @@
     futures_util::{future::select, pin_mut},
     hyper::{HeaderMap, Method, header::HeaderValue},
     limpetquay::{
-        connection::{HttpHandler, HttpRequest},
+        connection::{HttpHandler, HttpRequest, Transfer},
         platform::{CallerApi, decode_config},
         prelude::*,
         process::{
@@ -13,7 +13,7 @@
             job_service::JobService,
             ledger::{
                 Condition, KeyedPage, KeyedRecord, KeyedStore, LeaderRecord, Ledger, LedgerKey,
-                LedgerRecord, StoreError,
+                LedgerRecord, ReadRange, StoreError,
             },
             metrics::PlatformMetrics,
         },
@@ -33,20 +33,20 @@
         &'a self,
         topic: &'a str,
         after: Option<&'a str>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        self.0.newest_page(topic, after)
+        self.0.newest_page(topic, after, transfer)
     }
 
-    fn read<'a>(
+    fn read_page<'a>(
         &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
+        range: ReadRange<'a>,
+        transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
-            let mut page = self.0.read(topic, from, wait).await?;
+            let mut page = self.0.read_page(range, transfer).await?;
             page.records.truncate(1);
-            page.end = from + page.records.len() as u64;
+            page.end = range.from + page.records.len() as u64;
             Ok(page)
         })
     }
