Limit the silence of a relayed call, not the duration of its reply

A reply had 700 ms for its first frame and for each further one. The reply to a read was one frame of up to 1 MB, and the other entry reads the whole answer of the store before it sends the first byte. Nothing was kept of a reply that broke off. Change: the limit holds for the time without a byte. Reads get their replies in frames of 64 KB like lists, and the notes that the call is in progress, if the caller says in a new last field that it accepts them; entries of the version before get and send single frames. The complete frames of a reply that breaks off are used, and the caller reads on after them. What stays possible: an entry of the version before still gives up such a read; a single record that its path never carries.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -17,7 +17,8 @@
         GuardRequest, KnownGang, LinkError, MAX_FRAME_BYTES, PeerHandler, PeerLink, PeerServer,
         PieceAddress, PieceEnd, PieceHeartbeat, PieceState, Refusal, RefusedStart, RequestCall,
         ReserveCall, RunEnd, RunPhase, RunStart, RunStatus, StartCall, StartRefusal, StopCause,
-        WorkerIncarnation, WorkerReport, WorkerView, read_frame, read_limited_frame, write_frame,
+        WorkerIncarnation, WorkerReport, WorkerView, read_frame, read_frame_in_parts,
+        read_limited_frame, write_frame,
     },
     socket::set_nodelay,
 };
--- a/src/connection/peer/frame.rs
+++ b/src/connection/peer/frame.rs
@@ -3,10 +3,14 @@
 
 use {
     crate::{
+        connection::Transfer,
         process::limits::{BodyError, BodySlot, PortLimiter},
         version::MAX_PAYLOAD_BYTES,
     },
-    compio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    compio::{
+        BufResult,
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    },
     derive_more::{Display, Error, From},
     futures_util::{
         future::{Either, select},
@@ -80,6 +84,33 @@
     Ok(postcard::from_bytes(&content)?)
 }
 
+/// Reads one frame whose bytes count in `transfer` as they arrive.
+///
+/// # Errors
+/// Returns [`FrameError`] when the connection fails or the frame violates the protocol.
+pub async fn read_frame_in_parts<R, T>(
+    stream: &mut R,
+    transfer: &Transfer<'_>,
+) -> Result<T, FrameError>
+where
+    R: AsyncRead,
+    T: DeserializeOwned,
+{
+    let len = read_header(stream).await?;
+    transfer.add(HEADER_BYTES);
+    let mut content = Vec::new();
+    while content.len() < len {
+        let room = (len - content.len()).min(PART_BYTES);
+        let BufResult(read, part) = stream.read(Vec::with_capacity(room)).await;
+        if read? == 0 {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+        transfer.add(part.len());
+        content.extend_from_slice(&part);
+    }
+    Ok(postcard::from_bytes(&content)?)
+}
+
 /// Reads one frame whose bytes count in `limiter` until its message is decoded.
 ///
 /// # Errors
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -11,7 +11,10 @@
 
 pub(crate) use last_field::{false_if_missing, none_if_missing};
 pub use {
-    frame::{FrameError, MAX_FRAME_BYTES, read_frame, read_limited_frame, write_frame},
+    frame::{
+        FrameError, MAX_FRAME_BYTES, read_frame, read_frame_in_parts, read_limited_frame,
+        write_frame,
+    },
     gang_message::{
         CommitCall, EvictionMode, GangEnd, GangId, GangPhase, GangReply, GangRequest, GangWork,
         KnownGang, PieceAddress, PieceEnd, PieceHeartbeat, PieceState, ReserveCall, StartCall,
--- a/src/process/relay/relay_server.rs
+++ b/src/process/relay/relay_server.rs
@@ -23,7 +23,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// The interval at which a caller learns that its call is in progress, if it accepts a reply of several
-/// frames: a list of many pages takes longer than the caller waits for one frame, which is 0.7 s.
+/// frames: this entry's own read may take longer than the caller waits without a byte, which is 0.7 s.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
 
 /// The pause after a failed accept, so that the loop does not spin without free file descriptors.
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -3,7 +3,7 @@
 use {
     super::{StoreCall, StoreReply},
     crate::{
-        connection::{FrameError, Transfer, read_frame, set_nodelay, write_frame},
+        connection::{FrameError, Transfer, read_frame_in_parts, set_nodelay, write_frame},
         prelude::*,
         process::{
             clock::with_timeout,
@@ -30,9 +30,9 @@
 /// sent to another entry. A slow store answers in about 300 ms.
 const HEDGE_DELAY: Duration = Duration::from_millis(450);
 
-/// The timeout of a relayed call, which never waits for records, and of each further frame of its
-/// reply. A slow store answers in about 300 ms.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a relayed call, which never waits for records, may receive nothing. A slow store answers in
+/// about 300 ms.
+const RELAY_SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
 /// The pause after a relayed read without records, which replaces the wait at the store.
 const EMPTY_READ_PAUSE: Duration = Duration::from_millis(200);
@@ -116,7 +116,7 @@
         if let Some(reply) = self.probe_direct_path(&call, transfer).await {
             return reply;
         }
-        match self.call_relay(&call).await {
+        match self.call_relay(&call, transfer).await {
             RelayOutcome::Answered(reply) => reply,
             RelayOutcome::Unknown => unknown_append("no other entry has answered"),
             RelayOutcome::Failed => self.call_direct(&call, transfer).await,
@@ -131,15 +131,15 @@
         call: &StoreCall,
         transfer: &Transfer<'_>,
     ) -> StoreReply {
-        let transfer = &Transfer::attempt_of(transfer);
-        let direct = self.call_direct(call, transfer);
+        let direct_transfer = &Transfer::attempt_of(transfer);
+        let direct = self.call_direct(call, direct_transfer);
         pin_mut!(direct);
         let first = call.wait() + HEDGE_DELAY;
         let answered =
-            transfer.with_silence_limit(&*self.clock, first, HEDGE_DELAY, direct.as_mut());
+            direct_transfer.with_silence_limit(&*self.clock, first, HEDGE_DELAY, direct.as_mut());
         let reply = match answered.await {
             Some(reply) => reply,
-            None if call.is_idempotent() => return self.hedge(call, direct).await,
+            None if call.is_idempotent() => return self.hedge(call, transfer, direct).await,
             None => direct.await,
         };
         let Some(error) = outage_error(&reply) else {
@@ -149,7 +149,7 @@
         if !may_retry(call, error) {
             return reply;
         }
-        let relayed = self.call_relay(call).await;
+        let relayed = self.call_relay(call, transfer).await;
         self.prefer_relays_after(&relayed);
         combine(reply, relayed)
     }
@@ -159,12 +159,13 @@
     async fn hedge<F>(
         &self,
         call: &StoreCall,
+        transfer: &Transfer<'_>,
         direct: F,
     ) -> StoreReply
     where
         F: Future<Output = StoreReply> + Unpin,
     {
-        let relayed_call = self.call_relay(call);
+        let relayed_call = self.call_relay(call, transfer);
         pin_mut!(relayed_call);
         match select(direct, relayed_call).await {
             Either::Left((reply, _)) if outage_error(&reply).is_none() => reply,
@@ -248,6 +249,7 @@
     async fn call_relay(
         &self,
         call: &StoreCall,
+        transfer: &Transfer<'_>,
     ) -> RelayOutcome {
         let peers = self.peers.borrow().clone();
         let call = &call.without_wait();
@@ -262,7 +264,7 @@
                 self.next_peer.set(position.wrapping_add(1));
                 continue;
             };
-            let reply = match send_call(stream, call, &*self.clock).await {
+            let reply = match send_call(stream, call, transfer, &*self.clock).await {
                 Some(Ok(reply)) if outage_error(&reply).is_none() => {
                     self.health.record_relayed(self.clock.now());
                     self.count_call(call, &reply, "relayed");
@@ -358,6 +360,7 @@
             topic: range.topic.to_owned(),
             from: range.from,
             wait_ms: Millis::from(range.wait).0,
+            accepts_parts: true,
         };
         Box::pin(async move { into_page(self.call(call, transfer).await) })
     }
@@ -385,30 +388,53 @@
     }
 }
 
-/// Sends a call to another entry over a new connection and returns its reply; `None` if a frame of
-/// the reply does not arrive in time.
+/// Sends a call to another entry over a new connection and returns its reply; `None` if nothing
+/// arrives for too long. A reply that breaks off yields the records that have arrived.
 async fn send_call(
     mut stream: TcpStream,
     call: &StoreCall,
+    transfer: &Transfer<'_>,
     clock: &dyn Clock,
 ) -> Option<Result<StoreReply, FrameError>> {
     set_nodelay(&stream);
+    let transfer = Transfer::attempt_of(transfer);
+    let received = RefCell::new(KeyedPage::default());
     let calling = async {
         write_frame(&mut stream, call).await?;
-        read_frame(&mut stream).await
+        loop {
+            let reply = read_frame_in_parts(&mut stream, &transfer).await?;
+            let StoreReply::Part(mut part) = reply else {
+                return Ok(reply);
+            };
+            let mut received = received.borrow_mut();
+            received.records.append(&mut part.records);
+            received.end = received.end.max(part.end);
+        }
     };
-    let mut reply = with_timeout(clock, RELAY_TIMEOUT, calling).await?;
-    let mut records = Vec::new();
-    while let Ok(StoreReply::Part(part)) = reply {
-        records.extend(part.records);
-        let reading = read_frame(&mut stream);
-        reply = with_timeout(clock, RELAY_TIMEOUT, reading).await?;
-    }
-    if let Ok(StoreReply::Page(Ok(page))) = &mut reply {
-        records.append(&mut page.records);
-        page.records = records;
+    let limit = RELAY_SILENCE_LIMIT;
+    let reply = transfer
+        .with_silence_limit(clock, limit, limit, calling)
+        .await;
+    let mut received = received.into_inner();
+    match reply {
+        Some(Ok(StoreReply::Page(Ok(mut page)))) => {
+            received.records.append(&mut page.records);
+            page.records = received.records;
+            Some(Ok(StoreReply::Page(Ok(page))))
+        }
+        Some(Ok(reply)) => Some(Ok(reply)),
+        cut => match call.cut_page(received) {
+            Some(page) => {
+                tracing::info!(
+                    records = page.records.len(),
+                    end = page.end,
+                    "a reply of another entry was cut off; its complete records are used"
+                );
+                Some(Ok(StoreReply::Page(Ok(page))))
+            }
+            None => cut,
+        },
     }
-    Some(reply)
 }
 
 /// Returns the error of a reply that does not come from a working store.
--- a/src/process/relay/store_call.rs
+++ b/src/process/relay/store_call.rs
@@ -9,10 +9,14 @@
     std::time::Duration,
 };
 
-/// The size of the records in one frame of a reply, in bytes, unless a single record is larger. It is
+/// The size of the records in a reply of one frame, in bytes, unless a single record is larger. It is
 /// far below the limit of a frame, and as much as one read of the store returns.
 const MAX_REPLY_BYTES: usize = 1 << 20;
 
+/// The size of the records in one frame of a reply of several frames, in bytes, unless a single record
+/// is larger. The caller keeps the complete frames if its connection breaks.
+const MAX_PART_BYTES: usize = 64 << 10;
+
 /// The upper limit on the encoded length of a record's offset and lengths, in bytes.
 const RECORD_ENVELOPE_BYTES: usize = 40;
 
@@ -40,6 +44,10 @@
         from: u64,
         /// How long to wait for a record if there is none, in milliseconds.
         wait_ms: u64,
+        /// Whether the caller accepts a reply of several frames. Entries of earlier versions do not
+        /// send this field.
+        #[serde(deserialize_with = "false_if_missing")]
+        accepts_parts: bool,
     },
     /// Appends records.
     Append {
@@ -92,10 +100,16 @@
     /// Returns the call without a wait for records.
     pub fn without_wait(&self) -> Self {
         match self {
-            Self::Read { topic, from, .. } => Self::Read {
+            Self::Read {
+                topic,
+                from,
+                accepts_parts,
+                ..
+            } => Self::Read {
                 topic: topic.clone(),
                 from: *from,
                 wait_ms: 0,
+                accepts_parts: *accepts_parts,
             },
             Self::Newest { .. } | Self::Append { .. } => self.clone(),
         }
@@ -141,26 +155,41 @@
             Self::Newest {
                 accepts_parts: true,
                 ..
+            } | Self::Read {
+                accepts_parts: true,
+                ..
             }
         )
     }
 
-    /// Returns the frames by which a reply to this call is sent. A list of the newest records is
-    /// divided over several ones if the caller accepts that, and a read is cut short, as its caller
-    /// reads on. An append that was rejected counts as refused for a caller that does not know the
+    /// Returns the page of which a call has received only some records before its connection broke;
+    /// `None` if there are none. The records of a read follow each other, and those of a list are in
+    /// the order of their keys, so that the caller can go on after the last one.
+    pub fn cut_page(
+        &self,
+        received: KeyedPage,
+    ) -> Option<KeyedPage> {
+        let last = received.records.last()?;
+        let end = match self {
+            Self::Read { .. } => last.offset + 1,
+            Self::Newest { .. } | Self::Append { .. } => received.end,
+        };
+        Some(KeyedPage {
+            end,
+            has_more: true,
+            ..received
+        })
+    }
+
+    /// Returns the frames by which a reply to this call is sent. A page is divided over several ones if
+    /// the caller accepts that; otherwise, a read is cut short, as its caller reads on. An append that was rejected counts as refused for a caller that does not know the
     /// difference.
     pub fn reply_frames(
         &self,
         reply: StoreReply,
     ) -> Vec<StoreReply> {
         match (self, reply) {
-            (
-                Self::Newest {
-                    accepts_parts: true,
-                    ..
-                },
-                StoreReply::Page(Ok(page)),
-            ) => page_frames(page),
+            (call, StoreReply::Page(Ok(page))) if call.accepts_parts() => page_frames(page),
             (Self::Read { .. }, StoreReply::Page(Ok(page))) => {
                 vec![StoreReply::Page(Ok(first_records(page)))]
             }
@@ -183,7 +212,7 @@
     let mut bytes = 0;
     for record in std::mem::take(&mut page.records) {
         let record_bytes = record.size() + RECORD_ENVELOPE_BYTES;
-        if !records.is_empty() && bytes + record_bytes > MAX_REPLY_BYTES {
+        if !records.is_empty() && bytes + record_bytes > MAX_PART_BYTES {
             frames.push(StoreReply::Part(KeyedPage {
                 records: std::mem::take(&mut records),
                 end: page.end,
