Skip the versions of the configuration that newer ones have replaced

Callers saw: the configuration in force falls behind while versions are written faster than an entry's link carries them, for as long as it then takes to read each of them. Cause: the follower of the operator's topic read every version, as much as the store returns at once, though each one replaces the whole configuration. Change: NewestFollower reads one record at a time. If the topic holds more, it goes on with the list of the newest records, which the store keeps for each key; the versions in between are read only if the newest one is malformed. A page of a read says whether the topic goes on, from the end that the store's answer begins with and the client did not use. What stays possible: one version that takes longer on the link than it may take to be in force; no design mends that.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -7,7 +7,7 @@
         process::{
             config_view::ConfigView,
             evacuations::Evacuations,
-            ledger::{KeyedPage, KeyedRecord, KeyedStore, NewestList, StoreError},
+            ledger::{KeyedPage, KeyedRecord, KeyedStore, NewestFollower, StoreError},
         },
         version::{ApiAccount, CallerLimits, Queue, QueueName, QueueTable},
     },
@@ -25,9 +25,6 @@
 /// The start of the key of a request to evacuate a data centre; its name follows.
 const EVACUATION_KEY_PREFIX: &str = "evacuate/";
 
-/// How long one read waits for a new record.
-const LONG_POLL_WAIT: Duration = Duration::from_millis(1000);
-
 /// The delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -164,69 +161,51 @@
     config: Rc<ConfigView>,
     evacuations: Rc<RefCell<Evacuations>>,
 ) {
-    let mut next_offset = None;
-    let mut newest = NewestList::default();
-    let mut wait = LONG_POLL_WAIT;
-    let mut sent_at = clock.now();
+    let mut follower = NewestFollower::new(CONFIG_TOPIC);
     loop {
-        // The records of the first page are as old as that page.
-        if next_offset.is_some() || !newest.is_begun() {
-            sent_at = clock.now();
-        }
-        let result = match next_offset {
-            None => newest.read_on(&*store, CONFIG_TOPIC).await,
-            Some(from) => store.read(CONFIG_TOPIC, from, wait).await,
-        };
-        match result {
+        match follower.read(&*store, &*clock).await {
             Ok(page) => {
-                let is_complete = next_offset.is_none();
-                // A page with records may end before the topic does. The read after it does not
-                // wait, so that an answer without records soon shows that the view is current.
-                let is_current = is_complete || next_offset == Some(page.end);
-                next_offset = Some(page.end);
-                wait = if is_current {
-                    LONG_POLL_WAIT
-                } else {
-                    Duration::ZERO
-                };
-                apply_page(&page, &config);
+                let is_valid = apply_page(&page, &config);
                 let mut evacuations = evacuations.borrow_mut();
-                apply_evacuations(&page, is_complete, &mut evacuations);
-                if is_current {
-                    evacuations.confirm_read(sent_at);
-                    config.confirm_read(sent_at);
+                apply_evacuations(&page, follower.is_listing(), &mut evacuations);
+                if let Some(read_at) = follower.advance(&page, is_valid) {
+                    evacuations.confirm_read(read_at);
+                    config.confirm_read(read_at);
                 }
             }
-            Err(StoreError::Trimmed) => next_offset = None,
             Err(e) => {
+                follower.recover(&e);
+                if e == StoreError::Trimmed {
+                    continue;
+                }
                 let version = config.table().map(|t| t.version);
                 let age = config.age(clock.now());
                 tracing::warn!(error = %e, version, ?age, "failed to read the configuration");
                 clock.sleep(READ_RETRY_DELAY).await;
-                // The age of the view counts from the time at which an answered read was sent, so
-                // the read after a failed one does not wait for a record.
-                wait = Duration::ZERO;
             }
         }
     }
 }
 
 /// Puts the newest valid configuration of a page in force. Each record replaces the whole
-/// configuration, so older ones are decoded only if the newer ones are malformed.
+/// configuration, so older ones are decoded only if the newer ones are malformed. Returns whether the
+/// newest one of the page is valid.
 fn apply_page(
     page: &KeyedPage,
     config: &ConfigView,
-) {
+) -> bool {
+    let mut is_newest_valid = true;
     let records = page.records.iter().rev().filter(|r| &*r.key == CONFIG_KEY);
     let mut valid = records.filter_map(|r| match decode_config(r.value.as_ref()?) {
         Ok(config) => Some(config),
         Err(e) => {
             tracing::error!(offset = r.offset, error = %e, "ignored a malformed configuration");
+            is_newest_valid = false;
             None
         }
     });
     let Some(new) = valid.next() else {
-        return;
+        return is_newest_valid;
     };
     let previous = config.table().map(|t| t.version);
     if previous.is_none_or(|v| v < new.version) {
@@ -238,6 +217,7 @@
         );
         config.replace(new);
     }
+    is_newest_valid
 }
 
 /// Applies the evacuation requests of a page. A complete page replaces all earlier ones.
--- a/src/platform/log_store.rs
+++ b/src/platform/log_store.rs
@@ -133,10 +133,13 @@
         transfer: &'a Transfer<'a>,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
-            let ReadRange { topic, from, wait } = range;
-            let wait_ms = wait.as_millis();
-            let path = format!("/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
-            let answer = self.get(&path, wait, transfer).await?;
+            let (topic, from, wait_ms) = (range.topic, range.from, range.wait.as_millis());
+            let size = range
+                .max_bytes
+                .map(|n| format!("&MaxKb={}", n.div_ceil(1024)));
+            let size = size.unwrap_or_default();
+            let path = format!("/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}{size}");
+            let answer = self.get(&path, range.wait, transfer).await?;
             match answer.status {
                 200 => decode_read(&answer.body, from, answer.cut_by),
                 410 => Err(StoreError::Trimmed),
@@ -264,8 +267,8 @@
     Ok(body)
 }
 
-/// Decodes a read. The topic's end offset and first retained offset come first and are not used;
-/// the records from offset `from` on follow. A record whose key cannot be decoded applies to no key
+/// Decodes a read. The topic's end offset and first retained offset come first; the records from
+/// offset `from` on follow. A record whose key cannot be decoded applies to no key
 /// and is skipped. An answer that was cut off counts up to its last complete record, so that a
 /// repetition reads on there; a truncated record in a complete answer makes the whole read fail.
 fn decode_read(
@@ -278,6 +281,7 @@
             "the response is truncated".to_owned(),
         ));
     }
+    let topic_end = body.first_chunk().map_or(from, |b| u64::from_be_bytes(*b));
     let mut rest = body.slice(READ_HEADER_BYTES.min(body.len())..);
     let mut offset = from;
     let mut records = Vec::new();
@@ -306,7 +310,7 @@
     Ok(KeyedPage {
         records,
         end: offset,
-        has_more: false,
+        has_more: offset < topic_end,
     })
 }
 
--- a/src/platform/stand_in/stand_in_store.rs
+++ b/src/platform/stand_in/stand_in_store.rs
@@ -193,6 +193,8 @@
             .query("WaitMs")
             .and_then(|v| v.parse().ok())
             .unwrap_or(0);
+        let max_kb = req.query("MaxKb").and_then(|v| v.parse::<usize>().ok());
+        let max_bytes = max_kb.map_or(MAX_ANSWER_BYTES, |kb| MAX_ANSWER_BYTES.min(kb << 10));
         let deadline =
             self.clock.now() + Millis::from(Duration::from_millis(wait).min(MAX_READ_WAIT));
         loop {
@@ -205,10 +207,11 @@
                     with_timeout(&*self.clock, remaining, appended).await;
                 }
                 Ok(page) => {
+                    let count = answered_count(&page.records, max_bytes);
                     return HttpResponse::new(
                         200,
                         "application/octet-stream",
-                        encode_page(&page.records[..answered_count(&page.records)], end, first),
+                        encode_page(&page.records[..count], end, first),
                     );
                 }
                 Err(_) => return HttpResponse::json(410, &json!({"FirstOffset": first})),
@@ -228,7 +231,7 @@
         let mut page = self.model.borrow_mut().newest(topic);
         page.records.retain(|r| *r.key > *after);
         page.records.sort_by(|a, b| a.key.cmp(&b.key));
-        let count = answered_count(&page.records);
+        let count = answered_count(&page.records, MAX_ANSWER_BYTES);
         let has_more = count < page.records.len();
         let items = page.records.iter().take(count).map(|r| {
             let value = STANDARD.encode(r.value.as_deref().unwrap_or_default());
@@ -284,12 +287,15 @@
     Some(records)
 }
 
-/// Returns how many of the records one answer holds.
-fn answered_count(records: &[KeyedRecord]) -> usize {
+/// Returns how many of the records one answer holds that is limited to `max_bytes`.
+fn answered_count(
+    records: &[KeyedRecord],
+    max_bytes: usize,
+) -> usize {
     let mut bytes = 0;
     let fitting = records.iter().take_while(|r| {
         bytes += r.key.len() + r.value.as_ref().map_or(0, |v| v.len());
-        bytes <= MAX_ANSWER_BYTES
+        bytes <= max_bytes
     });
     let count = fitting.count().max(1);
     count.min(records.len())
--- a/src/process/ledger/keyed_store.rs
+++ b/src/process/ledger/keyed_store.rs
@@ -28,8 +28,8 @@
     pub records: Vec<KeyedRecord>,
     /// The offset at which to continue reading.
     pub end: u64,
-    /// Whether the list goes on after the last record of this page. Entries of earlier versions do not
-    /// send this field.
+    /// Whether the list goes on after the last record of this page, or the topic held more records
+    /// when it was read. Entries of earlier versions do not send this field.
     #[serde(deserialize_with = "false_if_missing")]
     pub has_more: bool,
 }
@@ -43,6 +43,9 @@
     pub from: u64,
     /// How long the store waits for a record if there is none.
     pub wait: Duration,
+    /// The size limit of the page, in bytes; `None` for as much as the store returns at once. The page
+    /// may hold one larger record, or none.
+    pub max_bytes: Option<u64>,
 }
 
 /// The epoch and sequence number of an append, by which the store rejects writers with lower epochs
@@ -142,7 +145,12 @@
         from: u64,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
-        let range = ReadRange { topic, from, wait };
+        let range = ReadRange {
+            topic,
+            from,
+            wait,
+            max_bytes: None,
+        };
         Box::pin(async move { self.read_page(range, &Transfer::default()).await })
     }
 
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -330,6 +330,7 @@
             topic: TOPIC,
             from,
             wait: READ_WAIT,
+            max_bytes: None,
         };
         let transfer = Transfer::default();
         let mut waiting = self.store.read_page(range, &transfer);
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -12,6 +12,7 @@
     reason = "a file bears the name of its main type"
 )]
 mod ledger;
+mod newest_follower;
 mod newest_list;
 mod record;
 mod record_limits;
@@ -25,6 +26,7 @@
     keyed_store::{Condition, Fence, KeyedPage, KeyedRecord, KeyedStore, ReadRange, StoreError},
     leader_election::{LEADER_RENEWAL_INTERVAL, LEADER_TIMEOUT, LeaderElection},
     ledger::Ledger,
+    newest_follower::NewestFollower,
     newest_list::NewestList,
     record::{Deregistration, LeaderRecord, LedgerKey, LedgerRecord, Member, MemberRole},
     record_limits::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits, append_size},
--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -361,6 +361,7 @@
             from: range.from,
             wait_ms: Millis::from(range.wait).0,
             accepts_parts: true,
+            max_bytes: range.max_bytes,
         };
         Box::pin(async move { into_page(self.call(call, transfer).await) })
     }
--- a/src/process/relay/store_call.rs
+++ b/src/process/relay/store_call.rs
@@ -48,6 +48,10 @@
         /// send this field.
         #[serde(deserialize_with = "false_if_missing")]
         accepts_parts: bool,
+        /// The size limit of the page, in bytes. Entries of earlier versions do not send this field,
+        /// and reply with as much as the store returns at once.
+        #[serde(deserialize_with = "none_if_missing")]
+        max_bytes: Option<u64>,
     },
     /// Appends records.
     Append {
@@ -104,12 +108,14 @@
                 topic,
                 from,
                 accepts_parts,
+                max_bytes,
                 ..
             } => Self::Read {
                 topic: topic.clone(),
                 from: *from,
                 wait_ms: 0,
                 accepts_parts: *accepts_parts,
+                max_bytes: *max_bytes,
             },
             Self::Newest { .. } | Self::Append { .. } => self.clone(),
         }
@@ -129,11 +135,17 @@
                 Some("") => store.newest_page(topic, None, transfer).await,
                 Some(after) => store.newest_page(topic, Some(after), transfer).await,
             }),
-            Self::Read { topic, from, .. } => {
+            Self::Read {
+                topic,
+                from,
+                max_bytes,
+                ..
+            } => {
                 let range = ReadRange {
                     topic,
                     from: *from,
                     wait: self.wait(),
+                    max_bytes: *max_bytes,
                 };
                 StoreReply::Page(store.read_page(range, transfer).await)
             }
@@ -237,6 +249,7 @@
     let fitting = fitting.count().max(1);
     if let Some(next) = page.records.get(fitting) {
         page.end = next.offset;
+        page.has_more = true;
         page.records.truncate(fitting);
     }
     page
--- a/tests/platform/fake_store.rs
+++ b/tests/platform/fake_store.rs
@@ -140,7 +140,9 @@
     ) -> LocalBoxFuture<'a, Result<KeyedPage, StoreError>> {
         Box::pin(async move {
             self.travel().await?;
-            let ReadRange { topic, from, wait } = range;
+            let ReadRange {
+                topic, from, wait, ..
+            } = range;
             let deadline = self.clock.now() + wait.into();
             loop {
                 let page = self.shared.model.borrow_mut().read(topic, from);
--- a/tests/platform/slow_reads.rs
+++ b/tests/platform/slow_reads.rs
@@ -344,3 +344,28 @@
         "{answer_bytes} bytes were read for 20 versions of {RECORD_BYTES} bytes"
     );
 }
+
+/// Guards against a version that stays hidden because a newer one, which has replaced it in the list, is
+/// malformed.
+#[test]
+fn a_skipped_version_counts_if_the_newest_one_is_malformed() {
+    let version = run(async {
+        let testbed = Testbed::start().await;
+        testbed.put_config(1);
+        let view = Rc::<ConfigView>::default();
+        let store = testbed.client(testbed.store_address);
+        let following = follow_config(store, testbed.clock.clone(), view.clone(), Rc::default());
+        let _following = spawn(following);
+        while view.table().is_none() {
+            testbed.clock.sleep(Duration::from_millis(20)).await;
+        }
+        (2..=4).for_each(|version| testbed.put_config(version));
+        let stored = testbed
+            .stand_in
+            .put(CONFIG_TOPIC, "config", b"{\"Version\":");
+        stored.expect("the store accepts the record");
+        testbed.clock.sleep(Duration::from_millis(500)).await;
+        view.table().map(|t| t.version)
+    });
+    assert_eq!(version, Some(4));
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -427,6 +427,7 @@
         from: 5,
         wait_ms: 0,
         accepts_parts: false,
+        max_bytes: None,
     };
     let frames = call.reply_frames(StoreReply::Page(Ok(page)));
     let ends = frames.iter().map(|frame| match frame {
