Refuse no queue or key for good by an old configuration

Cause: an entry answered 401 and 404 whatever the age of its view; the age was known for evacuations only. Change: what the view lacks is refused with 404 or 401 while its last complete read is at most ConfigApplyMs old (a setting, 2,500 ms where it is missing); after that with 503 and a Retry-After. What the view has is served as before. What stays possible: a queue or key that a newer version has removed is served by an old view; refusing it would refuse callers whose requests are still allowed whenever the operator's topic cannot be read.

--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -4,6 +4,7 @@
     crate::{
         prelude::*,
         process::{
+            config_view::DEFAULT_CONFIG_APPLY_TIME,
             ledger::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits},
             limits::ProcessLimits,
             scheduler::{DEFAULT_RECLAIM_TIME, LeaseTerms},
@@ -99,6 +100,8 @@
     pub discovery: Option<SocketAddr>,
     /// The data centre of the instance; `None` if the settings do not name it.
     pub data_centre: Option<DataCentre>,
+    /// The time within which a confirmed version of the configuration is in force.
+    pub config_apply_time: Duration,
     /// The time after the confirmation of an evacuation from which nothing may start in the data
     /// centre; `None` if the settings give no bound.
     pub evacuation_bound: Option<Duration>,
@@ -166,6 +169,10 @@
     /// How long callers may query a job's state after its end, in seconds.
     #[serde(rename = "status_s")]
     status_s: f64,
+    /// The time within which a confirmed version of the configuration is in force, in milliseconds;
+    /// missing where the platform states none.
+    #[serde(default)]
+    config_apply_ms: Option<f64>,
     /// The time after the confirmation of an evacuation from which nothing may start in the data
     /// centre, in milliseconds; missing where no data centre is evacuated.
     #[serde(default)]
@@ -276,6 +283,13 @@
             "status_s",
             "a time from 0 s to ten years is expected",
         );
+        check(
+            self.bounds
+                .config_apply_ms
+                .is_none_or(|ms| ms > 0.0 && ms <= MAX_TIME_S * 1000.0),
+            "ConfigApplyMs",
+            "a time above 0 ms and at most ten years is expected",
+        );
         let evacuate_ms = self.bounds.evacuate_ms.unwrap_or(MIN_EVACUATION_MS);
         check(
             (MIN_EVACUATION_MS..=MAX_TIME_S * 1000.0).contains(&evacuate_ms),
@@ -389,6 +403,12 @@
                 .zone
                 .filter(|name| !name.is_empty())
                 .map(|name| DataCentre::from(&*name)),
+            config_apply_time: wire
+                .bounds
+                .config_apply_ms
+                .map_or(DEFAULT_CONFIG_APPLY_TIME, |ms| {
+                    Duration::from_millis(ms as u64)
+                }),
             evacuation_bound: wire
                 .bounds
                 .evacuate_ms
--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -92,10 +92,10 @@
         };
         let host = req.header("host").unwrap_or_default();
         let Some(queue) = table.route(host, &req.path) else {
-            return HttpResponse::text(404, "there is no such queue");
+            return self.refuse(404, "there is no such queue");
         };
         let Some(account) = authenticate(&table, queue, req) else {
-            return HttpResponse::text(401, "a valid key is required");
+            return self.refuse(401, "a valid key is required");
         };
         let name = &req.path[queue.prefix.len()..];
         if name.is_empty() && req.method == Method::GET {
@@ -115,6 +115,24 @@
         }
     }
 
+    /// Answers a request that the configuration does not allow. An old view shows nothing about what was
+    /// confirmed since, so the caller comes back then; another entry may know more.
+    fn refuse(
+        &self,
+        status: u16,
+        detail: &str,
+    ) -> HttpResponse {
+        if self
+            .job_service
+            .config
+            .is_current(self.job_service.clock.now())
+        {
+            HttpResponse::text(status, detail)
+        } else {
+            unavailable("the view of the configuration is too old")
+        }
+    }
+
     /// Returns the version of the configuration in force and the age of the view that has it.
     fn config_version_and_age(&self) -> (Option<u64>, Option<Duration>) {
         let config = &self.job_service.config;
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -93,7 +93,7 @@
         let store: Rc<dyn KeyedStore> = relayed.clone();
         let ledger = Ledger::new(store.clone(), clock.clone()).with_limits(settings.record_limits);
         let ledger = Rc::new(ledger);
-        let config = Rc::<ConfigView>::default();
+        let config = Rc::new(ConfigView::new(settings.config_apply_time));
         let evacuations: Rc<RefCell<Evacuations>> = Rc::default();
         let job_service = Rc::new(JobService {
             clock: clock.clone(),
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -10,7 +10,7 @@
     hyper::{HeaderMap, Method},
     limpetquay::{
         connection::{HttpClient, HttpClientError, HttpHandler, HttpRequest, Transfer},
-        platform::{CallerApi, retry_after_seconds},
+        platform::{CallerApi, decode_config, retry_after_seconds},
         prelude::*,
         process::{
             clock::{SystemClock, VirtualClock},
@@ -166,6 +166,46 @@
     assert_eq!(times, BTreeSet::from(expected));
 }
 
+/// Guards against a final refusal by an old configuration: a queue or a key that the entry does not know may
+/// have been confirmed since. What it does know is served.
+#[test]
+fn an_old_configuration_refuses_nothing_for_good() {
+    let clock = VirtualClock::new();
+    let shared_clock: Rc<dyn Clock> = clock.clone();
+    let statuses = clock.block_on(async move {
+        let config = r#"{"Version":1,"Routes":[{"Name":"queue","Host":"a","PathPrefix":"/queue/","Service":"s"}],
+            "Tenants":[{"Name":"account","ApiKeys":["known"]}]}"#;
+        let table = decode_config(config.as_bytes()).expect("a configuration");
+        let store = FakeStore::new(Rc::default(), shared_clock.clone(), Duration::ZERO);
+        let mut service = service(shared_clock.clone(), store);
+        service.config = Rc::new(table.into());
+        service.config.confirm_read(shared_clock.now());
+        let api = Rc::new(CallerApi::new(Rc::new(service)));
+        let mut statuses = Vec::new();
+        for pause_ms in [0, 2400, 200, 60_000] {
+            shared_clock.sleep(Duration::from_millis(pause_ms)).await;
+            for (path, key) in [("/new/", "known"), ("/queue/", "new"), ("/queue/1", "known")] {
+                let mut headers = HeaderMap::new();
+                headers.insert("host", "a".parse().expect("a header"));
+                headers.insert("credential", key.parse().expect("a header"));
+                let req = HttpRequest {
+                    method: Method::PUT,
+                    path: path.to_owned(),
+                    query: String::new(),
+                    headers,
+                    body: Bytes::new(),
+                };
+                let response = api.clone().handle(req).await;
+                statuses.push((response.status, response.headers.len()));
+            }
+        }
+        statuses
+    });
+    let current = [(404, 0), (401, 0), (404, 0)];
+    let old = [(503, 1), (503, 1), (404, 0)];
+    assert_eq!(statuses, [current, current, old, old].concat());
+}
+
 /// Guards against a call that counts as sent although no connection was established: the peer's host
 /// drops the attempts to connect because the queue of its listener is full.
 #[test]
