Limit the silence of a guard's session, not the time of a frame

The leader gave a guard 1.3 s for a whole report, and a guard the leader 3 s for a whole message. A report with hundreds of ends that shares a slow link with those of other guards may take longer; the session was reopened, and the same report sent again. Change: both limits hold for the time without a byte.

--- a/src/process/runs/session_task.rs
+++ b/src/process/runs/session_task.rs
@@ -4,8 +4,8 @@
     super::RunGuard,
     crate::{
         connection::{
-            FrameError, GuardOrders, WorkerView, read_frame, read_limited_frame, set_nodelay,
-            write_frame,
+            FrameError, GuardOrders, Transfer, WorkerView, read_frame_in_parts, read_limited_frame,
+            set_nodelay, write_frame,
         },
         prelude::*,
         process::{
@@ -120,8 +120,11 @@
     R: compio::io::AsyncRead,
 {
     loop {
-        let reading = read_frame::<_, GuardOrders>(stream);
-        let Some(orders) = with_timeout(&*guard.clock, SCHEDULER_TIMEOUT, reading).await else {
+        let transfer = Transfer::default();
+        let reading = read_frame_in_parts::<_, GuardOrders>(stream, &transfer);
+        let limit = SCHEDULER_TIMEOUT;
+        let orders = transfer.with_silence_limit(&*guard.clock, limit, limit, reading);
+        let Some(orders) = orders.await else {
             tracing::warn!(
                 token,
                 "the scheduling entry is unresponsive; closing the session"
--- a/src/process/scheduler/guard_task.rs
+++ b/src/process/scheduler/guard_task.rs
@@ -3,7 +3,9 @@
 use {
     super::scheduler_term::SchedulerTerm,
     crate::{
-        connection::{FrameError, GuardReport, read_frame, set_nodelay, write_frame},
+        connection::{
+            FrameError, GuardReport, Transfer, read_frame_in_parts, set_nodelay, write_frame,
+        },
         prelude::*,
         process::{clock::with_timeout, ledger::Member},
     },
@@ -24,8 +26,9 @@
 /// The longest time between two messages to a guard, so that its lease is renewed.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// How long to wait for a report, just over three report intervals, before the session is reopened.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(1300);
+/// How long a guard may send nothing, just over three report intervals, before the session is reopened. A
+/// long report may arrive more slowly than that.
+const REPORT_SILENCE_LIMIT: Duration = Duration::from_millis(1300);
 
 /// Keeps a session with a guard open for the rest of the term, and reconnects when it ends.
 pub(super) async fn maintain_session(
@@ -82,8 +85,11 @@
 {
     let mut is_first = true;
     loop {
-        let reading = read_frame::<_, GuardReport>(stream);
-        let Some(report) = with_timeout(&*shared.clock, REPORT_TIMEOUT, reading).await else {
+        let transfer = Transfer::default();
+        let reading = read_frame_in_parts::<_, GuardReport>(stream, &transfer);
+        let limit = REPORT_SILENCE_LIMIT;
+        let report = transfer.with_silence_limit(&*shared.clock, limit, limit, reading);
+        let Some(report) = report.await else {
             tracing::warn!(upstream = %name, token, "the guard is silent");
             return Ok(());
         };
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -2,19 +2,23 @@
 //! a socket.
 
 use {
-    super::fake_store::{FakeStore, SharedStore},
+    super::{
+        fake_store::{FakeStore, SharedStore},
+        one_guard::tracker,
+    },
     compio::{
+        io::AsyncWriteExt,
         net::TcpListener,
         runtime::{Runtime, spawn},
     },
     limpetquay::{
-        connection::{GuardOrders, read_frame},
+        connection::{GuardOrders, read_frame, write_frame},
         prelude::*,
         process::{
             clock::{SystemClock, with_timeout},
             ledger::{
-                CandidateMachine, Condition, KeyedRecord, KeyedStore, LeaderElection, Ledger,
-                LedgerKey, LedgerRecord, Member, MemberRole,
+                CandidateMachine, Condition, KeyedRecord, LeaderElection, Ledger, LedgerKey,
+                LedgerRecord, Member, MemberRole,
             },
             metrics::PlatformMetrics,
             scheduler::{
@@ -66,6 +70,84 @@
     token.expect("a session is opened in time")
 }
 
+/// Returns the context of an entry that becomes the leader over a store in memory.
+fn leader_context(
+    shared: &Rc<SharedStore>,
+    clock: &Rc<dyn Clock>,
+) -> SchedulerContext {
+    let store = FakeStore::new(shared.clone(), clock.clone(), Duration::from_millis(2));
+    let health = store.health.clone();
+    let ledger = Rc::new(Ledger::new(store, clock.clone()));
+    let election = Rc::new(LeaderElection::new(
+        ledger,
+        clock.clone(),
+        health,
+        EntryName::from("entry-1"),
+        1,
+        CandidateMachine {
+            cpu_milli: 500,
+            link_kbps: 200_000,
+        },
+    ));
+    SchedulerContext {
+        election,
+        clock: clock.clone(),
+        config: Rc::default(),
+        evacuations: Rc::default(),
+        max_evacuation_age: None,
+        leases: LeaseTerms::new(Millis(LEASES_MS)),
+        remote_factor: 3,
+        reclaim_time: DEFAULT_RECLAIM_TIME,
+        retention: Duration::from_secs(240),
+        metrics: Rc::new(PlatformMetrics::default()),
+    }
+}
+
+/// Guards against work that is given up although its guard reports it: a report that arrives more slowly
+/// than the guard may be silent ended the session, and so did each repetition.
+#[test]
+fn a_report_that_arrives_slowly_keeps_its_session() {
+    let runtime = Runtime::new().expect("a runtime");
+    let sessions = runtime.block_on(async {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
+        let shared: Rc<SharedStore> = Rc::default();
+        let cx = leader_context(&shared, &clock);
+        let ledger = cx.election.ledger.clone();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        append(
+            &shared,
+            registration(listener.local_addr().expect("an address"), 1),
+        );
+        let _following = spawn(async move { ledger.follow().await });
+        let _leading = spawn(run_scheduler(cx));
+        let mut sessions = 0;
+        let mut open = Vec::new();
+        let serving = async {
+            loop {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                sessions += 1;
+                let orders: GuardOrders = read_frame(&mut stream).await.expect("a message");
+                let mut tracker = tracker();
+                tracker.open_session(orders.token);
+                let mut frame = Vec::new();
+                let report = tracker.report(clock.now());
+                write_frame(&mut frame, &report).await.expect("a frame");
+                // Six parts take 2.4 s.
+                for part in frame.chunks(frame.len().div_ceil(6)) {
+                    clock.sleep(Duration::from_millis(400)).await;
+                    if stream.write_all(part.to_vec()).await.0.is_err() {
+                        break;
+                    }
+                }
+                open.push(stream);
+            }
+        };
+        with_timeout(&*clock, Duration::from_millis(3000), serving).await;
+        sessions
+    });
+    assert_eq!(sessions, 1);
+}
+
 /// Guards against workers that get no more work until another entry leads: a guard refuses a token
 /// that is not above all earlier ones, so tokens go on rising when its record is removed and stored
 /// again within a term. Review case 3.
@@ -75,32 +157,8 @@
     let tokens = runtime.block_on(async {
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::default());
         let shared: Rc<SharedStore> = Rc::default();
-        let store = FakeStore::new(shared.clone(), clock.clone(), Duration::from_millis(2));
-        let keyed: Rc<dyn KeyedStore> = store.clone();
-        let ledger = Rc::new(Ledger::new(keyed, clock.clone()));
-        let election = Rc::new(LeaderElection::new(
-            ledger.clone(),
-            clock.clone(),
-            store.health.clone(),
-            EntryName::from("entry-1"),
-            1,
-            CandidateMachine {
-                cpu_milli: 500,
-                link_kbps: 200_000,
-            },
-        ));
-        let cx = SchedulerContext {
-            election,
-            clock: clock.clone(),
-            config: Rc::default(),
-            evacuations: Rc::default(),
-            max_evacuation_age: None,
-            leases: LeaseTerms::new(Millis(LEASES_MS)),
-            remote_factor: 3,
-            reclaim_time: DEFAULT_RECLAIM_TIME,
-            retention: Duration::from_secs(240),
-            metrics: Rc::new(PlatformMetrics::default()),
-        };
+        let cx = leader_context(&shared, &clock);
+        let ledger = cx.election.ledger.clone();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
         append(&shared, registration(address, 1));
