--- a/tests/limits/crowd.rs
+++ b/tests/limits/crowd.rs
@@ -19,6 +19,12 @@
 /// The pause after each turn, in which the server reads what was sent.
 const TURN_PAUSE: Duration = Duration::from_millis(20);
 
+/// The ID in the head of a script, in whose place each client sends one of its own.
+const JOB_ID: &[u8] = b"00000000000000aa";
+
+/// The requests that a client sends at once.
+const REQUESTS_PER_PIECE: usize = 200;
+
 /// What each client sends.
 pub struct Script {
     /// What all clients send, in pieces that are sent in turn.
@@ -36,6 +42,38 @@
         }
     }
 
+    /// Returns a script of whole submissions with `steps` steps, of which one has a subtask.
+    pub fn job_of_steps(steps: usize) -> Self {
+        let empty = vec!["{}"; steps - 1].join(",");
+        let body = format!(r#"{{"Spec":"a","Steps":[{{"Count":1}},{empty}]}}"#);
+        let head = head(&format!("content-length: {}", body.len()));
+        Self {
+            pieces: vec![[head, body.into_bytes()].concat()],
+            end: Vec::new(),
+        }
+    }
+
+    /// Returns a script of many requests in a row, whose answers no client reads.
+    pub fn unread_answers(requests: usize) -> Self {
+        let request = b"GET /q/ HTTP/1.1\r\nhost: a.example\r\ncredential: key\r\n\r\n";
+        Self {
+            pieces: vec![request.repeat(REQUESTS_PER_PIECE); requests / REQUESTS_PER_PIECE],
+            end: Vec::new(),
+        }
+    }
+
+    /// Returns a script of heads that lack their end.
+    pub fn unfinished_heads(bytes: usize) -> Self {
+        let head = format!(
+            "GET /q/ HTTP/1.1\r\nhost: a.example\r\nx: {}",
+            "x".repeat(bytes)
+        );
+        Self {
+            pieces: vec![head.into_bytes()],
+            end: Vec::new(),
+        }
+    }
+
     /// Returns a script of a body with an announced length, of which `sent` bytes are sent.
     pub fn with_length(
         announced: usize,
@@ -110,6 +148,19 @@
             self.is_cut_off = self.stream.write_all(bytes).is_err();
         }
     }
+
+    /// Sends a piece with the job ID replaced by the client's number.
+    fn send_numbered(
+        &mut self,
+        number: usize,
+        piece: &[u8],
+    ) {
+        let Some(at) = piece.windows(JOB_ID.len()).position(|w| w == JOB_ID) else {
+            return self.send(piece);
+        };
+        let id = format!("{:016x}", number + 0x1000);
+        self.send(&[&piece[..at], id.as_bytes(), &piece[at + JOB_ID.len()..]].concat());
+    }
 }
 
 /// The clients, all connected at the same time.
@@ -121,6 +172,17 @@
     /// # Panics
     /// Panics if a connection cannot be opened; the server may close it afterwards.
     pub fn connect(address: SocketAddr) -> Self {
+        Self::connect_some(address, CLIENTS)
+    }
+
+    /// Connects a number of clients.
+    ///
+    /// # Panics
+    /// Panics if a connection cannot be opened; the server may close it afterwards.
+    pub fn connect_some(
+        address: SocketAddr,
+        count: usize,
+    ) -> Self {
         let connect = |_| -> io::Result<Client> {
             let stream = TcpStream::connect(address)?;
             stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
@@ -129,7 +191,7 @@
                 is_cut_off: false,
             })
         };
-        let clients: io::Result<_> = (0..CLIENTS).map(connect).collect();
+        let clients: io::Result<_> = (0..count).map(connect).collect();
         Self(clients.expect("the clients connect"))
     }
 
@@ -143,8 +205,8 @@
         F: FnMut(),
     {
         for piece in &script.pieces {
-            for client in &mut self.0 {
-                client.send(piece);
+            for (number, client) in self.0.iter_mut().enumerate() {
+                client.send_numbered(number, piece);
             }
             observe();
             thread::sleep(TURN_PAUSE);
--- a/tests/limits/entry.rs
+++ b/tests/limits/entry.rs
@@ -3,7 +3,9 @@
 use {
     compio::runtime::Runtime,
     limpetquay::{
-        connection::HttpServer, platform::stand_in::StandInStore, prelude::*,
+        connection::{HttpHandler, HttpRequest, HttpResponse, HttpServer},
+        platform::stand_in::StandInStore,
+        prelude::*,
         process::clock::SystemClock,
     },
     std::{
@@ -12,7 +14,7 @@
         net::{Ipv4Addr, TcpStream},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU8, Ordering},
+        sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering},
         thread,
     },
 };
@@ -36,6 +38,9 @@
 /// crowd has sent.
 const ORDINARY_REQUESTS: usize = 5;
 
+/// The time for a second configuration to be stored and read.
+const CONFIG_PAUSE: Duration = Duration::from_secs(3);
+
 /// The pause between two ordinary requests.
 const REQUEST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -53,6 +58,10 @@
     child: Child,
     ip: Ipv4Addr,
     max_open_files: usize,
+    /// Whether the store leaves appends without an answer and an effect.
+    is_append_stalled: Arc<AtomicBool>,
+    /// The limit on bodies in a second configuration; 0 for none.
+    max_body_bytes: Arc<AtomicUsize>,
 }
 
 impl Entry {
@@ -89,7 +98,9 @@
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(127, 1 + (run % 200) as u8, 200 + subnet, 1);
         let store = SocketAddr::from((ip, 9000));
-        start_store(store);
+        let is_append_stalled = Arc::new(AtomicBool::new(false));
+        let max_body_bytes = Arc::new(AtomicUsize::new(0));
+        start_store(store, is_append_stalled.clone(), max_body_bytes.clone());
         let settings_path = dir.join(format!("{name}.json"));
         let settings = format!(
             r#"{{"NodeName":"entry","Ip":"{ip}","InternalPortRange":[7000,7015],"HeartbeatMs":300,
@@ -103,11 +114,30 @@
             child: spawn(role, &settings_path, &dir.join(format!("{name}.log"))),
             ip,
             max_open_files: 0,
+            is_append_stalled,
+            max_body_bytes,
         };
         entry.observe();
         entry
     }
 
+    /// Waits until the entry has a configuration with another limit on bodies, and for the entry to read it.
+    pub fn allow_bodies_of(
+        &self,
+        bytes: usize,
+    ) {
+        self.max_body_bytes.store(bytes, Ordering::Relaxed);
+        thread::sleep(CONFIG_PAUSE);
+    }
+
+    /// Lets the store leave appends without an answer, or answer them again.
+    pub fn stall_appends(
+        &self,
+        is_stalled: bool,
+    ) {
+        self.is_append_stalled.store(is_stalled, Ordering::Relaxed);
+    }
+
     /// Returns the address for callers.
     pub fn callers_address(&self) -> SocketAddr {
         SocketAddr::from((self.ip, 8521))
@@ -213,8 +243,37 @@
     }
 }
 
+/// A store that can leave appends without an answer.
+struct StallingStore {
+    inner: Rc<StandInStore>,
+    is_append_stalled: Arc<AtomicBool>,
+}
+
+impl HttpHandler for StallingStore {
+    fn handle(
+        self: Rc<Self>,
+        req: HttpRequest,
+    ) -> LocalBoxFuture<'static, HttpResponse> {
+        if req.path == "/log-append" && self.is_append_stalled.load(Ordering::Relaxed) {
+            return Box::pin(std::future::pending());
+        }
+        self.inner.clone().handle(req)
+    }
+
+    fn max_body(
+        &self,
+        path: &str,
+    ) -> usize {
+        self.inner.max_body(path)
+    }
+}
+
 /// Starts a store with a configuration on a thread of its own, which runs until the tests end.
-fn start_store(address: SocketAddr) {
+fn start_store(
+    address: SocketAddr,
+    is_append_stalled: Arc<AtomicBool>,
+    max_body_bytes: Arc<AtomicUsize>,
+) {
     thread::spawn(move || {
         let runtime = Runtime::new().expect("the runtime can be created");
         runtime.block_on(async {
@@ -223,6 +282,22 @@
             store
                 .put("keyed.op", "config", CONFIG.as_bytes())
                 .expect("the configuration is stored");
+            let (operator, clock) = (store.clone(), SystemClock::default());
+            let changing = async move {
+                while max_body_bytes.load(Ordering::Relaxed) == 0 {
+                    clock.sleep(REQUEST_PAUSE).await;
+                }
+                let bytes = max_body_bytes.load(Ordering::Relaxed);
+                let limits = format!(r#"{{"Version":2,"Limits":{{"MaxBodyBytes":{bytes}}},"#);
+                let config = CONFIG.replace(r#"{"Version":1,"#, &limits);
+                let stored = operator.put("keyed.op", "config", config.as_bytes());
+                stored.expect("the configuration is stored");
+            };
+            compio::runtime::spawn(changing).detach();
+            let store = Rc::new(StallingStore {
+                inner: store,
+                is_append_stalled,
+            });
             let server = HttpServer::bind(address, store).await;
             server.expect("the store").run(std::future::pending()).await;
         });
--- a/tests/limits/main.rs
+++ b/tests/limits/main.rs
@@ -12,7 +12,11 @@
 use {
     crowd::{Crowd, Script},
     entry::Entry,
-    std::sync::{Mutex, PoisonError},
+    std::{
+        sync::{Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
 };
 
 /// Held by the test that runs.
@@ -21,6 +25,9 @@
 /// The length of the bodies of legal size: just under the limit of 262,144 bytes.
 const BODY_BYTES: usize = 250_000;
 
+/// The limit on bodies in a configuration that allows large ones.
+const LARGE_BODY_BYTES: usize = 4_000_000;
+
 /// The length of bodies far over the limit, as announced.
 const ANNOUNCED_BYTES: usize = 1 << 30;
 
@@ -36,6 +43,18 @@
 /// The number of chunks of one byte that follow many at a time.
 const SMALL_CHUNKS: usize = 5_000;
 
+/// The number of steps of a job that is just small enough for a record of the store.
+const MANY_STEPS: usize = 15_000;
+
+/// How long the store leaves submissions without an answer after the last one was sent.
+const STALL: Duration = Duration::from_secs(3);
+
+/// The number of requests that a client sends without reading an answer.
+const UNREAD_REQUESTS: usize = 4_000;
+
+/// The length of a head that lacks its end: just under the limit of 16 KiB.
+const HEAD_BYTES: usize = 16_000;
+
 /// The length of the pieces of a body that is sent piece by piece.
 const PIECE_BYTES: usize = 8_000;
 
@@ -106,6 +125,66 @@
     check_entry_against("unannounced-over-limit", &script);
 }
 
+/// Guards against the exhaustion of memory by whole submissions of legal size whose decoded form is much
+/// larger, while the store leaves them without an answer.
+#[test]
+fn submissions_of_many_steps_do_not_exhaust_memory() {
+    let _guard = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut entry = Entry::start("many-steps");
+    entry.stall_appends(true);
+    let mut crowd = Crowd::connect(entry.callers_address());
+    crowd.play(&Script::job_of_steps(MANY_STEPS), || entry.observe());
+    thread::sleep(STALL);
+    entry.observe();
+    entry.stall_appends(false);
+    let mut faults = entry.ordinary_request_faults();
+    drop(crowd);
+    faults.extend(entry.faults());
+    println!("many-steps: {}", entry.summary());
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against the exhaustion of memory by one submission of legal size with as many steps as it can
+/// hold.
+#[test]
+fn a_submission_of_the_most_steps_does_not_exhaust_memory() {
+    let script = Script::job_of_steps(BODY_BYTES / "{},".len());
+    check_entry_against("most-steps", &script);
+}
+
+/// Guards against the exhaustion of memory by one submission of legal size where the configuration allows
+/// larger bodies.
+#[test]
+fn a_large_submission_of_the_most_steps_does_not_exhaust_memory() {
+    let _guard = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut entry = Entry::start("large-submission");
+    entry.allow_bodies_of(LARGE_BODY_BYTES);
+    let mut crowd = Crowd::connect_some(entry.callers_address(), 1);
+    crowd.play(
+        &Script::job_of_steps(LARGE_BODY_BYTES / "{},".len() - 20),
+        || {
+            entry.observe();
+        },
+    );
+    let mut faults = entry.ordinary_request_faults();
+    drop(crowd);
+    faults.extend(entry.faults());
+    println!("large-submission: {}", entry.summary());
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against callers who leave their answers unread and take the place of ordinary ones.
+#[test]
+fn unread_answers_do_not_shut_out_ordinary_callers() {
+    check_entry_against("unread-answers", &Script::unread_answers(UNREAD_REQUESTS));
+}
+
+/// Guards against the exhaustion of memory by the largest heads of requests.
+#[test]
+fn unfinished_heads_do_not_exhaust_memory() {
+    check_entry_against("unfinished-heads", &Script::unfinished_heads(HEAD_BYTES));
+}
+
 /// Guards against the exhaustion of descriptors by connections that send nothing.
 #[test]
 fn silent_connections_do_not_exhaust_descriptors() {
