Decode at most 20,000 steps of a submission

Operators saw: a process that ran out of memory by bodies of legal size. Cause: every step of a body was decoded before the job was checked. A step of 3 bytes takes 144 in memory, twice more while its list grows, and the same again as a step of the job. With a configuration that allows bodies of 4 MB, one request took 376 MB. Change: decoding ends with an error after the most steps that a job has: 20,000, as many as subtasks, since more would include steps without any.

--- a/src/platform/job_body.rs
+++ b/src/platform/job_body.rs
@@ -3,11 +3,15 @@
 use {
     crate::{
         prelude::*,
-        request::{InvalidJob, Recurrence, Resources, Step, StepJob, StepJobId},
+        request::{InvalidJob, MAX_STEPS, Recurrence, Resources, Step, StepJob, StepJobId},
         version::Queue,
     },
     derive_more::{Display, Error, From},
-    serde::Deserialize,
+    serde::{
+        Deserialize, Deserializer,
+        de::{Error, SeqAccess, Visitor},
+    },
+    std::fmt,
 };
 
 /// The size limit of the payload that workers run, in bytes.
@@ -36,6 +40,7 @@
 struct WireJob {
     #[serde(default)]
     spec: Arc<str>,
+    #[serde(deserialize_with = "decode_steps")]
     steps: Vec<WireStep>,
     #[serde(default)]
     repeat_count: u32,
@@ -130,6 +135,45 @@
     Ok(job)
 }
 
+/// Decodes steps up to the most that a job has. A step takes many times more memory than its encoding, so
+/// the others are not decoded before the job is rejected.
+fn decode_steps<'de, D>(deserializer: D) -> Result<Vec<WireStep>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    struct Steps;
+
+    impl<'de> Visitor<'de> for Steps {
+        type Value = Vec<WireStep>;
+
+        fn expecting(
+            &self,
+            f: &mut fmt::Formatter<'_>,
+        ) -> fmt::Result {
+            write!(f, "a list of at most {MAX_STEPS} steps")
+        }
+
+        fn visit_seq<A>(
+            self,
+            mut seq: A,
+        ) -> Result<Self::Value, A::Error>
+        where
+            A: SeqAccess<'de>,
+        {
+            let mut steps = Vec::new();
+            while let Some(step) = seq.next_element()? {
+                if steps.len() == MAX_STEPS {
+                    return Err(A::Error::invalid_length(steps.len() + 1, &self));
+                }
+                steps.push(step);
+            }
+            Ok(steps)
+        }
+    }
+
+    deserializer.deserialize_seq(Steps)
+}
+
 fn decode_step(wire: WireStep) -> Step {
     Step {
         count: wire.count,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -22,7 +22,7 @@
         RoundRobinRouting, RoutingDecision, RoutingPolicy, RoutingRequest, UpstreamLoad,
     },
     step_job::{
-        InvalidJob, JobPhase, JobProgress, ParseStepJobIdError, ProgressStamp, Recurrence,
-        Resources, RunRef, Step, StepJob, StepJobId, SubtaskId, UnitId,
+        InvalidJob, JobPhase, JobProgress, MAX_STEPS, ParseStepJobIdError, ProgressStamp,
+        Recurrence, Resources, RunRef, Step, StepJob, StepJobId, SubtaskId, UnitId,
     },
 };
--- a/src/request/step_job/mod.rs
+++ b/src/request/step_job/mod.rs
@@ -16,6 +16,6 @@
     recurrence::Recurrence,
     resources::Resources,
     step::Step,
-    step_job::{InvalidJob, StepJob},
+    step_job::{InvalidJob, MAX_STEPS, StepJob},
     subtask::{ParseStepJobIdError, RunRef, StepJobId, SubtaskId, UnitId},
 };
--- a/src/request/step_job/step_job.rs
+++ b/src/request/step_job/step_job.rs
@@ -11,6 +11,9 @@
 /// what fits into memory.
 const MAX_SUBTASKS: u64 = 20_000;
 
+/// The most steps of a job: with more, some would have no subtasks.
+pub const MAX_STEPS: usize = MAX_SUBTASKS as usize;
+
 /// A job as its caller submitted it; it is immutable.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StepJob {
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -65,6 +65,24 @@
     insta::assert_debug_snapshot!(decoded);
 }
 
+/// Guards against a body whose steps are all decoded although no job has so many, and against the refusal of
+/// a job that has the most.
+#[test]
+fn a_job_has_at_most_as_many_steps_as_subtasks() {
+    let table = decode_config(CONFIG.as_bytes()).expect("a configuration");
+    let queue = table.route("a.example", "/a/1").expect("a queue");
+    let decode = |steps: usize| {
+        let steps = vec![r#"{"Count":1}"#; steps].join(",");
+        let body = format!(r#"{{"Steps":[{steps}]}}"#);
+        let account = AccountName::from("t");
+        let id = StepJobId::from_number(17);
+        let job = decode_job(id, body.as_bytes(), queue, account, Millis(5));
+        job.map(|j| j.steps.len())
+            .map_err(|e| e.to_string().contains("at most 20000 steps"))
+    };
+    assert_eq!([decode(20_000), decode(20_001)], [Ok(20_000), Err(true)]);
+}
+
 #[test]
 fn settings() {
     let settings = BootSettings::parse("boot.json", SETTINGS);
