Limit the memory of submissions that are being stored

Operators saw: a process that ran out of memory by many bodies of legal size at once, here while the store leaves appends unanswered. Cause: only the bytes of a body counted while its request was handled. A body of 45 KB with 15,000 steps was held as a job of 2 MB, which was encoded again for each attempt, beside a record of 195 KB in several copies, for up to 1.4 s, on each of 100 connections. Change: a submission is encoded once, and the job is dropped before the store is called. What submissions hold while they are stored counts in a budget of an eighth of the memory, by four times the record; a submission beyond it is refused with 503 and Retry-After before anything is sent, so that it never runs. A single one is always admitted.

--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -260,7 +260,7 @@
         Ok(()) => HttpResponse::new(200, "application/json", Bytes::from_static(b"{}")),
         Err(DeskError::Gone) => HttpResponse::text(410, "there is no such job"),
         Err(e @ DeskError::TooLarge) => HttpResponse::text(413, &e.to_string()),
-        Err(e @ DeskError::NotStored) => unavailable(&e.to_string()),
+        Err(e @ (DeskError::NotStored | DeskError::Overloaded)) => unavailable(&e.to_string()),
         Err(e @ DeskError::Stale) => unavailable(&e.to_string()),
         Err(e @ DeskError::Unknown) => HttpResponse::text(504, &e.to_string()),
     }
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -13,7 +13,7 @@
                 CandidateMachine, KeyedStore, LeaderElection, Ledger, Member, MemberRole,
                 StoreHealth, receive_end_hints, register, send_end_hints,
             },
-            limits::ProcessLimiter,
+            limits::{ProcessLimiter, SubmissionBudget},
             membership::{DatagramLink, UdpLink},
             metrics::PlatformMetrics,
             relay::{RelayServer, RelayedStore},
@@ -101,6 +101,7 @@
             config: config.clone(),
             is_stopping: Cell::new(false),
             metrics: metrics.clone(),
+            submissions: Rc::new(SubmissionBudget::new(settings.limits.submission_bytes)),
         });
         let caller_api = Rc::new(CallerApi::new(job_service.clone()));
         let server = HttpServer::bind_limited(callers, caller_api, limiter.callers).await?;
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -6,7 +6,10 @@
         process::{
             clock::with_timeout,
             config_view::ConfigView,
-            ledger::{Condition, Ledger, LedgerFold, LedgerKey, LedgerRecord, StoreError},
+            ledger::{
+                Condition, KeyedRecord, Ledger, LedgerFold, LedgerKey, LedgerRecord, StoreError,
+            },
+            limits::SubmissionBudget,
             metrics::PlatformMetrics,
         },
         request::{JobPhase, StepJob, StepJobId},
@@ -38,6 +41,10 @@
 /// The number of refusals of an append after which the caller is asked to retry later.
 const MAX_REFUSALS: u32 = 3;
 
+/// How many copies of its record a submission holds at most while it is being stored: the record, the
+/// append, the frame of a relayed append, and the buffers of the connections.
+const RECORD_COPIES: usize = 4;
+
 /// How many times longer than the slowest refusal so far the next one may take.
 const REFUSAL_MARGIN: u32 = 2;
 
@@ -50,6 +57,9 @@
     /// The store accepted nothing, so the call had no effect and never will have one.
     #[display("the store is not available")]
     NotStored,
+    /// Too many submissions are being stored, so the call had no effect and never will have one.
+    #[display("too many submissions are in progress")]
+    Overloaded,
     /// The entry's view of the ledger is too old to answer the call.
     #[display("the view of the ledger is too old")]
     Stale,
@@ -73,6 +83,8 @@
     pub is_stopping: Cell<bool>,
     /// The metrics.
     pub metrics: Rc<PlatformMetrics>,
+    /// The limit on submissions that are being stored.
+    pub submissions: Rc<SubmissionBudget>,
 }
 
 impl JobService {
@@ -91,8 +103,8 @@
     ///
     /// # Errors
     /// Returns [`DeskError::TooLarge`] if the job does not fit into the store,
-    /// [`DeskError::NotStored`] if this call will not make the job run, and [`DeskError::Unknown`] if
-    /// the job may run.
+    /// [`DeskError::NotStored`] or [`DeskError::Overloaded`] if this call will not make the job run, and
+    /// [`DeskError::Unknown`] if the job may run.
     pub async fn submit(
         &self,
         job: StepJob,
@@ -102,7 +114,7 @@
         let result = self.submit_once(job, time).await;
         let outcome = match &result {
             Ok(()) => "accepted",
-            Err(DeskError::NotStored | DeskError::TooLarge) => "rejected",
+            Err(DeskError::NotStored | DeskError::Overloaded | DeskError::TooLarge) => "rejected",
             Err(DeskError::Unknown) => "unknown",
             Err(DeskError::Gone | DeskError::Stale) => "failed",
         };
@@ -124,31 +136,52 @@
             tracing::info!(job = %id, "job has already been accepted");
             return Ok(());
         }
-        if let Err(e) = self.ledger.limits().check_job(&job) {
-            tracing::info!(job = %id, error = %e, "job rejected");
-            return Err(DeskError::TooLarge);
-        }
+        let key = LedgerKey::Job(id);
+        let (queue, account) = (job.queue.clone(), job.account.clone());
+        let subtasks: u32 = job.steps.iter().map(|s| s.count).sum();
+        let record = match self.check_and_encode(&key, job) {
+            Ok(record) => record,
+            Err(e) => {
+                tracing::info!(job = %id, error = %e, "job rejected");
+                return Err(DeskError::TooLarge);
+            }
+        };
         if self.is_store_unresponsive() {
             // This call has sent nothing to the store, so it cannot make the job run.
             let age = self.ledger.age();
             tracing::info!(job = %id, view_age = ?age, "job rejected: the store is away");
             return Err(DeskError::NotStored);
         }
-        let (queue, account) = (job.queue.clone(), job.account.clone());
-        let subtasks: u32 = job.steps.iter().map(|s| s.count).sum();
+        let Some(_held) = self.submissions.admit(RECORD_COPIES * record.size()) else {
+            let held_bytes = self.submissions.held();
+            tracing::info!(job = %id, record_bytes = record.size(), held_bytes, "job rejected: too many submissions are in progress");
+            return Err(DeskError::Overloaded);
+        };
         let is_stored = |f: &LedgerFold| f.jobs.contains_key(&id);
-        let result = self
-            .store(
-                &LedgerKey::Job(id),
-                &LedgerRecord::Job(job),
-                time,
-                is_stored,
-            )
-            .await;
+        let result = self.store(&key, &record, time, is_stored).await;
         tracing::info!(job = %id, %queue, %account, subtasks, outcome = ?result, "job submitted");
         result
     }
 
+    /// Encodes a job that the store can hold with its progress. Its decoded form, which takes several times the
+    /// memory, is dropped.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if the job or its progress is too large.
+    fn check_and_encode(
+        &self,
+        key: &LedgerKey,
+        job: StepJob,
+    ) -> Result<KeyedRecord, StoreError> {
+        let content = LedgerRecord::Job(job);
+        let record = key.record(&content);
+        let record = record.map_err(|e| StoreError::Rejected(e.to_string()))?;
+        if let LedgerRecord::Job(job) = &content {
+            self.ledger.limits().check_job(job, &record)?;
+        }
+        Ok(record)
+    }
+
     /// Stores the cancellation of a job within `time`. A job that has ended stays as it is.
     ///
     /// # Errors
@@ -165,9 +198,13 @@
             Err(DeskError::Gone) => self.check_unread_job(id, time).await?,
             Err(e) => return Err(e),
         }
-        let record = LedgerRecord::Cancel(self.clock.wall_time().0);
+        let content = LedgerRecord::Cancel(self.clock.wall_time().0);
         let is_stored = |f: &LedgerFold| f.jobs.get(&id).is_some_and(|v| v.is_cancelled);
         let key = LedgerKey::Cancel(id);
+        let record = key.record(&content).map_err(|e| {
+            tracing::error!(%key, error = %e, "the cancellation cannot be encoded");
+            DeskError::NotStored
+        })?;
         let result = self.store(&key, &record, time, is_stored).await;
         tracing::info!(job = %id, ?phase, outcome = ?result, "job cancellation requested");
         result
@@ -249,7 +286,7 @@
     async fn store<F>(
         &self,
         key: &LedgerKey,
-        record: &LedgerRecord,
+        record: &KeyedRecord,
         time: Duration,
         is_stored: F,
     ) -> Result<(), DeskError>
@@ -267,7 +304,7 @@
                 return Err(DeskError::NotStored);
             }
             let tried_at = self.clock.now();
-            match self.try_store(key, record, time_left, &is_stored).await {
+            match self.try_store(record, time_left, &is_stored).await {
                 Ok(()) => return Ok(()),
                 Err(StoreError::Refused(why)) => {
                     refusals += 1;
@@ -300,15 +337,16 @@
 
     async fn try_store<F>(
         &self,
-        key: &LedgerKey,
-        record: &LedgerRecord,
+        record: &KeyedRecord,
         time_left: Duration,
         is_stored: &F,
     ) -> Result<(), StoreError>
     where
         F: Fn(&LedgerFold) -> bool,
     {
-        let putting = self.ledger.put(key, record, Condition::Always);
+        let putting = self
+            .ledger
+            .append(std::slice::from_ref(record), Condition::Always);
         let reading = self.ledger.wait_until(is_stored);
         pin_mut!(putting, reading);
         let stored = select(putting, reading);
--- a/src/process/ledger/record_limits.rs
+++ b/src/process/ledger/record_limits.rs
@@ -1,7 +1,7 @@
 //! The sizes of records and appends that the store accepts.
 
 use {
-    super::{KeyedRecord, LedgerKey, LedgerRecord, StoreError},
+    super::{KeyedRecord, StoreError},
     crate::{
         connection::MAX_FRAME_BYTES,
         request::{StepJob, UnitId},
@@ -114,10 +114,9 @@
     pub fn check_job(
         &self,
         job: &StepJob,
+        record: &KeyedRecord,
     ) -> Result<(), StoreError> {
-        let record = LedgerKey::Job(job.id).record(&LedgerRecord::Job(job.clone()));
-        let record = record.map_err(|e| StoreError::Rejected(e.to_string()))?;
-        self.check(&[record])?;
+        self.check(std::slice::from_ref(record))?;
         if self.max_checkpoint_bytes(job.attempts).is_none() {
             return Err(StoreError::Rejected(format!(
                 "the failed runs of {} attempts do not fit into a record of {} bytes",
--- a/src/process/limits/process_limits.rs
+++ b/src/process/limits/process_limits.rs
@@ -42,6 +42,8 @@
     pub operators: PortLimits,
     /// The limits of the ports that other processes of the system reach.
     pub peers: PortLimits,
+    /// The bytes of submissions that are being stored, beside their bodies.
+    pub submission_bytes: usize,
 }
 
 impl Default for ProcessLimits {
@@ -81,6 +83,7 @@
             callers: limits(memory / 8, by_memory.min(fds / 2)),
             operators: limits(memory / 64, (by_memory / 8).min(fds / 16)),
             peers: limits(memory / 8, (by_memory / 2).min(fds / 8)),
+            submission_bytes: memory / 8,
         }
     }
 }
--- a/tests/platform/large_progress.rs
+++ b/tests/platform/large_progress.rs
@@ -572,6 +572,7 @@
             config: Rc::default(),
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
+            submissions: Rc::default(),
         };
         let mut long = job(StepJobId::from_number(1), 1);
         long.payload = "x".repeat(10_000).into();
@@ -601,6 +602,10 @@
         first_ms: 0,
         interval_ms: 1,
     });
-    let checked = [one_step, steps, recurring].map(|job| limits.check_job(&job));
+    let checked = [one_step, steps, recurring].map(|job| {
+        let key = LedgerKey::Job(job.id);
+        let record = key.record(&LedgerRecord::Job(job.clone()));
+        limits.check_job(&job, &record.expect("an encodable job"))
+    });
     assert_eq!(checked, [Ok(()), Ok(()), Ok(())]);
 }
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -6,7 +6,10 @@
         unread_records::job,
     },
     compio::runtime::Runtime,
-    futures_util::{future::select, pin_mut},
+    futures_util::{
+        future::{join, select},
+        pin_mut,
+    },
     hyper::{HeaderMap, Method},
     limpetquay::{
         connection::{HttpClient, HttpClientError, HttpHandler, HttpRequest, Transfer},
@@ -18,6 +21,7 @@
             ledger::{
                 Condition, KeyedPage, KeyedRecord, KeyedStore, Ledger, ReadRange, StoreError,
             },
+            limits::SubmissionBudget,
             metrics::PlatformMetrics,
         },
         request::StepJobId,
@@ -77,6 +81,7 @@
         config: Rc::default(),
         is_stopping: Cell::default(),
         metrics: Rc::new(PlatformMetrics::default()),
+        submissions: Rc::default(),
     }
 }
 
@@ -123,6 +128,36 @@
     }
 }
 
+/// Guards against submissions that hold more than the process may, and against a refusal of one that is
+/// stored afterwards.
+#[test]
+fn a_submission_beyond_the_budget_is_refused_and_never_stored() {
+    let clock = VirtualClock::new();
+    let shared_clock: Rc<dyn Clock> = clock.clone();
+    let (results, stored) = clock.block_on(async move {
+        let shared: Rc<SharedStore> = Rc::default();
+        let latency = Duration::from_millis(50);
+        let store = FakeStore::new(shared.clone(), shared_clock.clone(), latency);
+        let mut service = service(shared_clock.clone(), store);
+        service.submissions = Rc::new(SubmissionBudget::new(1));
+        {
+            let (reading, is_read) = (service.ledger.follow(), service.ledger.wait_until_read());
+            pin_mut!(reading, is_read);
+            select(reading, is_read).await;
+        }
+        let time = Duration::from_secs(1);
+        let submit = |n| service.submit(job(StepJobId::from_number(n)), time);
+        let (first, second) = join(submit(1), submit(2)).await;
+        let results = [first, second, submit(3).await];
+        let records = shared.model.borrow_mut().read("keyed.limpetquay", 0);
+        let records = records.expect("a read").records;
+        let keys: Vec<Arc<str>> = records.iter().map(|r| r.key.clone()).collect();
+        (results, keys)
+    });
+    assert_eq!(results, [Ok(()), Err(DeskError::Overloaded), Ok(())]);
+    assert_eq!(stored.len(), 2, "{stored:?}");
+}
+
 /// Guards against retries of all callers at once, and against those that come after the caller's
 /// deadline although an earlier one would not.
 #[test]
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -147,6 +147,7 @@
             config: Rc::default(),
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
+            submissions: Rc::default(),
         };
         let time = Duration::from_secs(1);
         let stored = service.cancel(StepJobId::from_number(3), time).await;
@@ -175,6 +176,7 @@
             config: Rc::new(table.into()),
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
+            submissions: Rc::default(),
         };
         let api = Rc::new(CallerApi::new(Rc::new(service)));
         let mut statuses = Vec::new();
