Show that accepted jobs exhaust the memory of all entries

Hypothesis 2 holds beyond the request: an accepted job stays in the memory of every entry, and in that of the leader with its subtasks, and nothing bounds it. A restarted entry reads it again.

--- a/tests/limits/crowd.rs
+++ b/tests/limits/crowd.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Write},
     net::{SocketAddr, TcpStream},
+    sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::Duration,
 };
@@ -16,6 +17,9 @@
 /// How long a client waits for room in its socket's buffer before it stops.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The number of the next client of any crowd, above those of ordinary requests.
+static NEXT_NUMBER: AtomicUsize = AtomicUsize::new(0x1000);
+
 /// The pause after each turn, in which the server reads what was sent.
 const TURN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -45,7 +49,16 @@
     /// Returns a script of whole submissions with `steps` steps, of which one has a subtask.
     pub fn job_of_steps(steps: usize) -> Self {
         let empty = vec!["{}"; steps - 1].join(",");
-        let body = format!(r#"{{"Spec":"a","Steps":[{{"Count":1}},{empty}]}}"#);
+        Self::job(&format!(r#"{{"Count":1}},{empty}"#))
+    }
+
+    /// Returns a script of whole submissions with one step of `subtasks` subtasks.
+    pub fn job_of_subtasks(subtasks: usize) -> Self {
+        Self::job(&format!(r#"{{"Count":{subtasks},"Cpu":1}}"#))
+    }
+
+    fn job(steps: &str) -> Self {
+        let body = format!(r#"{{"Spec":"a","Steps":[{steps}]}}"#);
         let head = head(&format!("content-length: {}", body.len()));
         Self {
             pieces: vec![[head, body.into_bytes()].concat()],
@@ -158,13 +171,17 @@
         let Some(at) = piece.windows(JOB_ID.len()).position(|w| w == JOB_ID) else {
             return self.send(piece);
         };
-        let id = format!("{:016x}", number + 0x1000);
+        let id = format!("{number:016x}");
         self.send(&[&piece[..at], id.as_bytes(), &piece[at + JOB_ID.len()..]].concat());
     }
 }
 
 /// The clients, all connected at the same time.
-pub struct Crowd(Vec<Client>);
+pub struct Crowd {
+    clients: Vec<Client>,
+    /// The number of the first client; each one has its own.
+    first_number: usize,
+}
 
 impl Crowd {
     /// Connects all clients.
@@ -192,7 +209,10 @@
             })
         };
         let clients: io::Result<_> = (0..count).map(connect).collect();
-        Self(clients.expect("the clients connect"))
+        Self {
+            clients: clients.expect("the clients connect"),
+            first_number: NEXT_NUMBER.fetch_add(count, Ordering::Relaxed),
+        }
     }
 
     /// Sends the script on all connections, one piece on each in turn. Calls `observe` after each
@@ -205,13 +225,13 @@
         F: FnMut(),
     {
         for piece in &script.pieces {
-            for (number, client) in self.0.iter_mut().enumerate() {
-                client.send_numbered(number, piece);
+            for (number, client) in self.clients.iter_mut().enumerate() {
+                client.send_numbered(self.first_number + number, piece);
             }
             observe();
             thread::sleep(TURN_PAUSE);
         }
-        for client in self.0.iter_mut().step_by(COMPLETE_ONE_IN) {
+        for client in self.clients.iter_mut().step_by(COMPLETE_ONE_IN) {
             client.send(&script.end);
         }
         observe();
--- a/tests/limits/main.rs
+++ b/tests/limits/main.rs
@@ -49,6 +49,15 @@
 /// How long the store leaves submissions without an answer after the last one was sent.
 const STALL: Duration = Duration::from_secs(3);
 
+/// The most subtasks of a job.
+const MOST_SUBTASKS: usize = 20_000;
+
+/// The number of large jobs that are submitted one after the other.
+const ACCEPTED_ROUNDS: usize = 40;
+
+/// The time for one of them to be accepted.
+const ACCEPTANCE_PAUSE: Duration = Duration::from_millis(200);
+
 /// The number of requests that a client sends without reading an answer.
 const UNREAD_REQUESTS: usize = 4_000;
 
@@ -144,6 +153,36 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// Submits jobs one after the other, which are accepted and wait for workers, and checks the entry.
+fn check_entry_against_jobs(
+    name: &str,
+    script: &Script,
+) {
+    let _guard = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut entry = Entry::start(name);
+    for _ in 0..ACCEPTED_ROUNDS {
+        let mut crowd = Crowd::connect_some(entry.callers_address(), 1);
+        crowd.play(script, || entry.observe());
+        thread::sleep(ACCEPTANCE_PAUSE);
+    }
+    let mut faults = entry.ordinary_request_faults();
+    faults.extend(entry.faults());
+    println!("{name}: {}", entry.summary());
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against the exhaustion of memory by jobs with many steps that are accepted one after the other.
+#[test]
+fn accepted_jobs_of_many_steps_do_not_exhaust_memory() {
+    check_entry_against_jobs("accepted-steps", &Script::job_of_steps(MANY_STEPS));
+}
+
+/// Guards against the exhaustion of the leader's memory by short bodies that ask for many subtasks.
+#[test]
+fn accepted_jobs_of_many_subtasks_do_not_exhaust_memory() {
+    check_entry_against_jobs("accepted-subtasks", &Script::job_of_subtasks(MOST_SUBTASKS));
+}
+
 /// Guards against the exhaustion of memory by one submission of legal size with as many steps as it can
 /// hold.
 #[test]
