Limit the memory of accepted jobs by the smallest entry

Operators saw: a process that ran out of memory, here by a few hundred bytes: a job of 20,000 subtasks in a body of 60 bytes takes 2.3 MB at the leader, and a job of 15,000 steps in 45 KB takes 1.7 MB at every entry, for as long as it is known. Cause: nothing counted accepted jobs. A restarted entry reads them from the ledger again. A job is accepted if it takes at most a quarter of what the smallest entry has left, and refused with 503 and Retry-After otherwise, before anything is sent. A submission counts until it has been read from the ledger.

--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -102,6 +102,7 @@
             is_stopping: Cell::new(false),
             metrics: metrics.clone(),
             submissions: Rc::new(SubmissionBudget::new(settings.limits.submission_bytes)),
+            max_job_bytes: settings.limits.job_bytes,
         });
         let caller_api = Rc::new(CallerApi::new(job_service.clone()));
         let server = HttpServer::bind_limited(callers, caller_api, limiter.callers).await?;
@@ -157,6 +158,7 @@
             role: MemberRole::Entry,
             address: settings.peers,
             registration: boot,
+            job_bytes: Some(settings.limits.job_bytes as u64),
         };
         tasks.spawn(register(ledger, clock.clone(), member));
         let cx = SchedulerContext {
--- a/src/platform/platform_guard.rs
+++ b/src/platform/platform_guard.rs
@@ -65,6 +65,7 @@
             role: MemberRole::Guard,
             address: settings.peers,
             registration: rand::random(),
+            job_bytes: None,
         };
         tasks.spawn(keep_registered(guard, ledger, clock, member));
         Ok(Self {
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -9,7 +9,7 @@
             ledger::{
                 Condition, KeyedRecord, Ledger, LedgerFold, LedgerKey, LedgerRecord, StoreError,
             },
-            limits::SubmissionBudget,
+            limits::{HeldSubmission, SubmissionBudget, admits_job},
             metrics::PlatformMetrics,
         },
         request::{JobPhase, StepJob, StepJobId},
@@ -41,6 +41,10 @@
 /// The number of refusals of an append after which the caller is asked to retry later.
 const MAX_REFUSALS: u32 = 3;
 
+/// How long a submission counts as being stored, until its record has been read from the ledger: longer
+/// than any read that succeeds at all.
+const MAX_READ_BACK_TIME: Duration = Duration::from_secs(10);
+
 /// How many copies of its record a submission holds at most while it is being stored: the record, the
 /// append, the frame of a relayed append, and the buffers of the connections.
 const RECORD_COPIES: usize = 4;
@@ -57,8 +61,8 @@
     /// The store accepted nothing, so the call had no effect and never will have one.
     #[display("the store is not available")]
     NotStored,
-    /// Too many submissions are being stored, so the call had no effect and never will have one.
-    #[display("too many submissions are in progress")]
+    /// The entries have no memory for the job, so the call had no effect and never will have one.
+    #[display("too many jobs are in progress")]
     Overloaded,
     /// The entry's view of the ledger is too old to answer the call.
     #[display("the view of the ledger is too old")]
@@ -85,6 +89,8 @@
     pub metrics: Rc<PlatformMetrics>,
     /// The limit on submissions that are being stored.
     pub submissions: Rc<SubmissionBudget>,
+    /// The bytes of jobs that this entry can hold.
+    pub max_job_bytes: usize,
 }
 
 impl JobService {
@@ -139,6 +145,7 @@
         let key = LedgerKey::Job(id);
         let (queue, account) = (job.queue.clone(), job.account.clone());
         let subtasks: u32 = job.steps.iter().map(|s| s.count).sum();
+        let job_bytes = job.memory_bytes();
         let record = match self.check_and_encode(&key, job) {
             Ok(record) => record,
             Err(e) => {
@@ -152,17 +159,51 @@
             tracing::info!(job = %id, view_age = ?age, "job rejected: the store is away");
             return Err(DeskError::NotStored);
         }
-        let Some(_held) = self.submissions.admit(RECORD_COPIES * record.size()) else {
-            let held_bytes = self.submissions.held();
-            tracing::info!(job = %id, record_bytes = record.size(), held_bytes, "job rejected: too many submissions are in progress");
+        let Some(held) = self.admit(job_bytes, record.size()) else {
+            tracing::info!(job = %id, job_bytes, record_bytes = record.size(), "job rejected: no memory is left for it");
             return Err(DeskError::Overloaded);
         };
         let is_stored = |f: &LedgerFold| f.jobs.contains_key(&id);
         let result = self.store(&key, &record, time, is_stored).await;
+        if matches!(result, Ok(()) | Err(DeskError::Unknown)) {
+            self.hold_until_read(held, id);
+        }
         tracing::info!(job = %id, %queue, %account, subtasks, outcome = ?result, "job submitted");
         result
     }
 
+    /// Reserves the memory of a submission, at this entry while it is stored and at all entries afterwards.
+    /// Returns `None` if there is none.
+    fn admit(
+        &self,
+        job_bytes: usize,
+        record_bytes: usize,
+    ) -> Option<HeldSubmission> {
+        let (held, least) = self.ledger.view(|f| (f.job_bytes(), f.min_job_bytes()));
+        let held = held.saturating_add(self.submissions.held());
+        let least = least.map_or(usize::MAX, |bytes| bytes as usize);
+        if !admits_job(job_bytes, held, least.min(self.max_job_bytes)) {
+            return None;
+        }
+        self.submissions
+            .admit(job_bytes + RECORD_COPIES * record_bytes)
+    }
+
+    /// Counts a submission that may have been stored until its job counts in the view of the ledger.
+    fn hold_until_read(
+        &self,
+        held: HeldSubmission,
+        id: StepJobId,
+    ) {
+        let (ledger, clock) = (self.ledger.clone(), self.clock.clone());
+        let waiting = async move {
+            let is_read = |f: &LedgerFold| f.jobs.contains_key(&id);
+            with_timeout(&*clock, MAX_READ_BACK_TIME, ledger.wait_until(&is_read)).await;
+            drop(held);
+        };
+        compio::runtime::spawn(waiting).detach();
+    }
+
     /// Encodes a job that the store can hold with its progress. Its decoded form, which takes several times the
     /// memory, is dropped.
     ///
--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -17,6 +17,8 @@
 pub struct JobView {
     /// The job.
     pub job: Rc<StepJob>,
+    /// The memory that the job takes, in bytes.
+    pub memory_bytes: usize,
     /// The offset of the record that accepted it.
     pub offset: u64,
     /// The latest recorded progress.
@@ -189,6 +191,16 @@
         waiting.count()
     }
 
+    /// Returns the memory of all jobs, in bytes.
+    pub fn job_bytes(&self) -> usize {
+        self.jobs.values().map(|v| v.memory_bytes).sum()
+    }
+
+    /// Returns the bytes of jobs that the entry with the least memory can hold; `None` if no entry states it.
+    pub fn min_job_bytes(&self) -> Option<u64> {
+        self.members.values().filter_map(|m| m.job_bytes).min()
+    }
+
     /// Returns up to `limit` jobs whose end was read at least `retention` ago.
     pub fn expired_jobs(
         &self,
@@ -304,6 +316,7 @@
         let progress = self.early_progress.remove(&id).unwrap_or_default();
         let is_cancelled = self.early_cancels.remove(&id).is_some();
         self.jobs.entry(id).or_insert_with(|| JobView {
+            memory_bytes: job.memory_bytes(),
             job: Rc::new(job),
             offset,
             progress,
--- a/src/process/ledger/record.rs
+++ b/src/process/ledger/record.rs
@@ -3,6 +3,7 @@
 use {
     super::KeyedRecord,
     crate::{
+        connection::none_if_missing,
         prelude::*,
         request::{JobProgress, StepJob, StepJobId},
     },
@@ -30,6 +31,10 @@
     pub address: SocketAddr,
     /// A random number that identifies the registration.
     pub registration: u64,
+    /// The bytes of jobs that an entry can hold; `None` for guards. Processes of earlier versions do not
+    /// store this field.
+    #[serde(deserialize_with = "none_if_missing")]
+    pub job_bytes: Option<u64>,
 }
 
 /// A claim, renewal or resignation of leadership.
--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -1,9 +1,11 @@
 //! Limits on what clients can make a process hold: bytes of bodies, bodies in progress and open
-//! connections; and bytes of submissions that are being stored.
+//! connections; bytes of submissions that are being stored; and bytes of
+//! jobs.
 
 mod body_budget;
 mod connection_table;
 mod event_throttle;
+mod job_memory;
 mod port_limiter;
 mod process_limits;
 mod submission_budget;
@@ -12,6 +14,7 @@
     body_budget::{BodyBudget, BodyId, OverLimit},
     connection_table::{ConnectionId, ConnectionTable},
     event_throttle::EventThrottle,
+    job_memory::admits_job,
     port_limiter::{BodyError, BodySlot, BusyConnection, OpenConnection, PortLimiter},
     process_limits::{PortLimits, ProcessLimiter, ProcessLimits},
     submission_budget::{HeldSubmission, SubmissionBudget},
--- a/src/process/limits/process_limits.rs
+++ b/src/process/limits/process_limits.rs
@@ -44,6 +44,8 @@
     pub peers: PortLimits,
     /// The bytes of submissions that are being stored, beside their bodies.
     pub submission_bytes: usize,
+    /// The bytes of jobs that an entry holds, from their acceptance until they are forgotten.
+    pub job_bytes: usize,
 }
 
 impl Default for ProcessLimits {
@@ -84,6 +86,7 @@
             operators: limits(memory / 64, (by_memory / 8).min(fds / 16)),
             peers: limits(memory / 8, (by_memory / 2).min(fds / 8)),
             submission_bytes: memory / 8,
+            job_bytes: memory / 4,
         }
     }
 }
--- a/src/request/step_job/step_job.rs
+++ b/src/request/step_job/step_job.rs
@@ -14,6 +14,10 @@
 /// The most steps of a job: with more, some would have no subtasks.
 pub const MAX_STEPS: usize = MAX_SUBTASKS as usize;
 
+/// The upper limit on the memory of a subtask that waits or has ended, in bytes: its state in the progress of
+/// the job and at the leader.
+const SUBTASK_BYTES: usize = 128;
+
 /// A job as its caller submitted it; it is immutable.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StepJob {
@@ -78,6 +82,21 @@
         Ok(())
     }
 
+    /// Returns how much memory the job takes at an entry that leads, in bytes, with its subtasks.
+    pub fn memory_bytes(&self) -> usize {
+        let text = |name: &Option<Arc<str>>| name.as_ref().map_or(0, |n| n.len());
+        let steps = self.steps.iter().map(|s| {
+            let texts = text(&s.label) + text(&s.data_rack) + text(&s.image);
+            size_of::<Step>() + size_of::<u16>() * s.after.len() + texts
+        });
+        let subtasks: usize = self.steps.iter().map(|s| s.count as usize).sum();
+        let subtasks = subtasks.saturating_mul(self.occurrences() as usize);
+        size_of::<Self>()
+            + self.payload.len()
+            + steps.sum::<usize>()
+            + subtasks.saturating_mul(SUBTASK_BYTES)
+    }
+
     /// Returns the declared run time of the longest chain of dependent steps, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/tests/limits/decisions.rs
+++ b/tests/limits/decisions.rs
@@ -5,6 +5,7 @@
         prelude::*,
         process::limits::{
             BodyBudget, BodyId, ConnectionTable, EventThrottle, PortLimits, ProcessLimits,
+            admits_job,
         },
     },
     proptest::prelude::*,
@@ -219,3 +220,23 @@
         }
     }
 }
+
+/// Guards against large jobs that leave no room for ordinary ones.
+#[test]
+fn ordinary_jobs_are_admitted_long_after_the_largest_ones() {
+    const MAX: usize = 16 << 20;
+    const LARGEST: usize = 20_000 * 128;
+    const ORDINARY: usize = 8_000;
+    let fill = |mut held: usize, job: usize| {
+        let mut count = 0;
+        while admits_job(job, held, MAX) {
+            held += job;
+            count += 1;
+        }
+        (held, count)
+    };
+    let (held, largest) = fill(0, LARGEST);
+    let (full, ordinary) = fill(held, ORDINARY);
+    assert_eq!((largest, ordinary), (3, 1134));
+    assert!(full < MAX && admits_job(MAX * 2, 0, MAX));
+}
--- a/tests/platform/election.rs
+++ b/tests/platform/election.rs
@@ -172,6 +172,7 @@
         // Nothing listens there, so sessions are not opened.
         address: "127.0.0.1:1".parse().expect("an address"),
         registration: 1,
+        job_bytes: None,
     };
     let key = LedgerKey::Member(name.into());
     let record = key.record(&LedgerRecord::Member(member));
--- a/tests/platform/end_hints.rs
+++ b/tests/platform/end_hints.rs
@@ -223,6 +223,7 @@
                 role: MemberRole::Entry,
                 address: address(if name == "own" { 11 } else { 12 }),
                 registration: 1,
+                job_bytes: None,
             };
             let key = LedgerKey::Member(name.into());
             let record = LedgerRecord::Member(member);
--- a/tests/platform/large_progress.rs
+++ b/tests/platform/large_progress.rs
@@ -469,6 +469,7 @@
     progress: JobProgress,
 ) -> JobView {
     JobView {
+        memory_bytes: 0,
         job: Rc::new(job(id, SUBTASKS)),
         offset: 1,
         progress,
@@ -573,6 +574,7 @@
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
             submissions: Rc::default(),
+            max_job_bytes: usize::MAX,
         };
         let mut long = job(StepJobId::from_number(1), 1);
         long.payload = "x".repeat(10_000).into();
--- a/tests/platform/ledger.rs
+++ b/tests/platform/ledger.rs
@@ -46,6 +46,7 @@
         role: MemberRole::Guard,
         address: "127.0.0.1:1".parse().expect("an address"),
         registration: 1,
+        job_bytes: None,
     };
     (LedgerKey::Member(name.into()), LedgerRecord::Member(member))
 }
@@ -127,6 +128,30 @@
     insta::assert_debug_snapshot!((jobs, members));
 }
 
+/// Guards against jobs that the entry with the least memory cannot hold, and against a registration of the
+/// version before, which does not state its memory, that is not read.
+#[test]
+fn the_least_memory_of_an_entry_limits_the_jobs() {
+    let mut fold = LedgerFold::default();
+    for (name, job_bytes) in [("a", Some(7)), ("b", Some(5)), ("c", None)] {
+        let (key, record) = member(name);
+        let LedgerRecord::Member(member) = record else {
+            panic!("a member is expected");
+        };
+        let record = key.record(&LedgerRecord::Member(Member {
+            job_bytes,
+            ..member
+        }));
+        let mut record = record.expect("an encodable record");
+        if job_bytes.is_none() {
+            // The field is one byte at the end.
+            record.value = record.value.map(|v| v.slice(..v.len() - 1));
+        }
+        fold.apply(&record, Millis(0));
+    }
+    assert_eq!((fold.members.len(), fold.min_job_bytes()), (3, Some(5)));
+}
+
 /// Guards against a takeover that does not wait for a guard whose worker may still run: a
 /// deregistration leaves the guard known until the last lease of its worker has expired. One that
 /// ends an earlier registration changes nothing.
--- a/tests/platform/one_guard.rs
+++ b/tests/platform/one_guard.rs
@@ -49,6 +49,7 @@
         accepted_ms: 0,
     };
     JobView {
+        memory_bytes: 0,
         job: Rc::new(job),
         offset: 0,
         progress: JobProgress::default(),
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -5,7 +5,7 @@
         fake_store::{FakeStore, SharedStore},
         unread_records::job,
     },
-    compio::runtime::Runtime,
+    compio::runtime::{Runtime, spawn},
     futures_util::{
         future::{join, select},
         pin_mut,
@@ -82,6 +82,7 @@
         is_stopping: Cell::default(),
         metrics: Rc::new(PlatformMetrics::default()),
         submissions: Rc::default(),
+        max_job_bytes: usize::MAX,
     }
 }
 
@@ -140,14 +141,13 @@
         let store = FakeStore::new(shared.clone(), shared_clock.clone(), latency);
         let mut service = service(shared_clock.clone(), store);
         service.submissions = Rc::new(SubmissionBudget::new(1));
-        {
-            let (reading, is_read) = (service.ledger.follow(), service.ledger.wait_until_read());
-            pin_mut!(reading, is_read);
-            select(reading, is_read).await;
-        }
+        let ledger = service.ledger.clone();
+        let _following = spawn(async move { ledger.follow().await });
+        service.ledger.wait_until_read().await;
         let time = Duration::from_secs(1);
         let submit = |n| service.submit(job(StepJobId::from_number(n)), time);
         let (first, second) = join(submit(1), submit(2)).await;
+        shared_clock.sleep(Duration::from_secs(2)).await;
         let results = [first, second, submit(3).await];
         let records = shared.model.borrow_mut().read("keyed.limpetquay", 0);
         let records = records.expect("a read").records;
--- a/tests/platform/registration.rs
+++ b/tests/platform/registration.rs
@@ -156,6 +156,7 @@
             role: MemberRole::Guard,
             address: "127.0.0.1:1".parse().expect("an address"),
             registration: 1,
+            job_bytes: None,
         };
         guard.apply_heartbeat(heartbeat(1, 1));
         let _registered = spawn(keep_registered(guard.clone(), ledger, cx.clone(), member));
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -51,6 +51,7 @@
         role: MemberRole::Guard,
         address,
         registration,
+        job_bytes: None,
     };
     let record = LedgerKey::Member(member.name.clone()).record(&LedgerRecord::Member(member));
     record.expect("an encodable record")
--- a/tests/platform/unread_records.rs
+++ b/tests/platform/unread_records.rs
@@ -148,6 +148,7 @@
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
             submissions: Rc::default(),
+            max_job_bytes: usize::MAX,
         };
         let time = Duration::from_secs(1);
         let stored = service.cancel(StepJobId::from_number(3), time).await;
@@ -177,6 +178,7 @@
             is_stopping: Cell::default(),
             metrics: Rc::new(PlatformMetrics::default()),
             submissions: Rc::default(),
+            max_job_bytes: usize::MAX,
         };
         let api = Rc::new(CallerApi::new(Rc::new(service)));
         let mut statuses = Vec::new();
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -296,6 +296,7 @@
         };
         self.oracle.jobs.insert(id, job.clone());
         let view = JobView {
+            memory_bytes: 0,
             job: Rc::new(job),
             offset: self.offset,
             progress: JobProgress::default(),
