Allocate the memory of a frame as it arrives

Cause: found in the last reading: a frame's content was allocated by its announced length, up to 4 MB, before a byte of it had arrived, and the reading of frames stood in the code twice. Change: read_frame reads in parts like read_frame_in_parts.

--- a/src/connection/peer/frame.rs
+++ b/src/connection/peer/frame.rs
@@ -79,9 +79,7 @@
     R: AsyncRead,
     T: DeserializeOwned,
 {
-    let len = read_header(stream).await?;
-    let content = read_exact(stream, len).await?;
-    Ok(postcard::from_bytes(&content)?)
+    read_frame_in_parts(stream, &Transfer::default()).await
 }
 
 /// Reads one frame whose bytes count in `transfer` as they arrive.
