Count stored submissions in the budget itself until they have been read

Cause: the first form started a detached task for each stored submission, which waited for the ledger. Change: the budget keeps a list of stored submissions, which is compared with the view of the ledger when the next one is admitted.

--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -41,10 +41,6 @@
 /// The number of refusals of an append after which the caller is asked to retry later.
 const MAX_REFUSALS: u32 = 3;
 
-/// How long a submission counts as being stored, until its record has been read from the ledger: longer
-/// than any read that succeeds at all.
-const MAX_READ_BACK_TIME: Duration = Duration::from_secs(10);
-
 /// How many copies of its record a submission holds at most while it is being stored: the record, the
 /// append, the frame of a relayed append, and the buffers of the connections.
 const RECORD_COPIES: usize = 4;
@@ -166,7 +162,7 @@
         let is_stored = |f: &LedgerFold| f.jobs.contains_key(&id);
         let result = self.store(&key, &record, time, is_stored).await;
         if matches!(result, Ok(()) | Err(DeskError::Unknown)) {
-            self.hold_until_read(held, id);
+            held.hold_until_read(id, self.clock.now());
         }
         tracing::info!(job = %id, %queue, %account, subtasks, outcome = ?result, "job submitted");
         result
@@ -179,7 +175,11 @@
         job_bytes: usize,
         record_bytes: usize,
     ) -> Option<HeldSubmission> {
-        let (held, least) = self.ledger.view(|f| (f.job_bytes(), f.min_job_bytes()));
+        let (held, least) = self.ledger.view(|f| {
+            let is_read = |id| f.jobs.contains_key(&id);
+            self.submissions.release_read(self.clock.now(), is_read);
+            (f.job_bytes(), f.min_job_bytes())
+        });
         let held = held.saturating_add(self.submissions.held());
         let least = least.map_or(usize::MAX, |bytes| bytes as usize);
         if !admits_job(job_bytes, held, least.min(self.max_job_bytes)) {
@@ -189,21 +189,6 @@
             .admit(job_bytes + RECORD_COPIES * record_bytes)
     }
 
-    /// Counts a submission that may have been stored until its job counts in the view of the ledger.
-    fn hold_until_read(
-        &self,
-        held: HeldSubmission,
-        id: StepJobId,
-    ) {
-        let (ledger, clock) = (self.ledger.clone(), self.clock.clone());
-        let waiting = async move {
-            let is_read = |f: &LedgerFold| f.jobs.contains_key(&id);
-            with_timeout(&*clock, MAX_READ_BACK_TIME, ledger.wait_until(&is_read)).await;
-            drop(held);
-        };
-        compio::runtime::spawn(waiting).detach();
-    }
-
     /// Encodes a job that the store can hold with its progress. Its decoded form, which takes several times the
     /// memory, is dropped.
     ///
--- a/src/process/limits/submission_budget.rs
+++ b/src/process/limits/submission_budget.rs
@@ -1,13 +1,22 @@
 //! Limits the memory of submissions that are being stored.
 
-use {crate::prelude::*, std::cell::Cell};
+use {
+    crate::{prelude::*, request::StepJobId},
+    std::cell::Cell,
+};
+
+/// How long a stored submission counts at most until its record has been read from the ledger: longer than
+/// any read that succeeds at all.
+const MAX_READ_BACK_TIME: Duration = Duration::from_secs(10);
 
 /// The bytes that submissions in progress hold, beside their bodies. A submission counts by what it was
-/// decoded to, which may be many times larger than its body.
+/// decoded to, which may be many times larger than its body, until its job counts in the view of the
+/// ledger.
 #[derive(Debug)]
 pub struct SubmissionBudget {
     max_bytes: usize,
     held: Cell<usize>,
+    unread: RefCell<Vec<UnreadSubmission>>,
 }
 
 /// The bytes of one submission, which count until this value is dropped.
@@ -17,12 +26,21 @@
     bytes: usize,
 }
 
+/// A submission that may have been stored and was not read yet.
+#[derive(Debug)]
+struct UnreadSubmission {
+    id: StepJobId,
+    bytes: usize,
+    stored_at: Millis,
+}
+
 impl SubmissionBudget {
     /// Creates a budget of this number of bytes.
     pub fn new(max_bytes: usize) -> Self {
         Self {
             max_bytes,
             held: Cell::default(),
+            unread: RefCell::default(),
         }
     }
 
@@ -47,6 +65,46 @@
             bytes,
         })
     }
+
+    /// Releases the stored submissions that `is_read` finds in the view of the ledger.
+    pub fn release_read<F>(
+        &self,
+        now: Millis,
+        is_read: F,
+    ) where
+        F: Fn(StepJobId) -> bool,
+    {
+        self.unread.borrow_mut().retain(|u| {
+            let is_held = !is_read(u.id) && now.since(u.stored_at) < MAX_READ_BACK_TIME;
+            if !is_held {
+                self.release(u.bytes);
+            }
+            is_held
+        });
+    }
+
+    fn release(
+        &self,
+        bytes: usize,
+    ) {
+        self.held.set(self.held.get().saturating_sub(bytes));
+    }
+}
+
+impl HeldSubmission {
+    /// Makes the submission of a job that may have been stored at `now` count until it has been read.
+    pub fn hold_until_read(
+        mut self,
+        id: StepJobId,
+        now: Millis,
+    ) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.budget.unread.borrow_mut().push(UnreadSubmission {
+            id,
+            bytes,
+            stored_at: now,
+        });
+    }
 }
 
 impl Default for SubmissionBudget {
@@ -58,7 +116,6 @@
 
 impl Drop for HeldSubmission {
     fn drop(&mut self) {
-        let held = &self.budget.held;
-        held.set(held.get().saturating_sub(self.bytes));
+        self.budget.release(self.bytes);
     }
 }
