Submit jobs of up to 20,000 subtasks in the soak

Change: one in twenty turns of a caller begins with a job of 156 to 20,000 subtasks, by a draw of its own, which is cancelled if it is accepted.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -35,6 +35,15 @@
 /// Separates the generation of IDs from that of the faults and the work, which use the same seed.
 const ID_STREAM: u64 = 0x1d_5eed;
 
+/// Separates the draw of large jobs from that of all else, which use the same seed.
+const LARGE_JOB_STREAM: u64 = 0x1a_59e5;
+
+/// One in this number of turns of a caller begins with a large job.
+const LARGE_JOB_ONE_IN: u32 = 20;
+
+/// The most subtasks that a job may have.
+const MOST_SUBTASKS: u32 = 20_000;
+
 /// The number of jobs that are submitted at once in a burst.
 const BURST_JOBS: usize = 30;
 
@@ -86,7 +95,11 @@
         seed: u64,
     ) {
         let mut rng = StdRng::seed_from_u64(seed);
+        let mut large_rng = StdRng::seed_from_u64(seed ^ LARGE_JOB_STREAM);
         while !self.is_stopped.get() {
+            if large_rng.random_range(0..LARGE_JOB_ONE_IN) == 0 {
+                self.submit_and_cancel_large_job(&mut large_rng).await;
+            }
             let id = self.ids.borrow_mut().generate();
             let (job, body) = random_job(&mut rng, &id, self.fleet.scenario.workload);
             self.fleet.record_sent_job(&id, job);
@@ -103,6 +116,23 @@
         }
     }
 
+    /// Submits a job of up to the most subtasks, far more than the workers finish during a scenario, and
+    /// cancels it if it is accepted.
+    async fn submit_and_cancel_large_job(
+        &self,
+        rng: &mut StdRng,
+    ) {
+        let count = MOST_SUBTASKS >> rng.random_range(0..8);
+        let work_ms = rng.random_range(100..2500);
+        let (id, body) = self.prepare_job(count, work_ms);
+        self.submit(rng, &id, &body).await;
+        if self.received.borrow()[&id].is_accepted {
+            let pause = rng.random_range(0..1500);
+            compio::time::sleep(Duration::from_millis(pause)).await;
+            self.cancel(rng, &id).await;
+        }
+    }
+
     /// Submits a job of one step with `count` subtasks of one accelerator and `work_ms` of work.
     pub async fn submit_one(
         &self,
