Cancel the large jobs of the soak once no more faults come

Change: large jobs that were not surely rejected and whose cancellation is not confirmed are cancelled when the faults are over. No check changes.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -67,6 +67,8 @@
     key: &'static str,
     fleet: Rc<Fleet>,
     ids: RefCell<JobIds>,
+    /// The large jobs that may have been accepted and whose cancellation was not confirmed.
+    large_jobs: RefCell<Vec<Arc<str>>>,
 }
 
 impl Callers {
@@ -85,6 +87,7 @@
             is_stopped: Cell::new(false),
             key,
             ids: RefCell::new(JobIds::new(fleet.scenario.seed ^ id_stream)),
+            large_jobs: RefCell::default(),
             fleet,
         })
     }
@@ -117,7 +120,7 @@
     }
 
     /// Submits a job of up to the most subtasks, far more than the workers finish during a scenario, and
-    /// cancels it if it is accepted.
+    /// cancels it unless it was rejected.
     async fn submit_and_cancel_large_job(
         &self,
         rng: &mut StdRng,
@@ -126,13 +129,36 @@
         let work_ms = rng.random_range(100..2500);
         let (id, body) = self.prepare_job(count, work_ms);
         self.submit(rng, &id, &body).await;
+        if self.received.borrow()[&id].is_rejected {
+            return;
+        }
+        self.large_jobs.borrow_mut().push(id.clone());
+        let pause = rng.random_range(0..1500);
+        compio::time::sleep(Duration::from_millis(pause)).await;
         if self.received.borrow()[&id].is_accepted {
-            let pause = rng.random_range(0..1500);
-            compio::time::sleep(Duration::from_millis(pause)).await;
             self.cancel(rng, &id).await;
         }
     }
 
+    /// Cancels the large jobs whose cancellation was not confirmed before the callers were stopped, once no
+    /// more faults come. One that is not known then was never stored.
+    pub async fn cancel_large_jobs(&self) {
+        let entry = self.fleet.nodes_of_role(Role::Entry)[0];
+        for id in self.large_jobs.take() {
+            if self.received.borrow()[&id].is_cancelled {
+                continue;
+            }
+            self.expect_cancellation(&id);
+            while !self.fleet.is_stalled() {
+                let answer = self.call(entry, Method::DELETE, &id, "").await;
+                if answer.is_ok_and(|a| matches!(a.status, 200 | 410)) {
+                    break;
+                }
+                compio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
     /// Submits a job of one step with `count` subtasks of one accelerator and `work_ms` of work.
     pub async fn submit_one(
         &self,
@@ -275,11 +301,7 @@
         rng: &mut StdRng,
         id: &str,
     ) {
-        self.fleet
-            .oracle
-            .borrow_mut()
-            .cancelled
-            .insert(parse_id(id));
+        self.expect_cancellation(id);
         while !self.is_stopped.get() {
             let entry = self.random_entry(rng);
             let answer = self.call(entry, Method::DELETE, id, "").await;
@@ -293,6 +315,15 @@
         }
     }
 
+    /// Notes that a job may be cancelled from now on.
+    fn expect_cancellation(
+        &self,
+        id: &str,
+    ) {
+        let mut oracle = self.fleet.oracle.borrow_mut();
+        oracle.cancelled.insert(parse_id(id));
+    }
+
     fn random_entry(
         &self,
         rng: &mut StdRng,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -92,6 +92,7 @@
     for caller in caller_tasks {
         drop(caller.await);
     }
+    callers.cancel_large_jobs().await;
     wait_and_check_jobs(&fleet, &callers).await;
     fleet.check_processes();
     fleet.observe_workers();
