Use no part of a list that an entry of the version before has sent

What arrives of a relayed list before its connection breaks is kept, and the next call goes on after its last key. An entry of the version before sends the whole list in the order of the offsets, so that keys would be missing, and a follower takes a job that is missing from a list for removed. Change: parts of a page in the order of its keys say that there is more; only such a page is used when it is cut. Measured: a_part_of_a_list_of_the_previous_version_is_not_used fails without the change (a page of one record counts as read) and passes with it.

--- a/src/process/relay/relayed_store.rs
+++ b/src/process/relay/relayed_store.rs
@@ -410,6 +410,7 @@
             let mut received = received.borrow_mut();
             received.records.append(&mut part.records);
             received.end = received.end.max(part.end);
+            received.has_more |= part.has_more;
         }
     };
     let limit = RELAY_SILENCE_LIMIT;
--- a/src/process/relay/store_call.rs
+++ b/src/process/relay/store_call.rs
@@ -175,8 +175,9 @@
     }
 
     /// Returns the page of which a call has received only some records before its connection broke;
-    /// `None` if there are none. The records of a read follow each other, and those of a list are in
-    /// the order of their keys, so that the caller can go on after the last one.
+    /// `None` if there are none, or if the caller cannot go on after the last one. It can after those of
+    /// a read, which follow each other, and after those of a page in the order of the keys. An entry of an
+    /// earlier version sends the whole list in the order of the offsets, and its parts say nothing of more.
     pub fn cut_page(
         &self,
         received: KeyedPage,
@@ -184,7 +185,8 @@
         let last = received.records.last()?;
         let end = match self {
             Self::Read { .. } => last.offset + 1,
-            Self::Newest { .. } | Self::Append { .. } => received.end,
+            Self::Newest { .. } if received.has_more => received.end,
+            Self::Newest { .. } | Self::Append { .. } => return None,
         };
         Some(KeyedPage {
             end,
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -8,6 +8,7 @@
     limpetquay::{
         connection::{
             HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, Transfer, read_frame,
+            write_frame,
         },
         platform::{
             LogStore,
@@ -498,6 +499,41 @@
     );
 }
 
+/// Guards against jobs that are taken for removed: an entry of the previous version sends a list in the order
+/// of the offsets, so that a part of it does not show which keys are missing.
+#[test]
+fn a_part_of_a_list_of_the_previous_version_is_not_used() {
+    #[derive(serde::Serialize)]
+    enum PreviousReply {
+        #[expect(dead_code, reason = "it gives the last variant its number")]
+        Page,
+        #[expect(dead_code, reason = "it gives the last variant its number")]
+        Appended,
+        Part(Vec<KeyedRecord>, u64),
+    }
+    let result = Runtime::new().expect("a runtime").block_on(async {
+        let testbed = Testbed::start().await;
+        let listener = TcpListener::bind(ANY_ADDRESS).await.expect("a listener");
+        let peer = listener.local_addr().expect("an address");
+        let serving = async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let _: StoreCall = read_frame(&mut stream).await.expect("a call");
+                let part = PreviousReply::Part(vec![record("job/2", Some("1"))], 2);
+                write_frame(&mut stream, &part).await.expect("a part");
+            }
+        };
+        spawn(serving).detach();
+        let refused = testbed.client("127.0.0.1:1".parse().expect("an address"));
+        let store = RelayedStore::new(refused, testbed.clock.clone(), Rc::default(), Rc::default());
+        store.set_peers(vec![peer]);
+        store
+            .newest_page("keyed.test", None, &Transfer::default())
+            .await
+    });
+    assert!(result.is_err(), "{result:?}");
+}
+
 /// The stand-in enforces the limits of the store, so that tests against it find what the store would
 /// not accept: the size of a record and of an append, and the calls in each second.
 #[test]
