--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -353,6 +353,8 @@
         status, _ = await call(self.guard, "POST", f"/Instances.Deregister/{self.ident}", body)
         self.record.say(f"worker {self.ident}: deregisters ({status}) and ends")
         self.stop()
+        for key in list(self.runs):
+            self.end(key, "left")
 
     def report(self, sequence):
         """Returns what the worker says of itself in a liveness report."""
