Deregister a guard only while the ledger ends where it ended

Cause: a deregistration was appended without a condition. The store carried one out 6 s late, while all entries were down; it removed the guard's later registration, and the entries that came back read a list without the guard and did not wait for its report. The log shows 'scheduling begins' with unreported_guards 1 of 2, and 'unit placed' of the running unit on the other guard. Change: the guard asks where the ledger ends and appends under the condition that it still ends there. A registration that is stored in between moves the end, so the late append never happens. If the condition does not hold, the guard stays registered and tries again after 1 s. What the guard does with an unknown outcome stays: it registers under a new number before it uses a worker. Why it works: the store checks the condition when it carries the append out, and a guard uses a worker only under a registration that was stored after the attempt. Tests: a_late_deregistration_hides_no_guard_from_a_list fails without the change ('away 2600 ms, done after 1500 ms', is_always_listed false) and passes with it; a_guard_deregisters_while_others_store_records is new. a_late_deregistration_removes_no_later_registration had played no deregistration since its worker stopped counting as ended; it plays the end now and checks that one append was sent. One more read for each deregistration.

--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -21,6 +21,9 @@
 /// does not depend on how much is stored in the ledger.
 const CLAIM_TOPIC: &str = "keyed.limpetquay-claims";
 
+/// A text that sorts after all keys of the ledger, so that a list after it holds only the end of the topic.
+const AFTER_ALL_KEYS: &str = "~";
+
 /// How long one read waits for a record; bounds the age of the state while no records are stored.
 const READ_WAIT: Duration = Duration::from_millis(1000);
 
@@ -161,6 +164,18 @@
         self.known_end.wait_for_stored(end).await
     }
 
+    /// Returns the offset at which the ledger ends on the store, which this process need not have read.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if the store gives no result in time.
+    pub async fn stored_end(&self) -> Result<u64, StoreError> {
+        let transfer = Transfer::default();
+        let page = self
+            .store
+            .newest_page(TOPIC, Some(AFTER_ALL_KEYS), &transfer);
+        Ok(page.await?.end)
+    }
+
     /// Appends one record and returns its offset.
     ///
     /// # Errors
--- a/src/process/ledger/mod.rs
+++ b/src/process/ledger/mod.rs
@@ -30,6 +30,6 @@
     newest_list::NewestList,
     record::{Deregistration, LeaderRecord, LedgerKey, LedgerRecord, Member, MemberRole},
     record_limits::{DEFAULT_APPEND_BYTES, DEFAULT_RECORD_BYTES, RecordLimits, append_size},
-    registration::{deregister, register},
+    registration::{DeregistrationOutcome, deregister, register},
     store_health::StoreHealth,
 };
--- a/src/process/ledger/registration.rs
+++ b/src/process/ledger/registration.rs
@@ -23,14 +23,26 @@
     tracing::info!(%key, "registered");
 }
 
-/// Removes the record of a guard whose worker has ended, and whose last lease lasts for `lease`.
-/// Returns whether the registration may have ended: `false` if the store has certainly not removed
-/// the record. The scheduling entry then removes it once all leases have expired.
+/// What has become of a deregistration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DeregistrationOutcome {
+    /// The record is removed.
+    Removed,
+    /// The record stays, and this attempt never removes it.
+    Kept,
+    /// The record may be removed now or later, unless another record is stored before.
+    Unknown,
+}
+
+/// Tries to remove the record of a guard whose worker has ended, and whose last lease lasts for
+/// `lease`. The store may carry out an append seconds after it was sent, when the guard has registered
+/// again, and a list of the newest records would then lack the guard. So the append holds only while
+/// the ledger ends where it ended before: any registration that is stored meanwhile voids it.
 pub async fn deregister(
     ledger: &Ledger,
     member: &Member,
     lease: Duration,
-) -> bool {
+) -> DeregistrationOutcome {
     let key = LedgerKey::Member(member.name.clone());
     let ending = Deregistration {
         registration: member.registration,
@@ -40,18 +52,29 @@
         Ok(ending) => ending,
         Err(e) => {
             tracing::error!(%key, error = %e, "the end of the registration cannot be encoded");
-            return false;
+            return DeregistrationOutcome::Kept;
+        }
+    };
+    let end = match ledger.stored_end().await {
+        Ok(end) => end,
+        Err(e) => {
+            tracing::warn!(%key, error = %e, "failed to deregister: the end of the ledger is not known");
+            return DeregistrationOutcome::Kept;
         }
     };
     let records = [ending, key.tombstone()];
-    match ledger.append(&records, Condition::Always).await {
+    match ledger.append(&records, Condition::EndsAt(end)).await {
         Ok(_) => {
-            tracing::info!(%key, "deregistered: the worker has ended");
-            true
+            tracing::info!(%key, end, "deregistered: the worker has ended");
+            DeregistrationOutcome::Removed
+        }
+        Err(e @ (StoreError::EndMoved | StoreError::Refused(_) | StoreError::Rejected(_))) => {
+            tracing::info!(%key, end, error = %e, "not deregistered");
+            DeregistrationOutcome::Kept
         }
         Err(e) => {
-            tracing::warn!(%key, error = %e, "failed to deregister");
-            !matches!(e, StoreError::Refused(_))
+            tracing::warn!(%key, end, error = %e, "it is not known whether the guard is deregistered");
+            DeregistrationOutcome::Unknown
         }
     }
 }
--- a/src/process/runs/keep_registered.rs
+++ b/src/process/runs/keep_registered.rs
@@ -6,7 +6,7 @@
         prelude::*,
         process::{
             clock::{sleep_logging_delay, with_timeout},
-            ledger::{Ledger, Member, deregister, register},
+            ledger::{DeregistrationOutcome, Ledger, Member, deregister, register},
         },
     },
 };
@@ -18,6 +18,10 @@
 /// The interval at which a guard checks whether its registration has to change.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The pause between two attempts to deregister. Other records that are stored at the same moment make an
+/// attempt fail, and the guard is in nobody's way meanwhile.
+const DEREGISTER_RETRY: Duration = Duration::from_millis(1000);
+
 /// How long a guard whose worker looks gone stays registered at least, in case another one starts: longer
 /// than the pauses of a worker that restarts repeatedly.
 const WORKER_RESTART_GRACE: Duration = Duration::from_millis(2000);
@@ -44,6 +48,25 @@
         {
             continue;
         }
+        if end_registration(&guard, &ledger, &*clock, &member).await {
+            member.registration = rand::random();
+        }
+        while guard.tracker.borrow().is_worker_gone() {
+            with_timeout(&*clock, CHECK_INTERVAL, guard.changed.listen()).await;
+        }
+    }
+}
+
+/// Removes the registration of a guard whose worker has ended. Returns whether it may be removed; if a
+/// worker is there again first, it stays. Between two attempts the guard is registered as before, so that
+/// a new worker is used at once.
+async fn end_registration(
+    guard: &RunGuard,
+    ledger: &Ledger,
+    clock: &dyn Clock,
+    member: &Member,
+) -> bool {
+    while guard.tracker.borrow().has_worker_ended() {
         let lease = {
             let mut tracker = guard.tracker.borrow_mut();
             tracker.withdraw_registration();
@@ -51,15 +74,13 @@
         };
         // The scheduling entry would store a registration again that a report still names.
         guard.changed.notify(usize::MAX);
-        if deregister(&ledger, &member, lease).await {
-            member.registration = rand::random();
-        } else {
-            guard.confirm_registration(member.registration);
-        }
-        while guard.tracker.borrow().is_worker_gone() {
-            with_timeout(&*clock, CHECK_INTERVAL, guard.changed.listen()).await;
+        match deregister(ledger, member, lease).await {
+            DeregistrationOutcome::Removed | DeregistrationOutcome::Unknown => return true,
+            DeregistrationOutcome::Kept => guard.confirm_registration(member.registration),
         }
+        sleep_logging_delay(clock, DEREGISTER_RETRY).await;
     }
+    false
 }
 
 /// Why a guard's registration has to change.
