Store the cancellation of a job that no entry has read

Cause: the appends of its submission had not been answered and were carried out 6 s later. An entry that had not read a job, and found nothing newer on the store, answered 410 and stored nothing. Change: such a cancellation is stored before it is answered. The fold keeps it until the job comes, which is then cancelled from the start, in a list as well. A submission of a job that was cancelled early is answered with 410. The leader drops those whose job never came after the retention, if the ledger ends where it has read it to. A list that is read again after a trim drops those that are gone. Why it works: whatever carries the job's append out, and whenever, its record comes after the cancellation or before it, and both are on the ledger for every reader.

--- a/src/platform/caller_api.rs
+++ b/src/platform/caller_api.rs
@@ -110,7 +110,7 @@
         match req.method {
             Method::POST => self.submit(id, queue, account, req).await,
             Method::GET => self.state(id),
-            Method::DELETE => self.cancel(id, req).await,
+            Method::DELETE => self.cancel(id, &account, req).await,
             _ => HttpResponse::text(405, "there is no such method"),
         }
     }
@@ -192,9 +192,11 @@
     async fn cancel(
         &self,
         id: StepJobId,
+        account: &AccountName,
         req: &HttpRequest,
     ) -> HttpResponse {
-        into_response(self.job_service.cancel(id, time_left(req)).await)
+        let cancelling = self.job_service.cancel(id, account, time_left(req));
+        into_response(cancelling.await)
     }
 }
 
@@ -260,8 +262,11 @@
         Ok(()) => HttpResponse::new(200, "application/json", Bytes::from_static(b"{}")),
         Err(DeskError::Gone) => HttpResponse::text(410, "there is no such job"),
         Err(e @ DeskError::TooLarge) => HttpResponse::text(413, &e.to_string()),
+        Err(e @ DeskError::CancelledEarly) => HttpResponse::text(410, &e.to_string()),
         Err(e @ (DeskError::NotStored | DeskError::Overloaded)) => unavailable(&e.to_string()),
-        Err(e @ DeskError::Stale) => unavailable(&e.to_string()),
+        Err(e @ (DeskError::Stale | DeskError::TooManyCancellations)) => {
+            unavailable(&e.to_string())
+        }
         Err(e @ DeskError::Unknown) => HttpResponse::text(504, &e.to_string()),
     }
 }
--- a/src/platform/platform_entry.rs
+++ b/src/platform/platform_entry.rs
@@ -8,7 +8,7 @@
         process::{
             config_view::ConfigView,
             evacuations::Evacuations,
-            job_service::JobService,
+            job_service::{EarlyCancellations, JobService},
             ledger::{
                 CandidateMachine, KeyedStore, LeaderElection, Ledger, Member, MemberRole,
                 StoreHealth, receive_end_hints, register, send_end_hints,
@@ -103,6 +103,7 @@
             metrics: metrics.clone(),
             submissions: Rc::new(SubmissionBudget::new(settings.limits.submission_bytes)),
             max_job_bytes: settings.limits.job_bytes,
+            early_cancellations: EarlyCancellations::new(settings.retention),
         });
         let caller_api = Rc::new(CallerApi::new(job_service.clone()));
         let server = HttpServer::bind_limited(callers, caller_api, limiter.callers).await?;
@@ -138,6 +139,7 @@
             settings.instance.clone(),
         ));
         tasks.spawn(receive_end_hints(ledger.clone(), hints));
+        tasks.spawn(job_service.clone().store_early_cancellations());
         let follower = ledger.clone();
         tasks.spawn(async move { follower.follow().await });
         ledger.wait_until_read().await;
--- a/src/process/job_service/job_service.rs
+++ b/src/process/job_service/job_service.rs
@@ -1,6 +1,7 @@
 //! An entry's service for callers' jobs, independent of the encoding of calls.
 
 use {
+    super::EarlyCancellations,
     crate::{
         prelude::*,
         process::{
@@ -35,6 +36,10 @@
 /// outcome is unknown has time left to call another entry.
 const MAX_STORE_TIME: Duration = Duration::from_millis(1400);
 
+/// How long the cancellation of an unread job waits until it is read back, which shows whether the job
+/// had been stored before.
+const MAX_READ_BACK_TIME: Duration = Duration::from_millis(500);
+
 /// The pause before an unsuccessful append is retried.
 const APPEND_RETRY: Duration = Duration::from_millis(120);
 
@@ -51,6 +56,9 @@
 /// Why a caller's call failed.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum DeskError {
+    /// The job was cancelled before it was accepted, so it never runs.
+    #[display("the job was cancelled before it was accepted")]
+    CancelledEarly,
     /// The job does not exist.
     #[display("there is no such job")]
     Gone,
@@ -66,6 +74,9 @@
     /// The job or its progress does not fit into the store, so the job never runs.
     #[display("the job is too large for the store")]
     TooLarge,
+    /// Too many unknown jobs were cancelled lately, so the call had no effect and never will have one.
+    #[display("too many unknown jobs were cancelled")]
+    TooManyCancellations,
     /// The call may have had its effect.
     #[display("the outcome is not known")]
     Unknown,
@@ -87,6 +98,8 @@
     pub submissions: Rc<SubmissionBudget>,
     /// The bytes of jobs that this entry can hold.
     pub max_job_bytes: usize,
+    /// The cancellations of jobs that this entry has not read.
+    pub early_cancellations: EarlyCancellations,
 }
 
 impl JobService {
@@ -116,9 +129,14 @@
         let result = self.submit_once(job, time).await;
         let outcome = match &result {
             Ok(()) => "accepted",
-            Err(DeskError::NotStored | DeskError::Overloaded | DeskError::TooLarge) => "rejected",
+            Err(
+                DeskError::CancelledEarly
+                | DeskError::NotStored
+                | DeskError::Overloaded
+                | DeskError::TooLarge,
+            ) => "rejected",
             Err(DeskError::Unknown) => "unknown",
-            Err(DeskError::Gone | DeskError::Stale) => "failed",
+            Err(DeskError::Gone | DeskError::Stale | DeskError::TooManyCancellations) => "failed",
         };
         self.metrics.submissions.with_label_values(&[outcome]).inc();
         let elapsed = self.clock.now().since(began);
@@ -134,6 +152,10 @@
         time: Duration,
     ) -> Result<(), DeskError> {
         let id = job.id;
+        if self.ledger.view(|f| f.is_cancelled_early(id)) {
+            tracing::info!(job = %id, "job rejected: it was cancelled before");
+            return Err(DeskError::CancelledEarly);
+        }
         if self.ledger.view(|f| f.jobs.contains_key(&id)) {
             tracing::info!(job = %id, "job has already been accepted");
             return Ok(());
@@ -160,7 +182,7 @@
             return Err(DeskError::Overloaded);
         };
         let is_stored = |f: &LedgerFold| f.jobs.contains_key(&id);
-        let result = self.store(&key, &record, time, is_stored).await;
+        let result = self.store(&[record], time, is_stored).await;
         if matches!(result, Ok(()) | Err(DeskError::Unknown)) {
             held.hold_until_read(id, self.clock.now());
         }
@@ -208,56 +230,113 @@
         Ok(record)
     }
 
-    /// Stores the cancellation of a job within `time`. A job that has ended stays as it is.
+    /// Stores the cancellation of a job within `time`, for a caller of an account. A job that has
+    /// ended stays as it is.
     ///
     /// # Errors
-    /// Returns a [`DeskError`]. After [`DeskError::NotStored`] the job is not cancelled.
+    /// Returns a [`DeskError`]. After [`DeskError::NotStored`] and
+    /// [`DeskError::TooManyCancellations`] the job is not cancelled; after [`DeskError::Gone`] it never
+    /// runs, even if its submission is stored later.
     pub async fn cancel(
         &self,
         id: StepJobId,
+        account: &AccountName,
         time: Duration,
     ) -> Result<(), DeskError> {
         let phase = self.phase(id);
         match phase {
             Ok(phase) if phase.is_final() => return Ok(()),
             Ok(_) => {}
-            Err(DeskError::Gone) => self.check_unread_job(id, time).await?,
+            Err(DeskError::Gone) => {
+                let result = self.cancel_unread(id, account, time).await;
+                tracing::info!(job = %id, %account, outcome = ?result, "unread job cancelled");
+                return result;
+            }
             Err(e) => return Err(e),
         }
-        let content = LedgerRecord::Cancel(self.clock.wall_time().0);
+        let record = self.cancellation(id)?;
         let is_stored = |f: &LedgerFold| f.jobs.get(&id).is_some_and(|v| v.is_cancelled);
-        let key = LedgerKey::Cancel(id);
-        let record = key.record(&content).map_err(|e| {
-            tracing::error!(%key, error = %e, "the cancellation cannot be encoded");
-            DeskError::NotStored
-        })?;
-        let result = self.store(&key, &record, time, is_stored).await;
+        let result = self.store(&[record], time, is_stored).await;
         tracing::info!(job = %id, ?phase, outcome = ?result, "job cancellation requested");
         result
     }
 
-    /// Looks on the store for a job that is not in the view of the ledger. The view lags behind, and
-    /// a caller that has been told that its job does not exist does not cancel it again.
+    /// Cancels a job that is not in the view of the ledger. It may be stored already, or an append of
+    /// it may be carried out later, also by another entry or after the end of this one. So the
+    /// cancellation is stored, before or after the job.
     ///
     /// # Errors
-    /// Returns [`DeskError::Gone`] if the job does not exist, and [`DeskError::Stale`] if the store
-    /// does not show that within `time`.
-    async fn check_unread_job(
+    /// Returns [`DeskError::Gone`] once the job is known not to be stored, and never to run if it is
+    /// stored later.
+    async fn cancel_unread(
         &self,
         id: StepJobId,
+        account: &AccountName,
         time: Duration,
     ) -> Result<(), DeskError> {
-        let reading = self.ledger.has_unread_job(id);
-        match with_timeout(&*self.clock, time, reading).await {
-            Some(Ok(true)) => Ok(()),
-            // The record may have been read from the ledger meanwhile.
-            Some(Ok(false)) => self.phase(id).map(drop),
-            Some(Err(e)) => {
-                tracing::info!(job = %id, error = %e, "it is not known whether the job exists");
-                Err(DeskError::Stale)
-            }
-            None => Err(DeskError::Stale),
+        if self.ledger.view(|f| f.is_cancelled_early(id)) {
+            return Err(DeskError::Gone);
         }
+        let entries = self.ledger.view(LedgerFold::entry_count);
+        let now = self.clock.now();
+        let added = self.early_cancellations.add(id, account, entries, now);
+        let Some(stored) = added else {
+            tracing::info!(job = %id, %account, "cancellation rejected: too many of unknown jobs");
+            return Err(DeskError::TooManyCancellations);
+        };
+        match with_timeout(&*self.clock, time, stored).await {
+            Some(Ok(result)) => result?,
+            Some(Err(_)) | None => return Err(DeskError::Unknown),
+        }
+        let is_read = |f: &LedgerFold| f.jobs.contains_key(&id) || f.is_cancelled_early(id);
+        let reading = self.ledger.wait_until(&is_read);
+        let is_read = with_timeout(&*self.clock, MAX_READ_BACK_TIME, reading).await;
+        let is_known = self.ledger.view(|f| f.jobs.contains_key(&id));
+        if is_read.is_some() && !is_known {
+            return Err(DeskError::Gone);
+        }
+        Ok(())
+    }
+
+    /// Stores the cancellations of unread jobs that callers wait for, several at a time, forever.
+    pub async fn store_early_cancellations(self: Rc<Self>) {
+        loop {
+            let batch = self.early_cancellations.next_batch(&*self.clock).await;
+            let result = self.store_cancellations(batch.iter().map(|c| c.id)).await;
+            tracing::info!(jobs = batch.len(), outcome = ?result, "cancellations of unread jobs stored");
+            let now = self.clock.now();
+            self.early_cancellations.finish(batch, result, now);
+        }
+    }
+
+    async fn store_cancellations<I>(
+        &self,
+        ids: I,
+    ) -> Result<(), DeskError>
+    where
+        I: Iterator<Item = StepJobId> + Clone,
+    {
+        let records = ids.clone().map(|id| self.cancellation(id));
+        let records: Vec<KeyedRecord> = records.collect::<Result<_, _>>()?;
+        let is_cancelled = |f: &LedgerFold, id| f.jobs.get(&id).is_some_and(|v| v.is_cancelled);
+        let is_stored = |f: &LedgerFold| {
+            let mut ids = ids.clone();
+            ids.all(|id| is_cancelled(f, id) || f.is_cancelled_early(id))
+        };
+        self.store(&records, MAX_STORE_TIME, is_stored).await
+    }
+
+    /// Returns the record of a cancellation.
+    fn cancellation(
+        &self,
+        id: StepJobId,
+    ) -> Result<KeyedRecord, DeskError> {
+        let content = LedgerRecord::Cancel(self.clock.wall_time().0);
+        let key = LedgerKey::Cancel(id);
+        key.record(&content).map_err(|e| {
+            tracing::error!(%key, error = %e, "the cancellation cannot be encoded");
+            DeskError::NotStored
+        })
     }
 
     /// Returns the phase of a job.
@@ -307,18 +386,18 @@
             .is_none_or(|age| age >= MAX_SUBMIT_VIEW_AGE)
     }
 
-    /// Stores an idempotent record. It counts as stored once the store confirms it or once it is
+    /// Stores idempotent records. They count as stored once the store confirms it or once they are
     /// read back from the ledger.
     async fn store<F>(
         &self,
-        key: &LedgerKey,
-        record: &KeyedRecord,
+        records: &[KeyedRecord],
         time: Duration,
         is_stored: F,
     ) -> Result<(), DeskError>
     where
         F: Fn(&LedgerFold) -> bool,
     {
+        let key = records.first().map(|r| r.key.clone()).unwrap_or_default();
         let start = self.clock.now();
         let time = time.min(MAX_STORE_TIME);
         let mut may_be_stored = false;
@@ -330,7 +409,7 @@
                 return Err(DeskError::NotStored);
             }
             let tried_at = self.clock.now();
-            match self.try_store(record, time_left, &is_stored).await {
+            match self.try_store(records, time_left, &is_stored).await {
                 Ok(()) => return Ok(()),
                 Err(StoreError::Refused(why)) => {
                     refusals += 1;
@@ -363,16 +442,14 @@
 
     async fn try_store<F>(
         &self,
-        record: &KeyedRecord,
+        records: &[KeyedRecord],
         time_left: Duration,
         is_stored: &F,
     ) -> Result<(), StoreError>
     where
         F: Fn(&LedgerFold) -> bool,
     {
-        let putting = self
-            .ledger
-            .append(std::slice::from_ref(record), Condition::Always);
+        let putting = self.ledger.append(records, Condition::Always);
         let reading = self.ledger.wait_until(is_stored);
         pin_mut!(putting, reading);
         let stored = select(putting, reading);
--- a/src/process/ledger/fold.rs
+++ b/src/process/ledger/fold.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Deregistration, KeyedPage, KeyedRecord, LeaderRecord, LedgerKey, LedgerRecord, Member,
+        MemberRole,
     },
     crate::{
         prelude::*,
@@ -25,6 +26,8 @@
     pub progress: JobProgress,
     /// Whether its caller has cancelled it.
     pub is_cancelled: bool,
+    /// Whether that was stored before the job, so that the job never runs.
+    pub is_cancelled_early: bool,
     /// When this process first read the job's end.
     pub ended_at: Option<Millis>,
 }
@@ -77,8 +80,17 @@
     progress_parts: BTreeMap<StepJobId, ProgressParts>,
     /// Registrations that were ended by a record whose tombstone was not read yet.
     ending_registrations: BTreeMap<Arc<str>, Deregistration>,
-    /// Offsets of cancellations that were read before the record of their job.
-    early_cancels: BTreeMap<StepJobId, u64>,
+    /// Cancellations that were read before the record of their job.
+    early_cancels: BTreeMap<StepJobId, EarlyCancel>,
+}
+
+/// A cancellation that was read before the record of its job.
+#[derive(Clone, Copy, Debug)]
+struct EarlyCancel {
+    /// The offset of its record.
+    offset: u64,
+    /// When it was read.
+    read_at: Millis,
 }
 
 /// The further records in which the progress of a job is stored.
@@ -120,10 +132,7 @@
                 Some(id)
             }
             (LedgerKey::Cancel(id), Ok(LedgerRecord::Cancel(_))) => {
-                match self.jobs.get_mut(&id) {
-                    Some(view) => view.is_cancelled = true,
-                    None => drop(self.early_cancels.insert(id, record.offset)),
-                }
+                self.apply_cancel(id, record.offset, now);
                 Some(id)
             }
             (LedgerKey::Member(name), Ok(LedgerRecord::Member(member))) => {
@@ -169,6 +178,8 @@
         });
         self.members
             .retain(|name, _| keys.contains(&LedgerKey::Member(name.clone())));
+        self.early_cancels
+            .retain(|id, c| c.offset >= page.end || keys.contains(&LedgerKey::Cancel(*id)));
     }
 
     /// Returns the progress of a job whose own record was not read yet.
@@ -191,6 +202,12 @@
         waiting.count()
     }
 
+    /// Returns the number of registered entries.
+    pub fn entry_count(&self) -> usize {
+        let members = self.members.values();
+        members.filter(|m| m.role == MemberRole::Entry).count()
+    }
+
     /// Returns the memory of all jobs, in bytes.
     pub fn job_bytes(&self) -> usize {
         self.jobs.values().map(|v| v.memory_bytes).sum()
@@ -215,6 +232,30 @@
         ended.map(|(id, _)| *id).take(limit).collect()
     }
 
+    /// Returns whether the cancellation of a job was stored before the job, which may come or not.
+    pub fn is_cancelled_early(
+        &self,
+        id: StepJobId,
+    ) -> bool {
+        match self.jobs.get(&id) {
+            Some(view) => view.is_cancelled_early,
+            None => self.early_cancels.contains_key(&id),
+        }
+    }
+
+    /// Returns up to `limit` jobs that were not stored, and whose cancellation was read at least
+    /// `retention` ago.
+    pub fn expired_early_cancels(
+        &self,
+        now: Millis,
+        retention: Duration,
+        limit: usize,
+    ) -> Vec<StepJobId> {
+        let cancels = self.early_cancels.iter();
+        let expired = cancels.filter(|(_, c)| now.since(c.read_at) >= retention);
+        expired.map(|(id, _)| *id).take(limit).collect()
+    }
+
     /// Returns the numbers of the further records in which the progress of a job is stored.
     pub fn progress_part_numbers(
         &self,
@@ -314,17 +355,40 @@
         offset: u64,
     ) {
         let progress = self.early_progress.remove(&id).unwrap_or_default();
-        let is_cancelled = self.early_cancels.remove(&id).is_some();
+        let early_cancel = self.early_cancels.remove(&id);
+        let is_cancelled_early = early_cancel.is_some_and(|c| c.offset < offset);
         self.jobs.entry(id).or_insert_with(|| JobView {
             memory_bytes: job.memory_bytes(),
             job: Rc::new(job),
             offset,
             progress,
-            is_cancelled,
+            is_cancelled: early_cancel.is_some(),
+            is_cancelled_early,
             ended_at: None,
         });
     }
 
+    fn apply_cancel(
+        &mut self,
+        id: StepJobId,
+        offset: u64,
+        now: Millis,
+    ) {
+        match self.jobs.get_mut(&id) {
+            Some(view) => {
+                view.is_cancelled = true;
+                view.is_cancelled_early |= offset < view.offset;
+            }
+            None => {
+                let cancel = EarlyCancel {
+                    offset,
+                    read_at: now,
+                };
+                self.early_cancels.insert(id, cancel);
+            }
+        }
+    }
+
     /// Applies the record of a job's progress that every job has. It alone holds the phase and the
     /// stamp; the further records only add to what is known of units.
     fn apply_progress(
--- a/src/process/ledger/ledger.rs
+++ b/src/process/ledger/ledger.rs
@@ -225,19 +225,6 @@
         self.has_unread(|r| decode_leader_record(r).is_some()).await
     }
 
-    /// Returns whether a job has been stored that was not read yet.
-    ///
-    /// # Errors
-    /// Returns a [`StoreError`] if the store gives no result in time.
-    pub async fn has_unread_job(
-        &self,
-        id: StepJobId,
-    ) -> Result<bool, StoreError> {
-        let key = LedgerKey::Job(id);
-        self.has_unread(|r| r.value.is_some() && LedgerKey::parse(&r.key).as_ref() == Some(&key))
-            .await
-    }
-
     /// Returns whether a record matches that was not read yet. One read returns only the first part
     /// of what has been stored, so it reads on until the end.
     async fn has_unread<F>(
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -3,6 +3,7 @@
 
 mod active_unit;
 mod data_centre_evacuation;
+mod early_cancellation_sweep;
 mod evacuation;
 mod guard_task;
 mod leader_lease;
--- a/src/process/scheduler/scheduler_term.rs
+++ b/src/process/scheduler/scheduler_term.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         LeaseTerms, RackFirstPlacement, Scheduler,
+        early_cancellation_sweep::drop_early_cancellations,
         guard_task::maintain_session,
         progress_writer::{AppendResult, FencedWriter, write_progress},
         scheduler::TERM_SHIFT_BITS,
@@ -234,6 +235,7 @@
         writer,
         ctx.retention,
     ));
+    tasks.spawn(drop_early_cancellations(election.clone(), ctx.retention));
     run_passes(ctx, &shared).await;
     tasks.cancel();
     ctx.metrics.leader_term.set(0);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod busy_worker;
 mod cut_lists;
+mod early_cancellations;
 mod election;
 mod election_model;
 mod end_hints;
--- a/tests/platform/one_guard.rs
+++ b/tests/platform/one_guard.rs
@@ -54,6 +54,7 @@
         offset: 0,
         progress: JobProgress::default(),
         is_cancelled: false,
+        is_cancelled_early: false,
         ended_at: None,
     }
 }
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -301,6 +301,7 @@
             offset: self.offset,
             progress: JobProgress::default(),
             is_cancelled: false,
+            is_cancelled_early: false,
             ended_at: None,
         };
         self.offset += 1;
