Log which workers are reserved for a unit that does not fit

Change: a line when a unit gets a reservation and one when it ends; the code of reservations moves to a file of its own. No decision changes.

--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod pass_pending_units;
 mod pass_preemption;
 mod pass_relocation;
+mod pass_reservation;
 mod pending_orders;
 mod pending_unit;
 mod preemption;
--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -1,4 +1,4 @@
-//! Preempts other work and reserves workers for pending units that do not fit.
+//! Preempts other work for pending units that do not fit.
 
 use {
     super::{
@@ -25,10 +25,6 @@
 /// How often a gang is preempted for work that is not guaranteed its room.
 const MAX_GANG_PREEMPTIONS: u64 = 2;
 
-/// The lower bound on a run's assumed remaining time, in milliseconds, because declared run times
-/// are often far off.
-const MIN_REMAINING_MS: u64 = 300;
-
 impl Scheduler {
     /// Preempts other work so that an urgent unit can start: less urgent work, and if that does not
     /// suffice for a unit within its account's guarantee, urgent work of other accounts that no
@@ -73,22 +69,6 @@
         true
     }
 
-    /// Reserves the workers that are likely to be free first for a unit that does not fit.
-    pub(super) fn reserve_capacity(
-        &self,
-        req: &PlacementRequest<'_>,
-        hosts_after_stops: &[Host],
-        hosts: &mut [PassHost],
-        now: Millis,
-    ) {
-        let running = self.units_by_remaining_time(now);
-        if let Some((_, placed)) =
-            choose_victims(&*self.placement_policy, req, hosts_after_stops, &running)
-        {
-            claim_capacity(hosts, &placed, req.step);
-        }
-    }
-
     /// Returns the running units that may be stopped for a pending unit, with what stopping each
     /// would cost: those that are less urgent, and for a unit that is guaranteed its room also the
     /// urgent ones of other accounts that no guarantee covers.
@@ -183,27 +163,6 @@
         preemptible.collect()
     }
 
-    /// Returns the running units with the remaining accelerator time of each as its cost.
-    fn units_by_remaining_time(
-        &self,
-        now: Millis,
-    ) -> Vec<Victim> {
-        let units = self.jobs.values().flat_map(|open| {
-            open.active_units.iter().filter_map(move |(unit, a)| {
-                let step = open.job.step_of(*unit)?;
-                let age_ms = Millis::from(now.since(a.active_since)).0;
-                let remaining_ms = step
-                    .estimate_ms
-                    .saturating_sub(age_ms)
-                    .max(MIN_REMAINING_MS);
-                let accelerators = step.demand.accelerators * u64::from(step.members_per_unit());
-                let cost = remaining_ms * accelerators.max(1);
-                Some(self.victim(open.job.id, *unit, cost, VictimKind::LessUrgent))
-            })
-        });
-        units.collect()
-    }
-
     pub(super) fn victim(
         &self,
         id: StepJobId,
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ActiveUnit, LeaseTerms, OpenJob, PendingOrders, PlacedRun, SchedulerCounts,
-        UnitPlacementPolicy, UpstreamState, upstream::NOT_SENT,
+        UnitPlacementPolicy, UpstreamState, pass_reservation::Reservations, upstream::NOT_SENT,
     },
     crate::{
         connection::{GuardOrders, RunPhase, RunStart},
@@ -47,6 +47,8 @@
     pub(super) evacuated: Rc<BTreeSet<DataCentre>>,
     /// Whether the evacuated data centres are known at present. Otherwise, nothing is started.
     pub(super) knows_evacuations: bool,
+    /// The units for which the last pass reserved workers.
+    pub(super) reservations: Reservations,
     pub(super) placement_policy: Box<dyn UnitPlacementPolicy>,
     pub(super) pending_orders: BTreeMap<UpstreamName, PendingOrders>,
     pub(super) messages_sent: BTreeMap<UpstreamName, u64>,
@@ -88,6 +90,7 @@
             upstreams: BTreeMap::new(),
             counts: SchedulerCounts::default(),
             evacuated: Rc::default(),
+            reservations: Reservations::new(),
             knows_evacuations: false,
             placement_policy,
             pending_orders: BTreeMap::new(),
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -51,7 +51,8 @@
         pending_units.sort_by_key(PendingUnit::order_key);
         let mut hosts = self.pass_hosts(now);
         let mut blocked: BTreeSet<(StepJobId, u32, u16)> = BTreeSet::new();
-        let mut reservations = 0;
+        let mut reserved = Vec::new();
+        let mut reservation_attempts = 0;
         for pending in pending_units {
             let step_key = (pending.job, pending.unit.occurrence, pending.unit.step);
             if blocked.contains(&step_key) {
@@ -92,11 +93,14 @@
                 continue;
             }
             blocked.insert(step_key);
-            if reservations < MAX_RESERVATIONS && step.members_per_unit() > 0 {
-                reservations += 1;
-                self.reserve_capacity(&req, &hosts_after_stops, &mut hosts, now);
+            if reservation_attempts < MAX_RESERVATIONS && step.members_per_unit() > 0 {
+                reservation_attempts += 1;
+                if self.reserve_capacity(&pending, &req, &hosts_after_stops, &mut hosts, now) {
+                    reserved.push((pending.job, pending.unit));
+                }
             }
         }
+        self.record_reservations(&reserved, now);
     }
 
     /// Returns how long a unit may wait for a rack: for a part of the time within which its start is
