Lend workers that are reserved for a unit and stay idle

Cause: a gang that waited for one long run had all workers reserved, and a reservation had no limit in time. The log has 'workers reserved for a unit that waits for running work' for all four and 'reservation ended' after 58,009 ms. Why it works: the wait for reserved capacity has an end that does not depend on declared run times, and the unit that comes first still starts as soon as the work that it waited for has ended and what was lent has stopped. Tests: small_jobs_run_beside_a_gang_that_waits, a_stream_of_small_jobs_does_not_delay_a_gang and a_unit_is_stopped_for_reservations_twice_at_most fail without the change and pass with it.

--- a/src/process/scheduler/active_unit.rs
+++ b/src/process/scheduler/active_unit.rs
@@ -1,6 +1,12 @@
 //! A running unit.
 
-use crate::prelude::*;
+use crate::{
+    prelude::*,
+    request::{StepJobId, UnitId},
+};
+
+/// A job and one of its units.
+pub type JobUnit = (StepJobId, UnitId);
 
 /// One start of a unit, on one worker or, for a gang, possibly on several.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,4 +19,6 @@
     pub active_since: Millis,
     /// Whether it is being stopped as a whole.
     pub is_stopping: bool,
+    /// The units whose reserved capacity it runs on. They take it back once they fit.
+    pub lenders: Vec<JobUnit>,
 }
--- a/src/process/scheduler/mod.rs
+++ b/src/process/scheduler/mod.rs
@@ -35,7 +35,7 @@
 mod upstream;
 
 pub use {
-    active_unit::ActiveUnit,
+    active_unit::{ActiveUnit, JobUnit},
     lease_terms::LeaseTerms,
     open_job::OpenJob,
     pending_orders::{MessageOrders, PendingOrders},
--- a/src/process/scheduler/open_job.rs
+++ b/src/process/scheduler/open_job.rs
@@ -29,6 +29,8 @@
     pub failed_on: BTreeMap<UnitId, BTreeSet<UpstreamName>>,
     /// How often each unit was preempted in this term.
     pub preemptions: BTreeMap<UnitId, u64>,
+    /// How often each unit was stopped in this term for the unit whose reserved capacity it ran on.
+    pub reclaims: BTreeMap<UnitId, u64>,
     /// The number of the last change of its progress.
     pub last_change: u64,
     /// The number of the last change that is recorded.
@@ -54,6 +56,7 @@
             highest_run: BTreeMap::new(),
             failed_on: BTreeMap::new(),
             preemptions: BTreeMap::new(),
+            reclaims: BTreeMap::new(),
             last_change: 0,
             last_recorded_change: 0,
             may_have_started: view.progress.stamp != ProgressStamp::default(),
--- a/src/process/scheduler/pass_preemption.rs
+++ b/src/process/scheduler/pass_preemption.rs
@@ -49,14 +49,30 @@
         let count = |kind| victims.iter().filter(|v| v.kind == kind).count();
         let (uncovered, relocated) = (count(VictimKind::Uncovered), count(VictimKind::Relocated));
         tracing::info!(job = %pending.job, unit = %pending.unit, victims = victims.len(), uncovered, relocated, guaranteed = pending.is_guaranteed, "preempting other work");
-        for victim in &victims {
+        self.stop_victims(&victims, hosts);
+        claim_capacity(hosts, &placed, req.step);
+        true
+    }
+
+    /// Stops units so that another one can be placed.
+    pub(super) fn stop_victims(
+        &mut self,
+        victims: &[Victim],
+        hosts: &mut [PassHost],
+    ) {
+        for victim in victims {
             self.counts.count("preempted");
             release_after_stop(hosts, victim);
             let (id, unit) = victim.unit;
             if let Some(job) = self.jobs.get_mut(&id) {
-                *job.preemptions.entry(unit).or_default() += 1;
+                let stops = match victim.kind {
+                    VictimKind::Lent => &mut job.reclaims,
+                    _ => &mut job.preemptions,
+                };
+                *stops.entry(unit).or_default() += 1;
             }
             let why = match victim.kind {
+                VictimKind::Lent => "its capacity is reserved for a unit that can start now",
                 VictimKind::LessUrgent => "preempted by more urgent work",
                 VictimKind::Uncovered => {
                     "not covered by its account's guarantee, preempted for another account's guarantee"
@@ -65,8 +81,6 @@
             };
             self.stop_unit(id, unit, why);
         }
-        claim_capacity(hosts, &placed, req.step);
-        true
     }
 
     /// Returns the running units that may be stopped for a pending unit, with what stopping each
--- a/src/process/scheduler/pass_relocation.rs
+++ b/src/process/scheduler/pass_relocation.rs
@@ -103,7 +103,7 @@
             remote_factor: self.remote_factor,
             max_rack_wait: None,
         };
-        let free = self.eligible_hosts(hosts, job, step, unit, true);
+        let free = self.eligible_hosts(hosts, job, step, unit, PassHost::free_after_stops);
         let placed = self.placement_policy.place(&req, &free)?;
         claim_capacity(hosts, &placed, step);
         Some(())
--- a/src/process/scheduler/preemption.rs
+++ b/src/process/scheduler/preemption.rs
@@ -12,6 +12,8 @@
 /// Why a running unit may be stopped for another one. A plan spares the later kinds first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum VictimKind {
+    /// It runs on capacity that is reserved for the unit.
+    Lent,
     /// It is less urgent than the unit that is to be placed.
     LessUrgent,
     /// It is as urgent, but no guarantee covers it.
@@ -179,7 +181,7 @@
                 *match victim.kind {
                     VictimKind::Relocated => &mut total.0,
                     VictimKind::Uncovered => &mut total.1,
-                    VictimKind::LessUrgent => &mut total.2,
+                    VictimKind::LessUrgent | VictimKind::Lent => &mut total.2,
                 } += victim.cost;
                 total
             })
--- a/src/process/scheduler/report.rs
+++ b/src/process/scheduler/report.rs
@@ -329,6 +329,7 @@
                 members: BTreeMap::new(),
                 active_since: now,
                 is_stopping: false,
+                lenders: Vec::new(),
             });
             active
                 .members
--- a/src/process/scheduler/scheduler.rs
+++ b/src/process/scheduler/scheduler.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ActiveUnit, LeaseTerms, OpenJob, PendingOrders, PlacedRun, SchedulerCounts,
+        ActiveUnit, JobUnit, LeaseTerms, OpenJob, PendingOrders, PlacedRun, SchedulerCounts,
         UnitPlacementPolicy, UpstreamState, pass_reservation::Reservations, upstream::NOT_SENT,
     },
     crate::{
@@ -354,6 +354,7 @@
         id: StepJobId,
         unit: UnitId,
         hosts: &[UpstreamName],
+        lenders: Vec<JobUnit>,
         now: Millis,
     ) {
         let term = self.term;
@@ -404,6 +405,7 @@
                 members,
                 active_since: now,
                 is_stopping: false,
+                lenders,
             },
         );
     }
--- a/src/process/scheduler/scheduling_pass.rs
+++ b/src/process/scheduler/scheduling_pass.rs
@@ -1,7 +1,9 @@
 //! One scheduling pass: starts pending units in order and frees capacity for urgent ones.
 
 use {
-    super::{Host, PendingUnit, PlacementRequest, Scheduler},
+    super::{
+        Host, JobUnit, PendingUnit, PlacementRequest, Scheduler, pass_reservation::ReservedCapacity,
+    },
     crate::{
         prelude::*,
         request::{Resources, RunRef, Step, StepJob, StepJobId, UnitId},
@@ -9,8 +11,7 @@
     std::collections::BTreeSet,
 };
 
-/// The maximum number of units for which one pass reserves workers because they do not fit. More
-/// would keep workers idle for work that cannot start soon.
+/// The maximum number of units for which one pass reserves workers because they do not fit.
 const MAX_RESERVATIONS: usize = 3;
 
 /// How long urgent work waits for running work to end by itself before it preempts other work. It
@@ -24,10 +25,24 @@
     pub(super) host: Host,
     /// The free capacity once the runs that are being stopped have ended.
     pub(super) free_after_stops: Resources,
+    /// The parts of its free capacity that the pass has reserved.
+    pub(super) reserved: Vec<ReservedCapacity>,
     labels: Vec<Arc<str>>,
     service: Arc<str>,
 }
 
+impl PassHost {
+    /// Returns the capacity that is free now and not reserved.
+    pub(super) fn free_now(&self) -> Resources {
+        self.host.free_capacity
+    }
+
+    /// Returns the capacity that is free once the runs that are being stopped have ended.
+    pub(super) fn free_after_stops(&self) -> Resources {
+        self.free_after_stops
+    }
+}
+
 impl Scheduler {
     /// Runs one scheduling pass: starts units that fit, preempts less urgent work, and reserves
     /// workers for units that wait. Does none of it without the leader's lease, nor while the evacuated
@@ -71,27 +86,33 @@
                 remote_factor: self.remote_factor,
                 max_rack_wait: self.max_rack_wait(&pending),
             };
-            let free_hosts = self.eligible_hosts(&hosts, &job, step, pending.unit, false);
+            let free_hosts =
+                self.eligible_hosts(&hosts, &job, step, pending.unit, PassHost::free_now);
             if let Some(placed) = self.placement_policy.place(&req, &free_hosts) {
-                self.log_placement(&pending, &placed, free_hosts.len());
                 claim_capacity(&mut hosts, &placed, step);
-                self.counts
-                    .placement_waits
-                    .push((pending.priority, pending.waited));
-                self.start_unit(pending.job, pending.unit, &placed, now);
+                self.start_pending(&pending, &placed, free_hosts.len(), Vec::new(), now);
                 continue;
             }
-            let hosts_after_stops = self.eligible_hosts(&hosts, &job, step, pending.unit, true);
+            let hosts_after_stops =
+                self.eligible_hosts(&hosts, &job, step, pending.unit, PassHost::free_after_stops);
             if let Some(placed) = self.placement_policy.place(&req, &hosts_after_stops) {
                 claim_capacity(&mut hosts, &placed, step);
                 continue;
             }
+            let on_lent = self.place_on_lent(&pending, &req, &job, &mut hosts);
+            if let Some((placed, lenders)) = on_lent {
+                self.start_pending(&pending, &placed, hosts.len(), lenders, now);
+                continue;
+            }
             let must_wait = pending.waited < PREEMPTION_DELAY;
             let may_preempt = (pending.is_guaranteed || pending.priority == 0) && !must_wait;
             if may_preempt && self.preempt_for(&pending, &req, &hosts_after_stops, &mut hosts, now)
             {
                 continue;
             }
+            if self.reclaim_reserved(&pending, &req, &hosts_after_stops, &mut hosts, now) {
+                continue;
+            }
             blocked.insert(step_key);
             if reservation_attempts < MAX_RESERVATIONS && step.members_per_unit() > 0 {
                 reservation_attempts += 1;
@@ -103,6 +124,21 @@
         self.record_reservations(&reserved, now);
     }
 
+    /// Starts a pending unit on the workers of its members.
+    fn start_pending(
+        &mut self,
+        pending: &PendingUnit,
+        placed: &[UpstreamName],
+        hosts: usize,
+        lenders: Vec<JobUnit>,
+        now: Millis,
+    ) {
+        self.log_placement(pending, placed, hosts, !lenders.is_empty());
+        let wait = (pending.priority, pending.waited);
+        self.counts.placement_waits.push(wait);
+        self.start_unit(pending.job, pending.unit, placed, lenders, now);
+    }
+
     /// Returns how long a unit may wait for a rack: for a part of the time within which its start is
     /// promised if its account's guarantee covers it. An account without a guarantee has no such promise,
     /// also for units without accelerators.
@@ -121,6 +157,7 @@
         pending: &PendingUnit,
         placed: &[UpstreamName],
         hosts: usize,
+        is_lent: bool,
     ) {
         let oldest_ms = placed
             .iter()
@@ -136,6 +173,7 @@
             waited_ms = pending.waited.as_millis() as u64,
             upstreams = ?placed.iter().map(UpstreamName::as_str).collect::<Vec<_>>(),
             hosts,
+            is_lent,
             view_age_ms = oldest_ms.max(),
             term = self.term,
             previous_run,
@@ -163,6 +201,7 @@
                 free_after_stops: u
                     .capacity
                     .saturating_sub(&staying.fold(Resources::default(), |a, b| a + b)),
+                reserved: Vec::new(),
                 labels: u.labels.clone(),
                 service: u.service.clone(),
             }
@@ -170,16 +209,18 @@
         hosts.collect()
     }
 
-    /// Returns the hosts that may run a unit, with the capacity that is free now, or that is free
-    /// after pending stops if `after_stops` is set.
-    pub(super) fn eligible_hosts(
+    /// Returns the hosts that may run a unit, each with the free capacity that `free_capacity` returns.
+    pub(super) fn eligible_hosts<F>(
         &self,
         hosts: &[PassHost],
         job: &StepJob,
         step: &Step,
         unit: UnitId,
-        after_stops: bool,
-    ) -> Vec<Host> {
+        free_capacity: F,
+    ) -> Vec<Host>
+    where
+        F: Fn(&PassHost) -> Resources,
+    {
         let fitting = hosts.iter().filter(|h| {
             let has_label = step.label.as_ref().is_none_or(|l| h.labels.contains(l));
             h.service == job.service && has_label && step.demand.fits_in(&h.host.capacity)
@@ -187,11 +228,7 @@
         let fitting: Vec<&PassHost> = fitting.collect();
         let hosts = self.untried_hosts(&fitting, job, step, unit);
         let hosts = hosts.into_iter().map(|h| Host {
-            free_capacity: if after_stops {
-                h.free_after_stops
-            } else {
-                h.host.free_capacity
-            },
+            free_capacity: free_capacity(h),
             sibling_runs: self.count_sibling_runs(&h.host.upstream, job.id, unit, step),
             ..h.host.clone()
         });
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -30,6 +30,7 @@
 mod refusals;
 mod registration;
 mod replaced_worker;
+mod reservations;
 mod run_tracker;
 mod scheduler;
 mod sessions;
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -170,6 +170,8 @@
     pub evacuated: Option<Rc<BTreeSet<DataCentre>>>,
     /// How long a complete gang works, in milliseconds.
     pub gang_work_ms: u64,
+    /// How long the subtasks of some jobs work, in milliseconds, also of gangs.
+    pub work_ms_by_job: BTreeMap<StepJobId, u64>,
     gangs: BTreeMap<(StepJobId, u16, u64), Gang>,
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
@@ -197,6 +199,7 @@
             queue_table: None,
             evacuated: Some(Rc::default()),
             gang_work_ms: GANG_WORK_MS,
+            work_ms_by_job: BTreeMap::new(),
             gangs: BTreeMap::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -808,7 +811,10 @@
             } else {
                 EndKind::Done
             },
-            work_ms: self.rng.random_range(300..6000),
+            work_ms: match self.work_ms_by_job.get(&run.subtask.job) {
+                Some(work_ms) => *work_ms,
+                None => self.rng.random_range(300..6000),
+            },
             save_interval_ms: 500,
         }
     }
@@ -1255,6 +1261,7 @@
             let running = members_by_gang.get(key).map_or(0, BTreeSet::len);
             let size = self.oracle.jobs[&key.0].steps[usize::from(key.1)].count as usize;
             let is_whole = running == size && !gang.has_ended;
+            let work_ms = self.work_ms_by_job.get(&key.0).copied().unwrap_or(work_ms);
             if is_whole && gang.complete_since.is_none() {
                 gang.complete_since = Some(now);
             }
