--- a/src/process/job_service/early_cancellations.rs
+++ b/src/process/job_service/early_cancellations.rs
@@ -14,6 +14,9 @@
 /// How many early cancellations all entries together may have on the ledger, some 0.5 MB.
 const MAX_EARLY_CANCELLATIONS: usize = 8192;
 
+/// How many of them each entry admits at least. Entries that are gone for good still count as registered.
+const MIN_PER_ENTRY: usize = 128;
+
 /// How long further cancellations are collected for one append.
 const GROUPING_DELAY: Duration = Duration::from_millis(30);
 
@@ -62,7 +65,7 @@
         entries: usize,
         now: Millis,
     ) -> Option<StoredReply> {
-        let capacity = MAX_EARLY_CANCELLATIONS / entries.max(1);
+        let capacity = (MAX_EARLY_CANCELLATIONS / entries.max(1)).max(MIN_PER_ENTRY);
         if !self.shares.borrow_mut().take(account, capacity, now) {
             return None;
         }
--- a/tests/platform/early_cancellations.rs
+++ b/tests/platform/early_cancellations.rs
@@ -30,7 +30,7 @@
 
 const TOPIC: &str = "keyed.limpetquay";
 const LATENCY: Duration = Duration::from_millis(4);
-const RETENTION: Duration = Duration::from_secs(120);
+const RETENTION: Duration = Duration::from_secs(240);
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
 const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"queue","Host":"a","PathPrefix":"/queue/","Service":"s",
     "Priority":0,"Attempts":1,"Stretch":1,"TargetLatencyMs":0}],
