--- a/src/process/scheduler/pass_reservation.rs
+++ b/src/process/scheduler/pass_reservation.rs
@@ -68,11 +68,12 @@
 
     /// Returns the free capacity with the reserved parts that are lent.
     fn free_or_lent(&self) -> Resources {
-        let lendable = self.reserved.iter().filter(|r| r.is_lent);
-        lendable.fold(self.host.free_capacity, |sum, r| sum + r.idle)
+        let lent = self.reserved.iter().filter(|r| r.is_lent);
+        lent.fold(self.host.free_capacity, |sum, r| sum + r.idle)
     }
 
-    /// Takes the capacity of one member, out of reserved parts if the rest does not suffice. Returns the units that these parts are reserved for.
+    /// Takes the capacity of one member, out of lent parts if the rest does not suffice. Returns the units
+    /// that these parts are reserved for.
     fn borrow(
         &mut self,
         demand: &Resources,
@@ -106,9 +107,9 @@
         if !reserved.any(|r| r.is_lent) {
             return None;
         }
-        let lendable =
+        let eligible =
             self.eligible_hosts(hosts, job, req.step, pending.unit, PassHost::free_or_lent);
-        let placed = self.placement_policy.place(req, &lendable)?;
+        let placed = self.placement_policy.place(req, &eligible)?;
         let mut lenders = Vec::new();
         for name in &placed {
             if let Some(host) = hosts.iter_mut().find(|h| h.host.upstream == *name) {
